--- /dev/null
+++ b/cicadactl/src/apply.rs
@@ -0,0 +1,238 @@
+/*!
+Making what is in force match a settings file.
+
+The file lists customers, routes and model versions. Those of the file are
+created or replaced where they differ; with `remove_others` those not in the
+file are removed. Each change is based on the version that the difference was
+made against, so a racing operator's change is never overwritten unseen.
+*/
+
+use {
+    crate::{
+        client::Client,
+        error::{FileSnafu, Result},
+    },
+    cicadagate_wire::rpc::{
+        Backend, Change, Customer, ListResponse, ModelVersion, Route, RouteKind,
+        change::Change as Kind,
+    },
+    json_comments::StripComments,
+    serde::Deserialize,
+    serde_json::json,
+    std::{fs, io::Read, path::Path},
+};
+
+/// A settings file of the fleet.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Fleet {
+    customers: Vec<FileCustomer>,
+    routes: Vec<FileRoute>,
+    model_versions: Vec<FileModelVersion>,
+    remove_others: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileCustomer {
+    name: String,
+    rate: f64,
+    burst: u32,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileRoute {
+    name: String,
+    kind: FileRouteKind,
+    backends: Vec<FileBackend>,
+    #[serde(default)]
+    open: bool,
+    #[serde(default)]
+    non_idempotent: bool,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum FileRouteKind {
+    Model,
+    Service,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileBackend {
+    deployment: String,
+    weight: u32,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileModelVersion {
+    deployment: String,
+    version: String,
+}
+
+/// A change that the difference calls for.
+struct Wanted {
+    what: String,
+    based_on: u64,
+    change: Kind,
+}
+
+/// Applies a file, or only shows the difference.
+pub(crate) async fn run(client: &mut Client, path: &Path, dry_run: bool, json: bool) -> Result<()> {
+    let fleet = read(path)?;
+    let wanted = difference(fleet, &client.list().await?);
+    let mut version = 0;
+    for wanted in &wanted {
+        let change = Change {
+            change: Some(wanted.change.clone()),
+        };
+        let answer = client
+            .apply(change, Some(wanted.based_on), String::new(), dry_run)
+            .await?;
+        version = version.max(answer.version);
+        if !json {
+            println!("{}{}", if dry_run { "would " } else { "" }, wanted.what);
+        }
+    }
+    if json {
+        let what: Vec<&str> = wanted.iter().map(|wanted| wanted.what.as_str()).collect();
+        println!(
+            "{}",
+            json!({"changes": what, "version": version, "dry_run": dry_run})
+        );
+    } else if wanted.is_empty() {
+        println!("nothing to change");
+    }
+    Ok(())
+}
+
+fn read(path: &Path) -> Result<Fleet> {
+    let failed = |reason: String| {
+        FileSnafu {
+            path: path.display().to_string(),
+            reason,
+        }
+        .build()
+    };
+    let text = fs::read_to_string(path).map_err(|err| failed(err.to_string()))?;
+    let mut stripped = String::new();
+    StripComments::new(text.as_bytes())
+        .read_to_string(&mut stripped)
+        .map_err(|err| failed(err.to_string()))?;
+    serde_json::from_str(&stripped).map_err(|err| failed(err.to_string()))
+}
+
+fn difference(fleet: Fleet, list: &ListResponse) -> Vec<Wanted> {
+    let mut wanted = Vec::new();
+    let removed = if fleet.remove_others {
+        removals(&fleet, list)
+    } else {
+        Vec::new()
+    };
+    for customer in fleet.customers {
+        let customer = Customer {
+            name: customer.name,
+            rate: customer.rate,
+            burst: customer.burst,
+        };
+        let old = list.customers.iter().find(|listed| {
+            listed
+                .customer
+                .as_ref()
+                .is_some_and(|old| old.name == customer.name)
+        });
+        if old.and_then(|listed| listed.customer.as_ref()) != Some(&customer) {
+            wanted.push(Wanted {
+                what: format!("put customer {}", customer.name),
+                based_on: old.map_or(0, |listed| listed.version),
+                change: Kind::PutCustomer(customer),
+            });
+        }
+    }
+    for route in fleet.routes {
+        let route = rpc_route(route);
+        let old = list.routes.iter().find(|listed| {
+            listed
+                .route
+                .as_ref()
+                .is_some_and(|old| old.name == route.name)
+        });
+        if old.and_then(|listed| listed.route.as_ref()) != Some(&route) {
+            wanted.push(Wanted {
+                what: format!("put route {}", route.name),
+                based_on: old.map_or(0, |listed| listed.version),
+                change: Kind::PutRoute(route),
+            });
+        }
+    }
+    for version in fleet.model_versions {
+        let version = ModelVersion {
+            deployment: version.deployment,
+            version: version.version,
+        };
+        let old = list.model_versions.iter().find(|listed| {
+            let same = |old: &ModelVersion| old.deployment == version.deployment;
+            listed.model_version.as_ref().is_some_and(same)
+        });
+        if old.and_then(|listed| listed.model_version.as_ref()) != Some(&version) {
+            wanted.push(Wanted {
+                what: format!(
+                    "put model version {} of {}",
+                    version.version, version.deployment
+                ),
+                based_on: old.map_or(0, |listed| listed.version),
+                change: Kind::PutModelVersion(version),
+            });
+        }
+    }
+    wanted.extend(removed);
+    wanted
+}
+
+fn removals(fleet: &Fleet, list: &ListResponse) -> Vec<Wanted> {
+    let customers = list.customers.iter().filter_map(|listed| {
+        let name = &listed.customer.as_ref()?.name;
+        let kept = fleet
+            .customers
+            .iter()
+            .any(|customer| customer.name == *name);
+        (!kept).then(|| Wanted {
+            what: format!("remove customer {name}"),
+            based_on: listed.version,
+            change: Kind::RemoveCustomer(name.clone()),
+        })
+    });
+    let routes = list.routes.iter().filter_map(|listed| {
+        let name = &listed.route.as_ref()?.name;
+        let kept = fleet.routes.iter().any(|route| route.name == *name);
+        (!kept).then(|| Wanted {
+            what: format!("remove route {name}"),
+            based_on: listed.version,
+            change: Kind::RemoveRoute(name.clone()),
+        })
+    });
+    customers.chain(routes).collect()
+}
+
+fn rpc_route(route: FileRoute) -> Route {
+    let kind = match route.kind {
+        FileRouteKind::Model => RouteKind::Model,
+        FileRouteKind::Service => RouteKind::Service,
+    };
+    let backends = route.backends.into_iter();
+    Route {
+        name: route.name,
+        kind: kind.into(),
+        backends: backends
+            .map(|backend| Backend {
+                deployment: backend.deployment,
+                weight: backend.weight,
+            })
+            .collect(),
+        open: route.open,
+        non_idempotent: route.non_idempotent,
+    }
+}
--- /dev/null
+++ b/cicadactl/src/flags.rs
@@ -0,0 +1,201 @@
+/*!
+The command line, and the changes that its commands make.
+*/
+
+use {
+    crate::error::{Result, UsageSnafu},
+    cicadagate_wire::rpc::{
+        self, Backend, Change, Customer, Key, ModelVersion, Route, RouteKind,
+        change::Change as Kind,
+    },
+    snafu::{OptionExt, ensure},
+    std::path::PathBuf,
+};
+
+xflags::xflags! {
+    /// The operators' command line of cicadagate.
+    cmd cicadactl {
+        /// Address of an operator process; else CICADAGATE_OPERATOR.
+        optional --operator addr: String
+        /// Print JSON instead of tables.
+        optional --json
+        /// Id of the change, by which a repeated one counts once.
+        optional --request-id id: String
+
+        /// Create or replace a customer.
+        cmd put-customer {
+            required name: String
+            /// Requests a second over the whole fleet.
+            required --rate rate: f64
+            /// Requests that may come at once after idleness.
+            required --burst burst: u32
+            /// Version that the change is based on; else the one in force.
+            optional --based-on version: u64
+        }
+        /// Remove a customer.
+        cmd remove-customer {
+            required name: String
+            optional --based-on version: u64
+        }
+        /// Create a key and print it, once.
+        cmd create-key {
+            required customer: String
+            /// Id of the key.
+            optional --id id: String
+        }
+        /// Withdraw a key for good.
+        cmd withdraw-key {
+            required id: String
+            optional --based-on version: u64
+        }
+        /// Create or replace a route.
+        cmd put-route {
+            /// Model name, or path prefix of a service.
+            required name: String
+            /// model or service
+            required --kind kind: String
+            /// DEPLOYMENT=WEIGHT
+            repeated --backend backend: String
+            /// No key is asked for.
+            optional --open
+            /// Calls may not be repeated.
+            optional --non-idempotent
+            optional --based-on version: u64
+        }
+        /// Remove a route.
+        cmd remove-route {
+            required name: String
+            optional --based-on version: u64
+        }
+        /// Set the model version of a deployment.
+        cmd put-model-version {
+            required deployment: String
+            required version: String
+            optional --based-on version: u64
+        }
+        /// Stop new work for an endpoint.
+        cmd drain {
+            required endpoint: String
+            optional --based-on version: u64
+        }
+        /// Let an endpoint have new work again.
+        cmd undrain {
+            required endpoint: String
+            optional --based-on version: u64
+        }
+        /// List what is in force.
+        cmd list { }
+        /// Show which version is in force where.
+        cmd versions { }
+        /// Wait until a version is in force everywhere.
+        cmd wait {
+            required version: u64
+            /// Longest wait in milliseconds. Default: 15000.
+            optional --timeout-ms ms: u32
+        }
+        /// Show the changes that were decided.
+        cmd history { }
+        /// List batch jobs.
+        cmd jobs { }
+        /// Cancel a batch job.
+        cmd cancel-job {
+            required id: String
+        }
+        /// Make what is in force match a settings file.
+        cmd apply {
+            required file: PathBuf
+            /// Only show the difference.
+            optional --dry-run
+        }
+        /// Tell what nodes recorded of a request or trace.
+        cmd explain {
+            required id: String
+            /// Operations address of a process; as many as wanted.
+            repeated --operations addr: String
+        }
+    }
+}
+
+const fn change(kind: Kind) -> Change {
+    Change { change: Some(kind) }
+}
+
+pub(crate) fn put_customer(cmd: PutCustomer) -> Change {
+    change(Kind::PutCustomer(Customer {
+        name: cmd.name,
+        rate: cmd.rate,
+        burst: cmd.burst,
+    }))
+}
+
+pub(crate) const fn remove_customer(name: String) -> Change {
+    change(Kind::RemoveCustomer(name))
+}
+
+pub(crate) fn create_key(customer: String, id: Option<String>) -> Change {
+    change(Kind::CreateKey(Key {
+        id: id.unwrap_or_default(),
+        customer,
+        ..Key::default()
+    }))
+}
+
+pub(crate) const fn withdraw_key(id: String) -> Change {
+    change(Kind::WithdrawKey(id))
+}
+
+pub(crate) fn put_route(cmd: PutRoute) -> Result<Change> {
+    let kind = match cmd.kind.as_str() {
+        "model" => RouteKind::Model,
+        "service" => RouteKind::Service,
+        _ => {
+            return UsageSnafu {
+                reason: "--kind is model or service",
+            }
+            .fail();
+        }
+    };
+    ensure!(
+        !cmd.backend.is_empty(),
+        UsageSnafu {
+            reason: "a route needs a --backend"
+        }
+    );
+    let backends: Result<Vec<Backend>> = cmd.backend.iter().map(|text| backend(text)).collect();
+    Ok(change(Kind::PutRoute(Route {
+        name: cmd.name,
+        kind: kind.into(),
+        backends: backends?,
+        open: cmd.open,
+        non_idempotent: cmd.non_idempotent,
+    })))
+}
+
+fn backend(text: &str) -> Result<Backend> {
+    let reason = "--backend is DEPLOYMENT=WEIGHT";
+    let (deployment, weight) = text.split_once('=').context(UsageSnafu { reason })?;
+    let weight = weight.parse().ok().context(UsageSnafu { reason })?;
+    Ok(Backend {
+        deployment: deployment.to_owned(),
+        weight,
+    })
+}
+
+pub(crate) const fn remove_route(name: String) -> Change {
+    change(Kind::RemoveRoute(name))
+}
+
+pub(crate) const fn put_model_version(deployment: String, version: String) -> Change {
+    change(Kind::PutModelVersion(ModelVersion {
+        deployment,
+        version,
+    }))
+}
+
+pub(crate) const fn drain(endpoint: String) -> Change {
+    change(Kind::Drain(rpc::Drain { endpoint }))
+}
+
+pub(crate) const fn undrain(endpoint: String) -> Change {
+    change(Kind::Undrain(endpoint))
+}
--- /dev/null
+++ b/cicadagate-batch/src/request/mod.rs
@@ -0,0 +1,11 @@
+/*!
+One item of a job.
+*/
+
+mod line;
+mod run;
+
+pub(crate) use {
+    line::Line,
+    run::{is_idempotent, run_item},
+};
--- /dev/null
+++ b/cicadagate-batch/src/request/run.rs
@@ -0,0 +1,198 @@
+/*!
+Running one item.
+*/
+
+use {
+    super::Line,
+    crate::process::Batch,
+    bytes::Bytes,
+    cicadagate_node::{
+        event,
+        request::{Answer, Failure, FailureKind, Plan, Step},
+        trace::Context,
+    },
+    cicadagate_policy::{
+        ids::{CustomerId, JobId, RequestId, hash64},
+        process::dispatch::Class,
+        request::choice::prefix_hash,
+        version::{
+            config::{Route, choose_backend},
+            jobs::{Job, Outcome},
+        },
+    },
+    cicadagate_wire::peer::Target,
+    serde_json::{Value, json},
+    std::{rc::Rc, time::Duration},
+};
+
+/// Time that one try of an item may take, in milliseconds.
+const END_WITHIN_MS: u64 = 900_000;
+/// Time within which an item must have started, in milliseconds.
+const START_WITHIN_MS: u64 = 600_000;
+/// Tokens that an item is taken to generate if it does not say.
+const DEFAULT_COST: u64 = 16;
+/// Longest pause between two tries, in milliseconds.
+const MAX_PAUSE_MS: u64 = 5_000;
+/// Tries that may find no replica before the item is given up: outages of
+/// replicas are waited out, not charged to the item.
+const MAX_UNAVAILABLE: u32 = 600;
+
+/// Runs an item to its outcome; `None` if it should not be run now.
+pub(crate) async fn run_item(batch: &Batch, job: &Job, index: u32, line: &Line) -> Option<Outcome> {
+    let Some(route) = route(batch, job, line) else {
+        let reason = format!("no route leads to '{}'", job.endpoint);
+        return Some(Outcome::Failed(reason));
+    };
+    let (mut tries, mut unavailable) = (0, 0);
+    loop {
+        let plan = plan(job, index, line, &route, tries + unavailable)?;
+        let is_idempotent = plan.idempotent;
+        let failure = match gather(batch, plan, job).await {
+            Ok(body) => return Some(Outcome::Completed(body)),
+            Err(failure) => failure,
+        };
+        if !is_idempotent && !failure.not_run {
+            return Some(Outcome::Unknown);
+        }
+        match failure.kind {
+            FailureKind::Permanent => return Some(give_up(job.id, index, &failure)),
+            FailureKind::Busy | FailureKind::Unavailable => unavailable += 1,
+            FailureKind::Failed if failure.not_run => unavailable += 1,
+            FailureKind::Failed | FailureKind::Deadline => tries += 1,
+        }
+        if tries >= batch.settings.max_tries || unavailable >= MAX_UNAVAILABLE {
+            return Some(give_up(job.id, index, &failure));
+        }
+        let pause = failure.retry_ms.unwrap_or(100).clamp(50, MAX_PAUSE_MS);
+        actix_rt::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+fn give_up(job: JobId, index: u32, failure: &Failure) -> Outcome {
+    event!(ITEM_FAILED, job: = job, item = index, reason = failure.detail.as_str());
+    Outcome::Failed(failure.detail.clone())
+}
+
+/// Finds the route of an item: by its model, or by the path of a service.
+fn route(batch: &Batch, job: &Job, line: &Line) -> Option<Route> {
+    let config = batch.node.config.borrow();
+    if job.endpoint.starts_with("/v1/") {
+        let model = line.body["model"].as_str()?;
+        return config.model_route(model).cloned();
+    }
+    config.service_route(&job.endpoint).cloned()
+}
+
+/// Tells whether an item may run more than once.
+pub(crate) fn is_idempotent(batch: &Batch, job: &Job, line: &Line) -> bool {
+    route(batch, job, line).is_none_or(|route| !route.non_idempotent)
+}
+
+fn plan(job: &Job, index: u32, line: &Line, route: &Route, number: u32) -> Option<Plan> {
+    let mut id = [0; 16];
+    id[..8].copy_from_slice(&job.id.raw().to_le_bytes());
+    let tail = hash64(&[&index.to_le_bytes(), &number.to_le_bytes()]);
+    id[8..].copy_from_slice(&tail.to_le_bytes());
+    let id = RequestId(id);
+    let is_model = job.endpoint.starts_with("/v1/");
+    let body = line.body.to_string();
+    let model = line.body["model"].as_str().unwrap_or_default();
+    let tokens = line.body["max_tokens"].as_u64().unwrap_or(DEFAULT_COST);
+    Some(Plan {
+        id,
+        class: Class::Batch,
+        customer: CustomerId::of(&job.customer),
+        deployment: choose_backend(route, id)?.deployment.clone(),
+        target: if is_model {
+            Target::Engine
+        } else {
+            Target::Service
+        },
+        method: "POST".to_owned(),
+        path: job.endpoint.clone(),
+        headers: item_headers(is_model, line),
+        prefix: prefix_hash(&job.customer, model, prompt_of(&line.body).as_bytes()),
+        body: Bytes::from(body),
+        cost: tokens,
+        idempotent: !route.non_idempotent,
+        start_within_ms: START_WITHIN_MS,
+        end_within_ms: END_WITHIN_MS,
+        context: Context::root(),
+    })
+}
+
+fn item_headers(is_model: bool, line: &Line) -> Vec<(String, String)> {
+    if is_model {
+        return Vec::new();
+    }
+    vec![
+        ("content-type".to_owned(), "application/json".to_owned()),
+        ("x-call-id".to_owned(), line.custom_id.clone()),
+    ]
+}
+
+fn prompt_of(body: &Value) -> String {
+    let first = body["messages"]
+        .as_array()
+        .and_then(|messages| messages.first());
+    let chat = first.and_then(|message| message["content"].as_str());
+    chat.or_else(|| body["prompt"].as_str())
+        .unwrap_or_default()
+        .to_owned()
+}
+
+/// Runs one try and gathers its whole answer.
+async fn gather(batch: &Batch, plan: Plan, job: &Job) -> Result<Vec<u8>, Failure> {
+    let is_model = plan.target == Target::Engine;
+    let id = plan.id;
+    let mut answer = Answer::new(Rc::clone(&batch.router), plan);
+    let (mut out, mut tokens) = (Vec::new(), 0);
+    loop {
+        match answer.next().await? {
+            Step::Head(..) => {}
+            Step::Piece(piece) => {
+                out.extend_from_slice(&piece);
+                tokens += 1;
+            }
+            Step::End {
+                finish,
+                prompt_tokens,
+            } if is_model => {
+                let text = String::from_utf8_lossy(&out);
+                let body = completion(job, id, &text, &finish, prompt_tokens, tokens);
+                return Ok(body.to_string().into_bytes());
+            }
+            Step::End { .. } => return Ok(out),
+        }
+    }
+}
+
+fn completion(
+    job: &Job,
+    id: RequestId,
+    text: &str,
+    finish: &str,
+    prompt_tokens: u64,
+    tokens: u64,
+) -> Value {
+    let is_chat = job.endpoint.ends_with("/chat/completions");
+    let choice = if is_chat {
+        json!({
+            "index": 0,
+            "message": {"role": "assistant", "content": text},
+            "finish_reason": finish,
+        })
+    } else {
+        json!({"index": 0, "text": text, "finish_reason": finish})
+    };
+    json!({
+        "id": format!("cmpl-{id}"),
+        "object": if is_chat { "chat.completion" } else { "text_completion" },
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": tokens,
+            "total_tokens": prompt_tokens + tokens,
+        },
+    })
+}
--- /dev/null
+++ b/cicadagate-batch/src/version/data.rs
@@ -0,0 +1,88 @@
+/*!
+A data stream of the log: large records that only those concerned read.
+*/
+
+use {
+    cicadagate_node::platform::{
+        PlatformError,
+        log::{Log, decode, encode, read_one},
+    },
+    cicadagate_policy::{
+        ids::{FileId, Offset},
+        version::jobs::Data,
+    },
+    std::{rc::Rc, time::Duration},
+};
+
+/// Records of one read.
+const READ_LIMIT: usize = 64;
+
+/// One data stream.
+#[derive(Clone)]
+pub(crate) struct DataStream {
+    log: Rc<dyn Log>,
+    name: String,
+}
+
+/// How far a data stream was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Position(pub Offset);
+
+impl DataStream {
+    /// Returns the stream that holds a file and the results of its jobs.
+    pub fn of(log: &Rc<dyn Log>, file: FileId, streams: u64) -> Self {
+        Self {
+            log: Rc::clone(log),
+            name: format!("data-{}", file.raw() % streams.max(1)),
+        }
+    }
+
+    /// Appends a record.
+    pub async fn append(&self, data: &Data) -> Result<Offset, PlatformError> {
+        self.log.append(self.name.clone(), encode(data)?).await
+    }
+
+    /// Returns the stream's present end.
+    pub async fn end(&self) -> Result<Offset, PlatformError> {
+        let batch = self
+            .log
+            .read(self.name.clone(), Offset(u64::MAX / 2), 1, Duration::ZERO)
+            .await?;
+        Ok(batch.end)
+    }
+
+    /// Reads the record at an offset; `None` if it can't be decoded.
+    pub async fn read_one(&self, offset: Offset) -> Result<Option<Data>, PlatformError> {
+        let body = read_one(&*self.log, &self.name, offset).await?;
+        Ok(decode(&body).ok())
+    }
+
+    /// Reads on from a position, up to and including `until`.
+    pub async fn read_until(
+        &self,
+        position: &mut Position,
+        until: Offset,
+        mut each: impl FnMut(Offset, &Data),
+    ) -> Result<(), PlatformError> {
+        while position.0 < until {
+            let from = position.0.next();
+            let batch = self
+                .log
+                .read(self.name.clone(), from, READ_LIMIT, Duration::ZERO)
+                .await?;
+            let is_empty = batch.records.is_empty();
+            for (offset, body) in batch.records {
+                if offset > position.0
+                    && let Ok(data) = decode::<Data>(&body)
+                {
+                    each(offset, &data);
+                }
+                position.0 = position.0.max(offset);
+            }
+            if is_empty {
+                break;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/cicadagate-dispatch/src/process/mod.rs
@@ -0,0 +1,418 @@
+/*!
+The dispatcher: replicas, what waits for them and what runs there.
+*/
+
+mod orders;
+mod roster;
+mod shares;
+mod snapshots;
+
+use {
+    crate::{
+        DispatchSettings,
+        request::{Run, Stop},
+    },
+    actix_rt::time::sleep,
+    cicadagate_node::{
+        clock::epoch_ms,
+        connection::server::{Handler, Outbox},
+        event,
+        platform::list::Endpoint,
+        process::{Node, RunningGuard},
+    },
+    cicadagate_policy::{
+        ids::{EndpointId, RequestId},
+        process::dispatch::{Action, Class, Config, Queue, Refused, Request},
+    },
+    cicadagate_wire::peer::{FromServer, RefusedReason, Submit, ToServer},
+    shares::Shares,
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::sync::Notify,
+};
+
+/// How often queues are looked at without an event.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// How long an endpoint that said so itself is taken to be leaving.
+const SAID_LEAVING_MS: u64 = 5_000;
+/// Longest time that batch work may wait in a queue, in milliseconds.
+const BATCH_START_WITHIN_MS: u64 = 600_000;
+
+/// A request at its home.
+pub(crate) struct Pending {
+    pub submit: Submit,
+    pub outbox: Outbox,
+    pub endpoint: EndpointId,
+    /// Pieces received in all, earlier attempts included.
+    pub pieces: Cell<u64>,
+    pub stop: Cell<Option<Stop>>,
+    pub stopped: Notify,
+    pub queued_ms: u64,
+    _guard: RunningGuard,
+}
+
+struct Replica {
+    queue: Queue,
+    said_leaving: Option<cicadagate_policy::time::Time>,
+}
+
+/// All replicas that this process is home of.
+pub(crate) struct Dispatcher {
+    pub node: Rc<Node>,
+    pub settings: DispatchSettings,
+    pub clients: crate::request::Clients,
+    shares: Shares,
+    replicas: RefCell<HashMap<EndpointId, Replica>>,
+    pending: RefCell<HashMap<RequestId, Rc<Pending>>>,
+    me: std::rc::Weak<Self>,
+}
+
+impl Dispatcher {
+    /// Makes the dispatcher and starts its tasks.
+    pub fn start(node: Rc<Node>, settings: DispatchSettings) -> Rc<Self> {
+        let dispatcher = Rc::new_cyclic(|me| Self {
+            shares: Shares::new(&node),
+            clients: crate::request::Clients::new(),
+            replicas: RefCell::default(),
+            pending: RefCell::default(),
+            me: me.clone(),
+            settings,
+            node,
+        });
+        actix_rt::spawn(look_at_queues(Rc::clone(&dispatcher)));
+        actix_rt::spawn(roster::run(Rc::clone(&dispatcher.node)));
+        actix_rt::spawn(snapshots::run(
+            Rc::clone(&dispatcher.node),
+            settings.snapshot_every,
+        ));
+        actix_rt::spawn(orders::run(Rc::clone(&dispatcher.node)));
+        dispatcher
+    }
+
+    /// Returns what the list says of an endpoint.
+    pub fn endpoint(&self, id: EndpointId) -> Option<Endpoint> {
+        self.node.listing.borrow().endpoints.get(&id).cloned()
+    }
+
+    fn new_replica(&self, endpoint: &Endpoint) -> Replica {
+        let streams = match endpoint.max_streams {
+            _ if self.settings.engine_queues_only => usize::from(u16::MAX),
+            0 => self.settings.default_streams,
+            streams => streams,
+        };
+        let cfg = Config {
+            max_running: streams,
+            tokens_per_sec: self.settings.tokens_per_sec,
+            priorities: self.settings.priorities && !self.settings.engine_queues_only,
+        };
+        Replica {
+            queue: Queue::new(cfg),
+            said_leaving: None,
+        }
+    }
+
+    fn with_replica<T>(&self, endpoint: &Endpoint, act: impl FnOnce(&mut Replica) -> T) -> T {
+        let mut replicas = self.replicas.borrow_mut();
+        act(replicas
+            .entry(endpoint.id)
+            .or_insert_with(|| self.new_replica(endpoint)))
+    }
+
+    fn submit(&self, outbox: &Outbox, submit: Submit) {
+        let (id, attempt) = (submit.id, submit.attempt);
+        let refuse = |reason, load| {
+            let message = FromServer::Refused {
+                id,
+                attempt,
+                reason,
+                load,
+            };
+            outbox.send(message);
+        };
+        if !self.node.phase().is_given_out() {
+            return refuse(RefusedReason::Stopping, 0);
+        }
+        let Some(endpoint) = self.endpoint(submit.endpoint) else {
+            return refuse(RefusedReason::UnknownEndpoint, 0);
+        };
+        if self.is_leaving(&endpoint) {
+            return refuse(RefusedReason::Leaving, 0);
+        }
+        let queued = self.with_replica(&endpoint, |replica| self.enqueue(replica, &submit));
+        match queued {
+            Ok(()) => {
+                let pending = Pending {
+                    pieces: Cell::new(submit.resume_from),
+                    outbox: outbox.clone(),
+                    endpoint: endpoint.id,
+                    stop: Cell::new(None),
+                    stopped: Notify::new(),
+                    queued_ms: epoch_ms(),
+                    _guard: self.node.count_running(),
+                    submit,
+                };
+                self.pending.borrow_mut().insert(id, Rc::new(pending));
+                self.pump(endpoint.id);
+            }
+            Err((reason, load)) => {
+                self.node
+                    .metrics
+                    .refusals
+                    .with_label_values(&[refusal_label(reason)])
+                    .inc();
+                refuse(reason, load);
+            }
+        }
+    }
+
+    fn enqueue(&self, replica: &mut Replica, submit: &Submit) -> Result<(), (RefusedReason, u64)> {
+        let now = self.node.now();
+        let load = load_of(&replica.queue, submit.class);
+        if !submit.force && load >= submit.load_bound {
+            return Err((RefusedReason::OverBound, load));
+        }
+        let within = match submit.class {
+            Class::Online => submit.start_within_ms,
+            Class::Batch => submit.start_within_ms.max(BATCH_START_WITHIN_MS),
+        };
+        let request = Request {
+            id: submit.id,
+            customer: submit.customer,
+            class: submit.class,
+            cost: submit.cost,
+            start_by: now.plus(within),
+        };
+        replica.queue.submit(now, request).map_err(|refused| {
+            let reason = match refused {
+                Refused::WouldWait(ms) => RefusedReason::WouldWait(ms),
+                Refused::Full(ms) => RefusedReason::Full(ms),
+                Refused::Leaving => RefusedReason::Leaving,
+                Refused::Duplicate => RefusedReason::Duplicate,
+            };
+            (reason, load)
+        })
+    }
+
+    /// Tells whether an endpoint gets no new work: by the list, by an
+    /// operator's drain, or by its own word.
+    fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        let drained = self.node.config.borrow().drained().contains(&endpoint.id);
+        let now = self.node.now();
+        let replicas = self.replicas.borrow();
+        let said = replicas
+            .get(&endpoint.id)
+            .and_then(|replica| replica.said_leaving);
+        let said = said.is_some_and(|since| now.since(since) < SAID_LEAVING_MS);
+        endpoint.leaving || drained || said
+    }
+
+    /// Notes that an endpoint refused since it is leaving.
+    pub fn note_leaving(&self, endpoint: EndpointId) {
+        let now = self.node.now();
+        if let Some(replica) = self.replicas.borrow_mut().get_mut(&endpoint) {
+            replica.said_leaving = Some(now);
+        }
+        event!(ENDPOINT_LEAVING, endpoint: = endpoint);
+    }
+
+    /// Carries out what a replica's queue decides.
+    pub fn pump(&self, endpoint: EndpointId) {
+        loop {
+            let now = self.node.now();
+            let mut replicas = self.replicas.borrow_mut();
+            let Some(replica) = replicas.get_mut(&endpoint) else {
+                return;
+            };
+            let Some(action) = replica.queue.next(now) else {
+                return;
+            };
+            drop(replicas);
+            match action {
+                Action::Start(request) => self.start_run(request.id),
+                Action::Preempt(id) => self.preempt(id),
+                Action::Expire(request) => self.refuse_queued(request.id, RefusedReason::Expired),
+            }
+        }
+    }
+
+    fn start_run(&self, id: RequestId) {
+        let pending = self.pending.borrow().get(&id).cloned();
+        let (Some(pending), Some(me)) = (pending, self.me.upgrade()) else {
+            return;
+        };
+        actix_rt::spawn(Run::new(me, pending).run());
+    }
+
+    fn preempt(&self, id: RequestId) {
+        if let Some(pending) = self.pending.borrow().get(&id) {
+            event!(BATCH_PREEMPTED, id: = id);
+            pending.stop.set(Some(Stop::Preempt));
+            pending.stopped.notify_one();
+        }
+    }
+
+    fn refuse_queued(&self, id: RequestId, reason: RefusedReason) {
+        let Some(pending) = self.pending.borrow_mut().remove(&id) else {
+            return;
+        };
+        let attempt = pending.submit.attempt;
+        let load = self.load(pending.endpoint, pending.submit.class);
+        // A request that was preempted has run in part.
+        let message = if pending.pieces.get() > pending.submit.resume_from {
+            crate::request::failed(&pending, "given up after it was preempted")
+        } else {
+            FromServer::Refused {
+                id,
+                attempt,
+                reason,
+                load,
+            }
+        };
+        pending.outbox.send(message);
+    }
+
+    /// Takes a preempted request back into its queue.
+    pub fn requeue(&self, pending: &Pending) {
+        self.node
+            .metrics
+            .preemptions
+            .with_label_values(&["all"])
+            .inc();
+        pending.stop.set(None);
+        if let Some(replica) = self.replicas.borrow_mut().get_mut(&pending.endpoint) {
+            replica.queue.requeue(pending.submit.id);
+        }
+        self.pump(pending.endpoint);
+    }
+
+    /// Ends a request: it was answered, failed, refused or cancelled.
+    pub fn finish(&self, pending: &Pending, message: Option<FromServer>) {
+        self.pending.borrow_mut().remove(&pending.submit.id);
+        if let Some(replica) = self.replicas.borrow_mut().get_mut(&pending.endpoint) {
+            replica.queue.finished(pending.submit.id);
+        }
+        if let Some(message) = message {
+            pending.outbox.send(message);
+        }
+        self.pump(pending.endpoint);
+    }
+
+    /// Returns a replica's load, as callers of a class see it.
+    pub fn load(&self, endpoint: EndpointId, class: Class) -> u64 {
+        let replicas = self.replicas.borrow();
+        replicas
+            .get(&endpoint)
+            .map_or(0, |replica| load_of(&replica.queue, class))
+    }
+
+    /// Notes the time between two tokens of a stream at a replica.
+    pub fn observe_step(&self, endpoint: EndpointId, step_us: u64) {
+        if let Some(replica) = self.replicas.borrow_mut().get_mut(&endpoint) {
+            replica.queue.observe_step(step_us);
+        }
+    }
+
+    fn cancel(&self, id: RequestId, attempt: Option<u32>) {
+        let pending = self.pending.borrow().get(&id).cloned();
+        let Some(pending) = pending else {
+            return;
+        };
+        if attempt.is_some_and(|attempt| attempt != pending.submit.attempt) {
+            return;
+        }
+        pending.stop.set(Some(Stop::Cancel));
+        pending.stopped.notify_one();
+        self.finish(&pending, None);
+    }
+
+    /// Refuses what waits for endpoints that are leaving now.
+    fn clear_leaving(&self) {
+        let endpoints: Vec<EndpointId> = self.replicas.borrow().keys().copied().collect();
+        for id in endpoints {
+            let leaving = self
+                .endpoint(id)
+                .is_none_or(|endpoint| self.is_leaving(&endpoint));
+            let queued = match self.replicas.borrow_mut().get_mut(&id) {
+                Some(replica) => replica.queue.set_leaving(leaving),
+                None => Vec::new(),
+            };
+            for request in queued {
+                self.refuse_queued(request.id, RefusedReason::Leaving);
+            }
+            self.pump(id);
+        }
+    }
+}
+
+/// Looks at all queues now and then: for requests whose time has passed, for
+/// endpoints that are leaving, for callers that are gone.
+async fn look_at_queues(dispatcher: Rc<Dispatcher>) {
+    loop {
+        sleep(LOOK_EVERY).await;
+        dispatcher.clear_leaving();
+        dispatcher.shares.refresh(&dispatcher.node);
+        let pending = dispatcher.pending.borrow().len();
+        dispatcher.node.metrics.set_state("requests", pending);
+        dispatcher
+            .node
+            .metrics
+            .set_state("replicas", dispatcher.replicas.borrow().len());
+    }
+}
+
+fn load_of(queue: &Queue, class: Class) -> u64 {
+    match class {
+        Class::Online => queue.online_load() as u64,
+        Class::Batch => queue.load() as u64,
+    }
+}
+
+const fn refusal_label(reason: RefusedReason) -> &'static str {
+    match reason {
+        RefusedReason::WouldWait(_) => "would_wait",
+        RefusedReason::Full(_) => "full",
+        RefusedReason::OverBound => "over_bound",
+        RefusedReason::Leaving => "leaving",
+        RefusedReason::UnknownEndpoint => "unknown_endpoint",
+        RefusedReason::Duplicate => "duplicate",
+        RefusedReason::Unreachable => "unreachable",
+        RefusedReason::Expired => "expired",
+        RefusedReason::Stopping => "stopping",
+    }
+}
+
+impl Handler for Dispatcher {
+    fn handle(&self, outbox: &Outbox, message: ToServer) {
+        match message {
+            ToServer::Submit(submit) => self.submit(outbox, *submit),
+            ToServer::Cancel { id, attempt } => self.cancel(id, Some(attempt)),
+            ToServer::Draw {
+                seq,
+                customer,
+                want,
+            } => {
+                let draw = self.shares.draw(&self.node, customer, want);
+                outbox.send(FromServer::Drawn { seq, draw });
+            }
+            // Not for this role: the caller's time-out tells it.
+            _ => {}
+        }
+    }
+
+    fn closed(&self, _outbox: &Outbox) {
+        let gone: Vec<RequestId> = self
+            .pending
+            .borrow()
+            .iter()
+            .filter(|(_, pending)| pending.outbox.is_closed())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in gone {
+            self.cancel(id, None);
+        }
+    }
+}
--- /dev/null
+++ b/cicadagate-dispatch/src/process/orders.rs
@@ -0,0 +1,131 @@
+/*!
+Orders to engines: which model version to load.
+
+An order carries the offset of the configuration record that asks for it as
+its fencing number, so that an engine that checks it refuses an older order.
+Engines that ignore the number are protected by the sender: it orders only
+with fresh contact, checked just before sending, and only versions in force;
+the order is idempotent, and what the engine reports is read back.
+*/
+
+use {
+    actix_rt::time::sleep,
+    awc::Client,
+    cicadagate_node::{
+        event,
+        platform::list::{Endpoint, Kind},
+        process::Node,
+    },
+    cicadagate_policy::{
+        ids::{EndpointId, Offset},
+        process::{homes::home, membership::Role},
+        version::config::Object,
+    },
+    serde::Deserialize,
+    serde_json::json,
+    std::{collections::BTreeMap, rc::Rc, time::Duration},
+};
+
+/// How often engines are compared with the configuration.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// Time that an engine has to answer.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(30);
+
+#[derive(Deserialize)]
+struct Report {
+    version: String,
+}
+
+struct Wanted {
+    version: String,
+    fence: Offset,
+}
+
+/// Compares and orders for as long as the process lives.
+pub(super) async fn run(node: Rc<Node>) {
+    let client = Client::builder()
+        .timeout(ORDER_TIMEOUT)
+        .disable_redirects()
+        .finish();
+    let mut ordered: BTreeMap<EndpointId, Offset> = BTreeMap::new();
+    loop {
+        sleep(LOOK_EVERY).await;
+        if !node.has_contact() {
+            continue;
+        }
+        let wanted = wanted(&node);
+        let mine = my_engines(&node);
+        ordered.retain(|id, _| mine.iter().any(|endpoint| endpoint.id == *id));
+        for endpoint in mine {
+            let Some(wanted) = wanted.get(&endpoint.deployment) else {
+                continue;
+            };
+            let is_ordered = ordered.get(&endpoint.id) == Some(&wanted.fence);
+            if !is_ordered && order(&node, &client, &endpoint, wanted).await {
+                ordered.insert(endpoint.id, wanted.fence);
+            }
+        }
+    }
+}
+
+fn wanted(node: &Node) -> BTreeMap<String, Wanted> {
+    let config = node.config.borrow();
+    let versions = config
+        .objects()
+        .filter_map(|(_, object)| match &object.value {
+            Object::ModelVersion(version) => {
+                let wanted = Wanted {
+                    version: version.version.clone(),
+                    fence: object.version,
+                };
+                Some((version.deployment.clone(), wanted))
+            }
+            _ => None,
+        });
+    versions.collect()
+}
+
+fn my_engines(node: &Node) -> Vec<Endpoint> {
+    let places = node.places(Role::Dispatch);
+    let me = node.me().id;
+    let listing = node.listing.borrow();
+    let mine = |endpoint: &&Endpoint| {
+        endpoint.kind == Kind::Engine
+            && home(endpoint.id.raw(), endpoint.data_centre, &places) == Some(me)
+    };
+    listing.endpoints.values().filter(mine).cloned().collect()
+}
+
+/// Orders a version and reads back; tells whether the engine reports it.
+async fn order(node: &Node, client: &Client, endpoint: &Endpoint, wanted: &Wanted) -> bool {
+    // Contact may have been lost while an earlier order was under way.
+    if !node.has_contact() {
+        return false;
+    }
+    let url = format!("http://{}/control/orders", endpoint.addr);
+    let order = json!({"version": wanted.version, "fence": wanted.fence.0});
+    let sent = client.post(url).send_json(&order).await;
+    let status = sent.map_or(0, |res| res.status().as_u16());
+    let loaded = read_back(client, endpoint)
+        .await
+        .is_some_and(|version| version == wanted.version);
+    if loaded {
+        event!(
+            ORDER_SENT,
+            endpoint = endpoint.name.as_str(),
+            version = wanted.version.as_str()
+        );
+    } else {
+        event!(ORDER_FAILED, endpoint = endpoint.name.as_str(), status);
+    }
+    loaded
+}
+
+async fn read_back(client: &Client, endpoint: &Endpoint) -> Option<String> {
+    let url = format!("http://{}/control/load", endpoint.addr);
+    let mut res = client.get(url).send().await.ok()?;
+    let body = res.body().await.ok()?;
+    serde_json::from_slice::<Report>(&body)
+        .ok()
+        .map(|report| report.version)
+}
--- /dev/null
+++ b/cicadagate-dispatch/src/process/roster.rs
@@ -0,0 +1,134 @@
+/*!
+Proposes and settles rosters when it is this member's turn.
+*/
+
+use {
+    actix_rt::time::sleep,
+    cicadagate_node::{
+        event,
+        platform::log::encode,
+        process::{CONFIG_STREAM, Node},
+    },
+    cicadagate_policy::{
+        ids::{MemberId, Offset, RequestId},
+        process::{
+            membership::Role,
+            roster::{Proposer, TURN_MS, may_settle, turn},
+        },
+        version::config::{Change, Epoch, ObjectKey, Record, Seat},
+    },
+    std::{collections::BTreeSet, rc::Rc, time::Duration},
+};
+
+/// How often the roster is compared with the live members.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// Watches the roster for as long as the process lives.
+pub(super) async fn run(node: Rc<Node>) {
+    let mut proposer = Proposer::default();
+    let mut waiting_since = None;
+    loop {
+        sleep(LOOK_EVERY).await;
+        if !node.has_folded() || !node.has_contact() {
+            continue;
+        }
+        propose(&node, &mut proposer).await;
+        let unsettled = unsettled(&node);
+        let Some((version, epoch)) = unsettled else {
+            waiting_since = None;
+            continue;
+        };
+        let now = node.now();
+        let (seen, since) = *waiting_since.get_or_insert((version, now));
+        if seen != version {
+            waiting_since = Some((version, now));
+            continue;
+        }
+        let turns = turn(node.me().id, version, &node.seats(Role::Dispatch));
+        if now.since(since) >= turns as u64 * TURN_MS {
+            settle(&node, version, &epoch).await;
+        }
+    }
+}
+
+async fn propose(node: &Node, proposer: &mut Proposer) {
+    let live = node.seats(Role::Dispatch);
+    let (version, epoch) = {
+        let config = node.config.borrow();
+        let epoch = config.epoch().map(|(_, epoch)| epoch.clone());
+        (config.object_version(&ObjectKey::Roster), epoch)
+    };
+    let me = node.me().id;
+    let Some(roster) = proposer.propose(node.now(), me, version, epoch.as_ref(), &live) else {
+        return;
+    };
+    let members = roster.members.len();
+    let id = RequestId::of(&format!("roster after {version} by {me}"));
+    let record = Record {
+        id,
+        based_on: version,
+        change: Change::PutRoster(roster),
+    };
+    if append(node, &record).await {
+        event!(ROSTER_PROPOSED, based_on: = version, members);
+    }
+}
+
+fn unsettled(node: &Node) -> Option<(Offset, Epoch)> {
+    let config = node.config.borrow();
+    let (version, epoch) = config.epoch()?;
+    epoch.settled.is_none().then(|| (version, epoch.clone()))
+}
+
+/// Settles the roster if the previous witnesses can't confirm the old one.
+async fn settle(node: &Node, version: Offset, epoch: &Epoch) {
+    let mut unable = BTreeSet::new();
+    for seat in &epoch.previous {
+        if is_replaced(node, seat) || has_read(node, seat.member, version).await {
+            unable.insert(seat.member);
+        }
+    }
+    if !may_settle(epoch, &unable) {
+        return;
+    }
+    // The same id at every settler: it counts once.
+    let id = RequestId::of(&format!("settle {version}"));
+    let record = Record {
+        id,
+        based_on: version,
+        change: Change::SettleRoster,
+    };
+    if append(node, &record).await {
+        event!(ROSTER_SETTLED, epoch: = version);
+    }
+}
+
+/// A later incarnation of the same process has bound its address.
+fn is_replaced(node: &Node, seat: &Seat) -> bool {
+    let membership = node.membership.borrow();
+    let mut live = membership.alive().chain(std::iter::once(membership.me()));
+    live.any(|info| info.process() == seat.process && info.id != seat.member)
+}
+
+async fn has_read(node: &Node, witness: MemberId, version: Offset) -> bool {
+    if witness == node.me().id {
+        return node.has_folded();
+    }
+    let answer = node.ask_witness(witness).await;
+    answer
+        .and_then(|(epoch, _)| epoch)
+        .is_some_and(|epoch| epoch >= version)
+}
+
+async fn append(node: &Node, record: &Record) -> bool {
+    let Ok(body) = encode(record) else {
+        return false;
+    };
+    match node.log.append(CONFIG_STREAM.to_owned(), body).await {
+        Ok(_) => true,
+        Err(err) => {
+            event!(APPEND_FAILED, stream = CONFIG_STREAM, reason: = err);
+            false
+        }
+    }
+}
--- /dev/null
+++ b/cicadagate-dispatch/src/process/snapshots.rs
@@ -0,0 +1,59 @@
+/*!
+Writes snapshots of the configuration, so that earlier records may expire.
+*/
+
+use {
+    actix_rt::time::sleep,
+    cicadagate_node::{
+        event,
+        platform::log::encode,
+        process::{CONFIG_STREAM, Node},
+    },
+    cicadagate_policy::{
+        ids::{Offset, RequestId},
+        process::{membership::Role, roster::turn},
+        version::config::{Change, Record},
+    },
+    std::{rc::Rc, time::Duration},
+};
+
+/// How often it is looked whether a snapshot is due.
+const LOOK_EVERY: Duration = Duration::from_secs(2);
+
+/// Writes snapshots for as long as the process lives.
+///
+/// The member whose turn is first writes when `every` records have been
+/// folded since the last one, the next members later by a quarter each, so
+/// that a lost writer is made up for.
+pub(super) async fn run(node: Rc<Node>, every: u64) {
+    let mut last = Offset::NONE;
+    loop {
+        sleep(LOOK_EVERY).await;
+        let version = node.config.borrow().version();
+        let turns = turn(node.me().id, last, &node.seats(Role::Dispatch)) as u64;
+        let due = last.0 + every + turns * every.div_ceil(4);
+        if !node.has_folded() || version.0 < due {
+            continue;
+        }
+        last = version;
+        write(&node).await;
+    }
+}
+
+async fn write(node: &Node) {
+    let state = node.config.borrow().clone();
+    let covers = state.version();
+    let id = RequestId::of(&format!("snapshot {covers} by {}", node.me().id));
+    let change = Change::Snapshot(Box::new(state));
+    let Ok(body) = encode(&Record {
+        id,
+        based_on: Offset::NONE,
+        change,
+    }) else {
+        return;
+    };
+    match node.log.append(CONFIG_STREAM.to_owned(), body).await {
+        Ok(_) => event!(SNAPSHOT_WRITTEN, stream = CONFIG_STREAM, covers: = covers),
+        Err(err) => event!(APPEND_FAILED, stream = CONFIG_STREAM, reason: = err),
+    }
+}
--- /dev/null
+++ b/cicadagate-dispatch/src/request/engine.rs
@@ -0,0 +1,156 @@
+/*!
+An attempt at a model engine.
+
+The engine is always asked for a stream, from the piece that the caller lacks.
+Each token event becomes one piece; the end is taken only from the engine's
+own end mark.
+*/
+
+use {
+    super::{Outcome, Run, failed_maybe_run, send_error, sse::Events},
+    bytes::Bytes,
+    cicadagate_policy::{process::dispatch::Class, request::attempt::Progress},
+    cicadagate_wire::peer::RefusedReason,
+    futures_util::StreamExt,
+    serde::Deserialize,
+    serde_json::Value,
+    std::{net::SocketAddr, time::Instant},
+};
+
+/// End mark of a stream.
+const DONE: &[u8] = b"[DONE]";
+/// Longest error body that is passed on, in bytes.
+const MAX_ERROR_BYTES: usize = 16 * 1024;
+
+#[derive(Deserialize)]
+struct Event {
+    choices: Vec<Choice>,
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    delta: Option<Delta>,
+    text: Option<String>,
+    finish_reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Delta {
+    content: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    prompt_tokens: u64,
+}
+
+impl Run {
+    pub(super) async fn run_engine(&self, addr: SocketAddr) -> Outcome {
+        let submit = &self.pending.submit;
+        let Some(body) = engine_body(&submit.body, self.pending.pieces.get()) else {
+            return Outcome::Failed {
+                progress: Progress::NotSent,
+                permanent: true,
+                status: 400,
+                detail: "body is not a JSON object".to_owned(),
+            };
+        };
+        let class = if submit.class == Class::Batch {
+            "batch"
+        } else {
+            "online"
+        };
+        let url = format!("http://{addr}{}", submit.path);
+        let request = self
+            .dispatcher
+            .clients
+            .engines
+            .post(url)
+            .insert_header(("content-type", "application/json"))
+            .insert_header(("x-request-id", submit.id.to_string()))
+            .insert_header(("x-class", class))
+            .insert_header(("traceparent", submit.traceparent.as_str()));
+        let mut res = match request.send_body(body).await {
+            Ok(res) => res,
+            Err(err) => return send_error(&err),
+        };
+        let status = res.status().as_u16();
+        match status {
+            200 => {}
+            503 => {
+                self.dispatcher.note_leaving(self.pending.endpoint);
+                return Outcome::Refused(RefusedReason::Leaving);
+            }
+            429 => return Outcome::Refused(RefusedReason::Full(1_000)),
+            _ => {
+                let detail = res.body().limit(MAX_ERROR_BYTES).await.unwrap_or_default();
+                return Outcome::Failed {
+                    progress: Progress::MaybeRun,
+                    permanent: (400..500).contains(&status),
+                    status,
+                    detail: String::from_utf8_lossy(&detail).into_owned(),
+                };
+            }
+        }
+        self.relay_events(&mut res).await
+    }
+
+    async fn relay_events<S, E>(&self, stream: &mut S) -> Outcome
+    where
+        S: futures_util::Stream<Item = Result<Bytes, E>> + Unpin,
+    {
+        let mut events = Events::default();
+        let mut last: Option<Instant> = None;
+        let (mut finish, mut prompt_tokens) = (String::new(), 0);
+        while let Some(chunk) = stream.next().await {
+            let Ok(chunk) = chunk else {
+                return failed_maybe_run("engine broke off its answer");
+            };
+            if !events.feed(&chunk) {
+                return failed_maybe_run("engine sent an event that is too long");
+            }
+            while let Some(data) = events.next() {
+                if data.as_ref() == DONE {
+                    return self.end(finish, prompt_tokens);
+                }
+                let Ok(event) = serde_json::from_slice::<Event>(&data) else {
+                    return failed_maybe_run("engine sent a malformed event");
+                };
+                prompt_tokens = event
+                    .usage
+                    .map_or(prompt_tokens, |usage| usage.prompt_tokens);
+                for choice in event.choices {
+                    if let Some(reason) = choice.finish_reason {
+                        finish = reason;
+                    }
+                    let text = choice.delta.and_then(|delta| delta.content).or(choice.text);
+                    if let Some(text) = text.filter(|text| !text.is_empty()) {
+                        self.observe_token(&mut last);
+                        self.send_piece(Bytes::from(text));
+                    }
+                }
+            }
+        }
+        failed_maybe_run("engine ended its answer without an end mark")
+    }
+
+    fn observe_token(&self, last: &mut Option<Instant>) {
+        let now = Instant::now();
+        if let Some(last) = last.replace(now) {
+            let step_us = u64::try_from((now - last).as_micros()).unwrap_or(u64::MAX);
+            self.dispatcher.observe_step(self.pending.endpoint, step_us);
+        }
+    }
+}
+
+/// Body for the engine: always streamed, from the first missing piece on.
+fn engine_body(body: &[u8], resume_from: u64) -> Option<String> {
+    let mut body: Value = serde_json::from_slice(body).ok()?;
+    let fields = body.as_object_mut()?;
+    fields.insert("stream".to_owned(), Value::Bool(true));
+    if resume_from > 0 {
+        fields.insert("resume_from".to_owned(), resume_from.into());
+    }
+    Some(body.to_string())
+}
--- /dev/null
+++ b/cicadagate-dispatch/src/request/mod.rs
@@ -0,0 +1,237 @@
+/*!
+One attempt at an endpoint.
+*/
+
+mod engine;
+mod service;
+mod sse;
+
+use {
+    crate::process::{Dispatcher, Pending},
+    awc::{Client, Connector, error::SendRequestError},
+    cicadagate_node::{
+        clock::epoch_ms,
+        event,
+        trace::{Context, Span},
+    },
+    cicadagate_policy::request::attempt::Progress,
+    cicadagate_wire::peer::{FromServer, RefusedReason, Target},
+    std::{rc::Rc, time::Duration},
+};
+
+/// Time that connecting to an endpoint may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Why a running attempt is stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stop {
+    /// Online work needs the place.
+    Preempt,
+    /// The answer is not wanted any more.
+    Cancel,
+}
+
+/// HTTP clients for endpoints.
+pub(crate) struct Clients {
+    engines: Client,
+    services: Client,
+}
+
+impl Clients {
+    pub fn new() -> Self {
+        let client = |keep_alive: Duration| {
+            let connector = Connector::new()
+                .timeout(CONNECT_TIMEOUT)
+                .conn_keep_alive(keep_alive)
+                .limit(0);
+            Client::builder()
+                .connector(connector)
+                .disable_timeout()
+                .disable_redirects()
+                .finish()
+        };
+        Self {
+            engines: client(Duration::from_secs(15)),
+            // A kept connection that the service closes at the same moment
+            // leaves open whether the call ran. Calls that may not be
+            // repeated can't afford that, so each has its own connection.
+            services: client(Duration::ZERO),
+        }
+    }
+}
+
+/// How an attempt ended.
+enum Outcome {
+    /// Answered; the message says so.
+    Done(FromServer),
+    /// Refused without running.
+    Refused(RefusedReason),
+    /// Failed.
+    Failed {
+        progress: Progress,
+        permanent: bool,
+        status: u16,
+        detail: String,
+    },
+    /// Stopped by order.
+    Stopped,
+}
+
+/// One attempt at an endpoint.
+pub(crate) struct Run {
+    dispatcher: Rc<Dispatcher>,
+    pending: Rc<Pending>,
+}
+
+impl Run {
+    pub const fn new(dispatcher: Rc<Dispatcher>, pending: Rc<Pending>) -> Self {
+        Self {
+            dispatcher,
+            pending,
+        }
+    }
+
+    /// Runs the attempt and reports its end.
+    pub async fn run(self) {
+        let start_ms = epoch_ms();
+        let outcome = tokio::select! {
+            outcome = self.attempt() => outcome,
+            () = self.pending.stopped.notified() => Outcome::Stopped,
+        };
+        self.end_span(start_ms, &outcome);
+        let submit = &self.pending.submit;
+        let (id, attempt) = (submit.id, submit.attempt);
+        let message = match outcome {
+            Outcome::Done(message) => message,
+            Outcome::Refused(reason) => {
+                let load = self.dispatcher.load(self.pending.endpoint, submit.class);
+                FromServer::Refused {
+                    id,
+                    attempt,
+                    reason,
+                    load,
+                }
+            }
+            Outcome::Failed {
+                progress,
+                permanent,
+                status,
+                detail,
+            } => {
+                event!(ENDPOINT_FAILED, id: = id, status, detail = detail.as_str());
+                FromServer::Failed {
+                    id,
+                    attempt,
+                    progress,
+                    permanent,
+                    status,
+                    detail,
+                }
+            }
+            Outcome::Stopped => {
+                if self.pending.stop.get() == Some(Stop::Preempt) {
+                    self.dispatcher.requeue(&self.pending);
+                }
+                return;
+            }
+        };
+        self.dispatcher.finish(&self.pending, Some(message));
+    }
+
+    async fn attempt(&self) -> Outcome {
+        let Some(endpoint) = self.dispatcher.endpoint(self.pending.endpoint) else {
+            return Outcome::Refused(RefusedReason::UnknownEndpoint);
+        };
+        match self.pending.submit.target {
+            Target::Engine => self.run_engine(endpoint.addr).await,
+            Target::Service => self.run_service(endpoint.addr).await,
+        }
+    }
+
+    /// Sends a piece of the answer to the caller's side.
+    fn send_piece(&self, body: bytes::Bytes) {
+        let submit = &self.pending.submit;
+        let index = self.pending.pieces.get();
+        self.pending.pieces.set(index + 1);
+        let piece = FromServer::Piece {
+            id: submit.id,
+            attempt: submit.attempt,
+            index,
+            body,
+        };
+        self.pending.outbox.send(piece);
+    }
+
+    fn end(&self, finish: String, prompt_tokens: u64) -> Outcome {
+        let submit = &self.pending.submit;
+        Outcome::Done(FromServer::End {
+            id: submit.id,
+            attempt: submit.attempt,
+            pieces: self.pending.pieces.get(),
+            finish,
+            prompt_tokens,
+            load: self.dispatcher.load(self.pending.endpoint, submit.class),
+        })
+    }
+
+    fn end_span(&self, start_ms: u64, outcome: &Outcome) {
+        let submit = &self.pending.submit;
+        let Some(parent) = Context::parse(&submit.traceparent) else {
+            return;
+        };
+        let outcome = match outcome {
+            Outcome::Done(_) => "answered".to_owned(),
+            Outcome::Refused(reason) => format!("refused: {reason:?}"),
+            Outcome::Failed { detail, .. } => format!("failed: {detail}"),
+            Outcome::Stopped => format!("stopped: {:?}", self.pending.stop.get()),
+        };
+        self.dispatcher.node.spans.end(Span {
+            name: "endpoint",
+            context: parent.child(),
+            parent: Some(parent.span),
+            start_ms,
+            end_ms: epoch_ms(),
+            attributes: vec![
+                ("request", submit.id.to_string()),
+                (
+                    "queued_ms",
+                    start_ms.saturating_sub(self.pending.queued_ms).to_string(),
+                ),
+                ("outcome", outcome),
+            ],
+        });
+    }
+}
+
+/// Turns a client's error into an outcome.
+///
+/// Only an error while connecting proves that nothing was sent.
+fn send_error(err: &SendRequestError) -> Outcome {
+    match err {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => {
+            Outcome::Refused(RefusedReason::Unreachable)
+        }
+        _ => failed_maybe_run(&err.to_string()),
+    }
+}
+
+fn failed_maybe_run(detail: &str) -> Outcome {
+    Outcome::Failed {
+        progress: Progress::MaybeRun,
+        permanent: false,
+        status: 0,
+        detail: detail.to_owned(),
+    }
+}
+
+/// Message for a request that has run in part and is given up.
+pub(crate) fn failed(pending: &Pending, detail: &str) -> FromServer {
+    FromServer::Failed {
+        id: pending.submit.id,
+        attempt: pending.submit.attempt,
+        progress: Progress::MaybeRun,
+        permanent: false,
+        status: 0,
+        detail: detail.to_owned(),
+    }
+}
--- /dev/null
+++ b/cicadagate-dispatch/src/request/service.rs
@@ -0,0 +1,78 @@
+/*!
+An attempt at a plain service: the answer is relayed as it is.
+*/
+
+use {
+    super::{Outcome, Run, failed_maybe_run, send_error},
+    awc::http::{
+        Method,
+        header::{HeaderMap, HeaderName, HeaderValue},
+    },
+    cicadagate_wire::peer::FromServer,
+    futures_util::StreamExt,
+    std::{net::SocketAddr, str::FromStr},
+};
+
+/// Headers that belong to a connection, not to a message.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+impl Run {
+    pub(super) async fn run_service(&self, addr: SocketAddr) -> Outcome {
+        let submit = &self.pending.submit;
+        let method = Method::from_str(&submit.method).unwrap_or(Method::GET);
+        let url = format!("http://{addr}{}", submit.path);
+        let client = &self.dispatcher.clients.services;
+        let mut request = client.request(method, url).no_decompress();
+        for (name, value) in &submit.headers {
+            let name = HeaderName::from_str(name);
+            if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+                request.headers_mut().append(name, value);
+            }
+        }
+        let request = request
+            .insert_header(("x-request-id", submit.id.to_string()))
+            .insert_header(("traceparent", submit.traceparent.as_str()));
+        let mut res = match request.send_body(submit.body.clone()).await {
+            Ok(res) => res,
+            Err(err) => return send_error(&err),
+        };
+        let head = FromServer::Head {
+            id: submit.id,
+            attempt: submit.attempt,
+            status: res.status().as_u16(),
+            headers: relayed_headers(res.headers()),
+        };
+        // The first bytes decide whether the answer is whole enough to begin.
+        let mut first = res.next().await;
+        if matches!(first, Some(Err(_))) {
+            return failed_maybe_run("service broke off its answer");
+        }
+        self.pending.outbox.send(head);
+        while let Some(chunk) = first {
+            let Ok(chunk) = chunk else {
+                return failed_maybe_run("service broke off its answer");
+            };
+            self.send_piece(chunk);
+            first = res.next().await;
+        }
+        self.end(String::new(), 0)
+    }
+}
+
+fn relayed_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+    headers
+        .iter()
+        .filter(|(name, _)| !HOP_BY_HOP.contains(&name.as_str()))
+        .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())))
+        .collect()
+}
--- /dev/null
+++ b/cicadagate-entry/src/main.rs
@@ -0,0 +1,136 @@
+/*!
+The callers' side of cicadagate.
+
+Takes callers' HTTP requests, finds the customer by its key, admits within
+rate and burst, has the request run at a replica's home and relays the answer.
+Tells callers which entries to use. Any entry serves any caller.
+*/
+
+mod process;
+mod request;
+
+use {
+    cicadagate_node::{
+        command::{EXIT_USAGE, settings_or_exit},
+        connection::http::serve,
+        event,
+        process::Node,
+        settings::{Check, Fault, NodeSettings},
+    },
+    cicadagate_policy::{process::membership::Role, request::choice::Rule},
+    process::Entry,
+    serde::Deserialize,
+    std::{convert::Infallible, process::exit, rc::Rc},
+};
+
+/// Settings of the process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Settings {
+    node: NodeSettings,
+    #[serde(default)]
+    entry: EntrySettings,
+}
+
+/// How replicas are chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Routing {
+    /// Prefix affinity with bounded load.
+    #[default]
+    Affinity,
+    /// Least loaded. Only for experiments.
+    LeastLoaded,
+    /// Random. Only for experiments.
+    Random,
+}
+
+/// How rate and burst are counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Limiting {
+    /// Shares at holders, grants drawn by entries.
+    #[default]
+    Holders,
+    /// Each entry allows its part. Only for experiments.
+    EqualParts,
+}
+
+/// Settings of the role.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct EntrySettings {
+    /// Longest body of a request, in bytes.
+    max_body_bytes: usize,
+    /// Longest uploaded file, in bytes.
+    max_file_bytes: usize,
+    /// Time within which a request must have started, in milliseconds.
+    start_within_ms: u64,
+    /// Time within which a request must have ended, in milliseconds.
+    end_within_ms: u64,
+    /// How replicas are chosen.
+    routing: Routing,
+    /// How rate and burst are counted.
+    limiting: Limiting,
+}
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 4 * 1024 * 1024,
+            max_file_bytes: 64 * 1024 * 1024,
+            start_within_ms: 2_000,
+            end_within_ms: 120_000,
+            routing: Routing::Affinity,
+            limiting: Limiting::Holders,
+        }
+    }
+}
+
+impl Check for Settings {
+    fn faults(&self) -> Vec<Fault> {
+        let mut faults = self.node.faults();
+        if self.entry.max_body_bytes == 0 {
+            faults.push(Fault::new("max_body_bytes", "must be at least 1"));
+        }
+        if !(1..=64 * 1024 * 1024).contains(&self.entry.max_file_bytes) {
+            faults.push(Fault::new("max_file_bytes", "must be from 1 to 67108864"));
+        }
+        if self.entry.start_within_ms > self.entry.end_within_ms {
+            faults.push(Fault::new(
+                "start_within_ms",
+                "must not be above end_within_ms",
+            ));
+        }
+        faults
+    }
+}
+
+async fn run(settings: Settings) {
+    let started = match Node::start(Role::Entry, settings.node).await {
+        Ok(started) => started,
+        Err(err) => {
+            event!(BIND_FAILED, reason: = err);
+            exit(EXIT_USAGE);
+        }
+    };
+    let node = started.node;
+    let rule = match settings.entry.routing {
+        Routing::Affinity => Rule::Affinity,
+        Routing::LeastLoaded => Rule::LeastLoaded,
+        Routing::Random => Rule::Random,
+    };
+    let entry = Rc::new(Entry::new(Rc::clone(&node), settings.entry, rule));
+    let handler = move |req| {
+        let entry = Rc::clone(&entry);
+        async move { Ok::<_, Infallible>(request::answer(entry, req).await) }
+    };
+    let (max, metrics) = (node.settings.max_connections, Rc::clone(&node.metrics));
+    actix_rt::spawn(serve(started.listener, max, metrics, handler));
+    node.run_until_stopped().await;
+}
+
+fn main() {
+    let settings = settings_or_exit("cicadagate-entry");
+    actix_rt::System::new().block_on(run(settings));
+}
--- /dev/null
+++ b/cicadagate-entry/src/request/error.rs
@@ -0,0 +1,112 @@
+/*!
+Errors in the shape of the inference protocol.
+
+Each has a stable code, tells whether the request has certainly not run, and
+when to come back if that makes sense.
+*/
+
+use {
+    actix_http::{Response, body::BoxBody},
+    cicadagate_node::{
+        connection::http::respond_json,
+        request::{Failure, FailureKind},
+    },
+    serde_json::{Value, json},
+};
+
+/// A result of a caller's request.
+pub(crate) type Result<T, E = ApiError> = std::result::Result<T, E>;
+
+/// An error that a caller sees.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ApiError {
+    status: u16,
+    code: String,
+    message: String,
+    not_run: bool,
+    retry_ms: Option<u64>,
+}
+
+impl ApiError {
+    /// The request is wrong and has not run.
+    pub fn invalid(status: u16, code: &str, message: &str) -> Self {
+        Self {
+            status,
+            code: code.to_owned(),
+            message: message.to_owned(),
+            not_run: true,
+            retry_ms: None,
+        }
+    }
+
+    /// The request has not run; come back after so many milliseconds.
+    pub fn not_run(status: u16, code: &str, message: &str, retry_ms: u64) -> Self {
+        Self {
+            retry_ms: Some(retry_ms),
+            ..Self::invalid(status, code, message)
+        }
+    }
+
+    /// An error with a code of another process.
+    pub fn from_peer(code: String, message: String, retry_ms: u64) -> Self {
+        let status = match code.as_str() {
+            "not_found" => 404,
+            "conflict" => 409,
+            _ if retry_ms > 0 => 503,
+            _ => 400,
+        };
+        let retry_ms = (retry_ms > 0).then_some(retry_ms);
+        Self {
+            status,
+            code,
+            message,
+            not_run: true,
+            retry_ms,
+        }
+    }
+
+    /// A request that ended without its answer.
+    pub fn from_failure(failure: &Failure) -> Self {
+        let (status, code) = match failure.kind {
+            FailureKind::Busy => (503, "overloaded"),
+            FailureKind::Unavailable => (503, "no_replica"),
+            FailureKind::Permanent if failure.status == 0 => (502, "endpoint_refused"),
+            FailureKind::Permanent => (failure.status, "endpoint_refused"),
+            FailureKind::Failed => (502, "attempts_failed"),
+            FailureKind::Deadline => (504, "deadline_exceeded"),
+        };
+        Self {
+            status,
+            code: code.to_owned(),
+            message: failure.detail.clone(),
+            not_run: failure.not_run,
+            retry_ms: failure.retry_ms,
+        }
+    }
+
+    /// The error as it stands in a body.
+    pub fn body(&self) -> Value {
+        let kind = if self.status < 500 {
+            "invalid_request_error"
+        } else {
+            "server_error"
+        };
+        json!({"error": {
+            "message": self.message,
+            "type": kind,
+            "code": self.code,
+            "not_run": self.not_run,
+            "retry_after_ms": self.retry_ms,
+        }})
+    }
+
+    pub fn into_response(self) -> Response<BoxBody> {
+        let mut res = respond_json(self.status, &self.body());
+        if let Some(retry_ms) = self.retry_ms {
+            let name = actix_http::header::HeaderName::from_static("retry-after");
+            res.headers_mut()
+                .insert(name, retry_ms.div_ceil(1000).into());
+        }
+        res
+    }
+}
--- /dev/null
+++ b/cicadagate-entry/src/request/mod.rs
@@ -0,0 +1,224 @@
+/*!
+One request of a caller.
+*/
+
+mod batches;
+mod completion;
+mod error;
+mod files;
+mod key;
+mod relay;
+mod service;
+
+use {
+    crate::process::Entry,
+    actix_http::{HttpMessage as _, Method, Request, Response, body::BoxBody},
+    cicadagate_node::{
+        clock::epoch_ms,
+        connection::http::{BodyError, read_body, respond_json},
+        trace::{Context, Span, random_bytes},
+    },
+    cicadagate_policy::{
+        ids::RequestId,
+        version::config::{Customer, RouteKind},
+    },
+    error::{ApiError, Result},
+    serde_json::{Value, json},
+    std::rc::Rc,
+};
+
+/// A request with what was found out about it before its body was read.
+pub(crate) struct Call {
+    pub entry: Rc<Entry>,
+    pub id: RequestId,
+    pub context: Context,
+    pub customer: Customer,
+    pub idempotency_key: Option<String>,
+}
+
+/// Answers a caller's request.
+pub(crate) async fn answer(entry: Rc<Entry>, req: Request) -> Response<BoxBody> {
+    let start_ms = epoch_ms();
+    let header = |name: &str| {
+        req.headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    let parent = header("traceparent").and_then(Context::parse);
+    let context = parent.map_or_else(Context::root, |parent| parent.child());
+    let mut id = RequestId::default();
+    // Without randomness ids would meet; then the trace's id still differs.
+    if random_bytes(&mut id.0).is_none() {
+        id = RequestId(context.trace);
+    }
+    let is_leaving = !entry.node.phase().is_given_out();
+    let _guard = entry.node.count_running();
+    let path = req.path().to_owned();
+    let result = route(&entry, req, id, context).await;
+    let mut res = result.unwrap_or_else(ApiError::into_response);
+    if let Ok(value) = id.to_string().parse() {
+        let name = actix_http::header::HeaderName::from_static("x-request-id");
+        res.headers_mut().insert(name, value);
+    }
+    if is_leaving {
+        // The caller's next request should go to another entry.
+        res.head_mut()
+            .set_connection_type(actix_http::ConnectionType::Close);
+    }
+    let status = res.status().as_u16().to_string();
+    entry
+        .node
+        .metrics
+        .requests
+        .with_label_values(&[status.as_str()])
+        .inc();
+    entry.node.spans.end(Span {
+        name: "request",
+        context,
+        parent: parent.map(|parent| parent.span),
+        start_ms,
+        end_ms: epoch_ms(),
+        attributes: vec![
+            ("request", id.to_string()),
+            ("path", path),
+            ("status", status),
+        ],
+    });
+    res
+}
+
+async fn route(
+    entry: &Rc<Entry>,
+    req: Request,
+    id: RequestId,
+    context: Context,
+) -> Result<Response<BoxBody>> {
+    let path = req.path().to_owned();
+    let method = req.method().clone();
+    if path == "/v1/addresses" && method == Method::GET {
+        return Ok(respond_json(200, &entry.addresses()));
+    }
+    if !entry.node.is_configured() || !entry.node.has_contact() {
+        return Err(ApiError::not_run(
+            503,
+            "no_contact",
+            "this instance can't tell which configuration is in force",
+            1_000,
+        ));
+    }
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    if parts.first() != Some(&"v1") {
+        return service::answer(entry, req, id, context).await;
+    }
+    let customer = key::customer(&entry.node, &req)?;
+    let header = |name: &str| {
+        req.headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+    };
+    let idempotency_key = header("idempotency-key").map(str::to_owned);
+    let id = match &idempotency_key {
+        Some(key) => RequestId::of(&format!("{}/{key}", customer.name)),
+        None => id,
+    };
+    let call = Call {
+        entry: Rc::clone(entry),
+        id,
+        context,
+        customer,
+        idempotency_key,
+    };
+    match (method, parts.as_slice()) {
+        (Method::GET, ["v1", "models"]) => Ok(respond_json(200, &models(entry))),
+        (Method::POST, ["v1", "chat", "completions"]) => {
+            completion::answer(call, req, completion::Kind::Chat).await
+        }
+        (Method::POST, ["v1", "completions"]) => {
+            completion::answer(call, req, completion::Kind::Text).await
+        }
+        (Method::POST, ["v1", "files"]) => files::upload(call, req).await,
+        (Method::GET, ["v1", "files", file, "content"]) => files::content(call, file).await,
+        (Method::POST, ["v1", "batches"]) => batches::create(call, req).await,
+        (Method::GET, ["v1", "batches"]) => batches::list(call).await,
+        (Method::GET, ["v1", "batches", job]) => batches::show(call, job).await,
+        (Method::POST, ["v1", "batches", job, "cancel"]) => batches::cancel(call, job).await,
+        _ => Err(ApiError::invalid(
+            404,
+            "unknown_path",
+            "there is no such path or method",
+        )),
+    }
+}
+
+fn models(entry: &Entry) -> Value {
+    let config = entry.node.config.borrow();
+    let models: Vec<Value> = config
+        .routes()
+        .filter(|route| route.kind == RouteKind::Model)
+        .map(|route| {
+            json!({"id": route.name, "object": "model", "created": 0, "owned_by": "cicadagate"})
+        })
+        .collect();
+    json!({"object": "list", "data": models})
+}
+
+/// Reads a request's body, up to a limit.
+async fn body(req: &mut Request, limit: usize) -> Result<bytes::Bytes> {
+    read_body(req, limit).await.map_err(|err| match err {
+        BodyError::TooLong => ApiError::invalid(
+            413,
+            "body_too_long",
+            &format!("a body has at most {limit} bytes"),
+        ),
+        BodyError::Incomplete => ApiError::invalid(
+            400,
+            "body_incomplete",
+            "the body did not arrive whole in time",
+        ),
+    })
+}
+
+/// Reads a request's body as a JSON object.
+async fn json_body(req: &mut Request, limit: usize) -> Result<Value> {
+    let body = body(req, limit).await?;
+    let value: Value = serde_json::from_slice(&body)
+        .map_err(|err| ApiError::invalid(400, "malformed_json", &format!("body: {err}")))?;
+    if !value.is_object() {
+        return Err(ApiError::invalid(
+            400,
+            "malformed_json",
+            "the body must be a JSON object",
+        ));
+    }
+    Ok(value)
+}
+
+/// Admits a request within the customer's rate and burst.
+async fn admit(call: &Call) -> Result<()> {
+    call.entry
+        .admission
+        .admit(&call.customer)
+        .await
+        .map_err(|refused| {
+            let (status, code, message) = if refused.unreached {
+                (
+                    503,
+                    "limit_unavailable",
+                    "the customer's rate can't be looked up now",
+                )
+            } else {
+                (
+                    429,
+                    "rate_limit_exceeded",
+                    "the customer's rate and burst are used up",
+                )
+            };
+            call.entry
+                .node
+                .metrics
+                .refusals
+                .with_label_values(&[code])
+                .inc();
+            ApiError::not_run(status, code, message, refused.retry_ms)
+        })
+}
--- /dev/null
+++ b/cicadagate-lab/src/fleet/mod.rs
@@ -0,0 +1,534 @@
+/*!
+A fleet of real processes on loopback.
+
+Ports are chosen by the kernel: each process announces what it has bound on
+standard output. All processes are ended, by their ids, when the fleet is
+dropped.
+*/
+
+mod process;
+mod spec;
+
+pub use spec::{EngineSpec, FleetSpec, ServiceSpec};
+
+use {
+    crate::load::http,
+    process::Process,
+    serde_json::{Value, json},
+    snafu::{OptionExt, ResultExt, Snafu, ensure},
+    std::{
+        collections::BTreeMap,
+        fs, io,
+        net::SocketAddr,
+        path::PathBuf,
+        process::Command,
+        time::{Duration, Instant},
+    },
+};
+
+/// A result of this module.
+pub type Result<T, E = FleetError> = std::result::Result<T, E>;
+
+/// Why a fleet could not do what it should.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum FleetError {
+    /// A process could not be started or announced nothing.
+    #[snafu(display("{name}: {source}"))]
+    Start {
+        /// Name of the process.
+        name: String,
+        /// Cause.
+        source: io::Error,
+    },
+    /// There is no such process.
+    #[snafu(display("there is no process {name}"))]
+    Unknown {
+        /// Name of the process.
+        name: String,
+    },
+    /// A stand-in or process did not answer.
+    #[snafu(display("{what}: {reason}"))]
+    Call {
+        /// What was called.
+        what: String,
+        /// What happened.
+        reason: String,
+    },
+    /// A condition did not come true in time.
+    #[snafu(display("did not come true in time: {what}"))]
+    Timeout {
+        /// The condition.
+        what: String,
+    },
+}
+
+/// The fleet's key in all runs of the lab.
+const FLEET_KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+/// Roles of an instance, in the order they are started.
+const ROLES: [&str; 4] = ["dispatch", "batch", "operator", "entry"];
+/// How often a condition is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// A running fleet.
+pub struct Fleet {
+    spec: FleetSpec,
+    dir: PathBuf,
+    platform: SocketAddr,
+    processes: BTreeMap<String, Process>,
+    starts: u32,
+}
+
+impl Fleet {
+    /// Starts the stand-ins and all instances, and waits until they are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if anything could not be started.
+    pub async fn start(spec: FleetSpec) -> Result<Self> {
+        let dir = spec.run_dir();
+        fs::create_dir_all(&dir).context(StartSnafu {
+            name: "run directory",
+        })?;
+        let mut fleet = Self {
+            platform: SocketAddr::from(([127, 0, 0, 1], 0)),
+            processes: BTreeMap::new(),
+            starts: 0,
+            dir,
+            spec,
+        };
+        fleet.start_platform()?;
+        for engine in fleet.spec.engines.clone() {
+            fleet.start_engine(&engine).await?;
+        }
+        for service in fleet.spec.services.clone() {
+            fleet.start_service(&service).await?;
+        }
+        for index in 0..fleet.spec.instances {
+            fleet.start_instance(&format!("i{}", index + 1)).await?;
+        }
+        fleet.wait_settled().await?;
+        Ok(fleet)
+    }
+
+    fn start_platform(&mut self) -> Result<()> {
+        let args = vec![
+            "platform".to_owned(),
+            "--appends-per-sec".to_owned(),
+            "500".to_owned(),
+        ];
+        self.spawn("platform", "cicadagate-standin", &args)?;
+        self.platform = self.address("platform", "listen")?;
+        Ok(())
+    }
+
+    /// Starts an engine and lists it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it could not be started.
+    pub async fn start_engine(&mut self, engine: &EngineSpec) -> Result<()> {
+        let mut args = vec!["engine".to_owned(), "--max-streams".to_owned()];
+        args.push(engine.max_streams.to_string());
+        args.extend(engine.args.iter().cloned());
+        self.spawn(&engine.name, "cicadagate-standin", &args)?;
+        let instance = json!({
+            "id": engine.name,
+            "kind": "engine",
+            "data_centre": engine.data_centre,
+            "state": "live",
+            "address": self.address(&engine.name, "listen")?,
+            "deployment": engine.deployment,
+            "max_streams": engine.max_streams,
+        });
+        self.list_instance(&instance).await
+    }
+
+    async fn start_service(&mut self, service: &ServiceSpec) -> Result<()> {
+        self.spawn(&service.name, "cicadagate-standin", &["service".to_owned()])?;
+        let instance = json!({
+            "id": service.name,
+            "kind": "service",
+            "data_centre": service.data_centre,
+            "state": "live",
+            "address": self.address(&service.name, "listen")?,
+            "deployment": service.deployment,
+        });
+        self.list_instance(&instance).await
+    }
+
+    /// Starts all processes of an instance and lists it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process could not be started.
+    pub async fn start_instance(&mut self, instance: &str) -> Result<()> {
+        for role in ROLES {
+            self.start_role(instance, role)?;
+        }
+        self.list_node(instance).await
+    }
+
+    /// Starts one process of an instance again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it could not be started.
+    pub async fn restart(&mut self, instance: &str, role: &str) -> Result<()> {
+        self.start_role(instance, role)?;
+        self.list_node(instance).await
+    }
+
+    fn start_role(&mut self, instance: &str, role: &str) -> Result<()> {
+        let name = format!("{instance}-{role}");
+        let mut settings = json!({"node": {
+            "instance": instance,
+            "data_centre": self.spec.data_centre_of(instance),
+            "listen": "127.0.0.1:0",
+            "gossip": "127.0.0.1:0",
+            "operations": "127.0.0.1:0",
+            "log": self.platform,
+            "instances": self.platform,
+            "fleet_key": FLEET_KEY,
+            "keep_address_ms": self.spec.keep_address_ms,
+        }});
+        let section = match role {
+            "entry" => &self.spec.entry,
+            "dispatch" => &self.spec.dispatch,
+            "batch" => &self.spec.batch,
+            _ => &Value::Null,
+        };
+        if !section.is_null() {
+            settings[role] = section.clone();
+        }
+        let path = self.dir.join(format!("{name}.json"));
+        fs::write(&path, settings.to_string()).context(StartSnafu { name: &name })?;
+        let args = [path.display().to_string()];
+        self.spawn(&name, &format!("cicadagate-{role}"), &args)
+    }
+
+    async fn list_node(&self, instance: &str) -> Result<()> {
+        let gossip: Vec<&Value> = ROLES
+            .iter()
+            .filter_map(|role| self.processes.get(&format!("{instance}-{role}")))
+            .map(|process| &process.bound["gossip"])
+            .collect();
+        let entry = json!({
+            "id": instance,
+            "kind": "node",
+            "data_centre": self.spec.data_centre_of(instance),
+            "state": "live",
+            "gossip": gossip,
+        });
+        self.list_instance(&entry).await
+    }
+
+    /// Puts an instance on the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stand-in does not answer.
+    pub async fn list_instance(&self, instance: &Value) -> Result<()> {
+        http::post(self.platform, "/v1/instances", instance)
+            .await
+            .map(drop)
+    }
+
+    fn spawn(&mut self, name: &str, binary: &str, args: &[String]) -> Result<()> {
+        self.starts += 1;
+        let log = self.dir.join(format!("{name}-{}.log", self.starts));
+        let process = Process::start(&self.spec.bin_dir.join(binary), args, &log);
+        let process = process.context(StartSnafu { name })?;
+        self.processes.insert(name.to_owned(), process);
+        Ok(())
+    }
+
+    fn process(&mut self, name: &str) -> Result<&mut Process> {
+        self.processes.get_mut(name).context(UnknownSnafu { name })
+    }
+
+    /// Returns a bound address of a process: `listen`, `gossip` or `operations`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no such process or address.
+    pub fn address(&self, name: &str, which: &str) -> Result<SocketAddr> {
+        let process = self.processes.get(name).context(UnknownSnafu { name })?;
+        let addr = process.bound[which]
+            .as_str()
+            .and_then(|addr| addr.parse().ok());
+        addr.context(UnknownSnafu {
+            name: format!("{name} {which}"),
+        })
+    }
+
+    /// Address of the platform's stand-in.
+    #[must_use]
+    pub const fn platform(&self) -> SocketAddr {
+        self.platform
+    }
+
+    /// Names of the instances.
+    #[must_use]
+    pub fn instances(&self) -> Vec<String> {
+        (1..=self.spec.instances)
+            .map(|index| format!("i{index}"))
+            .collect()
+    }
+
+    /// Addresses of all entries.
+    #[must_use]
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        let names = self
+            .instances()
+            .into_iter()
+            .map(|instance| format!("{instance}-entry"));
+        names
+            .filter_map(|name| self.address(&name, "listen").ok())
+            .collect()
+    }
+
+    /// Kills a process: no clean-up, no good-bye.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no such process.
+    pub fn kill(&mut self, name: &str) -> Result<()> {
+        self.process(name)?.kill();
+        self.processes.remove(name);
+        Ok(())
+    }
+
+    /// Kills all processes of an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if one is missing.
+    pub fn kill_instance(&mut self, instance: &str) -> Result<()> {
+        for role in ROLES {
+            self.kill(&format!("{instance}-{role}"))?;
+        }
+        Ok(())
+    }
+
+    /// Stops a process in its tracks until it is thawed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no such process.
+    pub fn freeze(&mut self, name: &str) -> Result<()> {
+        self.process(name)?.freeze();
+        Ok(())
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no such process.
+    pub fn thaw(&mut self, name: &str) -> Result<()> {
+        self.process(name)?.thaw();
+        Ok(())
+    }
+
+    /// Tells a process to stop gracefully.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no such process.
+    pub fn terminate(&mut self, name: &str) -> Result<()> {
+        self.process(name)?.terminate();
+        Ok(())
+    }
+
+    /// Waits until a process has ended; returns its exit code.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not end in time.
+    pub async fn wait_ended(&mut self, name: &str, limit: Duration) -> Result<Option<i32>> {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.process(name)?.ended() {
+                self.processes.remove(name);
+                return Ok(status.code());
+            }
+            ensure!(
+                start.elapsed() < limit,
+                TimeoutSnafu {
+                    what: format!("{name} ends")
+                }
+            );
+            actix_rt::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// Stops every process of ours gracefully; returns the exit codes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if one does not end in time.
+    pub async fn stop(&mut self) -> Result<Vec<Option<i32>>> {
+        let names: Vec<String> = self
+            .processes
+            .keys()
+            .filter(|name| ROLES.iter().any(|role| name.ends_with(&format!("-{role}"))))
+            .cloned()
+            .collect();
+        for name in &names {
+            self.terminate(name)?;
+        }
+        let mut codes = Vec::new();
+        for name in names {
+            codes.push(self.wait_ended(&name, Duration::from_mins(1)).await?);
+        }
+        Ok(codes)
+    }
+
+    /// Orders faults of the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stand-in does not answer.
+    pub async fn platform_faults(&self, faults: &Value) -> Result<()> {
+        http::post(self.platform, "/control/faults", faults)
+            .await
+            .map(drop)
+    }
+
+    /// Orders faults of an engine or service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stand-in does not answer.
+    pub async fn endpoint_faults(&self, name: &str, faults: &Value) -> Result<()> {
+        let addr = self.address(name, "listen")?;
+        http::post(addr, "/control/faults", faults).await.map(drop)
+    }
+
+    /// Reads a page of a stand-in or of a process's operations port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not answer.
+    pub async fn page(&self, name: &str, which: &str, path: &str) -> Result<Value> {
+        http::get(self.address(name, which)?, path).await
+    }
+
+    /// Runs `cicadactl` against an instance's operator process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with its message if it does not exit with 0.
+    pub fn ctl(&self, instance: &str, args: &[&str]) -> Result<Value> {
+        let (code, out, err) = self.ctl_raw(instance, args)?;
+        let what = format!("cicadactl {}", args.join(" "));
+        ensure!(
+            code == 0,
+            CallSnafu {
+                what,
+                reason: format!("exit code {code}: {err}")
+            }
+        );
+        Ok(serde_json::from_str(&out).unwrap_or(Value::String(out)))
+    }
+
+    /// Runs `cicadactl`; returns exit code, standard output and error.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be run.
+    pub fn ctl_raw(&self, instance: &str, args: &[&str]) -> Result<(i32, String, String)> {
+        let operator = self.address(&format!("{instance}-operator"), "listen")?;
+        let output = Command::new(self.spec.bin_dir.join("cicadactl"))
+            .args(["--json", "--operator", &operator.to_string()])
+            .args(args)
+            .output()
+            .context(StartSnafu { name: "cicadactl" })?;
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        let code = output.status.code().unwrap_or(-1);
+        Ok((code, text(&output.stdout), text(&output.stderr)))
+    }
+
+    /// Creates a customer with a key; returns the key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operators' RPC refuses.
+    pub fn add_customer(&self, name: &str, rate: f64, burst: u32) -> Result<String> {
+        let (rate, burst) = (rate.to_string(), burst.to_string());
+        self.ctl(
+            "i1",
+            &["put-customer", name, "--rate", &rate, "--burst", &burst],
+        )?;
+        let key = self.ctl("i1", &["create-key", name, "--id", &format!("{name}-key")])?;
+        Ok(key["secret"].as_str().unwrap_or_default().to_owned())
+    }
+
+    /// Waits until what was decided last is in force everywhere, and the
+    /// holders grant under the roster in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not come true in time.
+    pub fn wait_in_force(&self) -> Result<()> {
+        let list = self.ctl("i1", &["list"])?;
+        let version = list["version"].as_u64().unwrap_or(0).to_string();
+        self.ctl("i1", &["wait", &version, "--timeout-ms", "30000"])?;
+        Ok(())
+    }
+
+    /// Waits until every process is ready and a roster of all is settled.
+    async fn wait_settled(&self) -> Result<()> {
+        let instances = self.instances();
+        let roles: Vec<(String, &str)> = instances
+            .iter()
+            .flat_map(|instance| ROLES.map(|role| (instance.clone(), role)))
+            .collect();
+        for (instance, role) in roles {
+            let name = format!("{instance}-{role}");
+            self.wait(
+                &format!("{name} is settled"),
+                Duration::from_mins(1),
+                async || {
+                    let page = self.page(&name, "operations", "/ready").await;
+                    page.is_ok_and(|page| page["settled"] == true && page["contact"] == true)
+                },
+            )
+            .await?;
+        }
+        let members = self.spec.instances * ROLES.len() - 1;
+        for instance in &instances {
+            let name = format!("{instance}-entry");
+            self.wait(
+                &format!("{name} knows all"),
+                Duration::from_mins(1),
+                async || {
+                    let page = self.page(&name, "operations", "/ready").await;
+                    page.is_ok_and(|page| page["members"].as_u64() == Some(members as u64))
+                },
+            )
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a condition holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the condition if it does not hold in time.
+    pub async fn wait(
+        &self,
+        what: &str,
+        limit: Duration,
+        mut holds: impl AsyncFnMut() -> bool,
+    ) -> Result<()> {
+        let start = Instant::now();
+        while !holds().await {
+            ensure!(start.elapsed() < limit, TimeoutSnafu { what });
+            actix_rt::time::sleep(LOOK_EVERY).await;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/cicadagate-lab/src/fleet/process.rs
@@ -0,0 +1,83 @@
+/*!
+One started process.
+*/
+
+use {
+    rustix::process::{Pid, Signal, kill_process},
+    serde_json::Value,
+    std::{
+        fs::File,
+        io::{self, BufRead, BufReader},
+        path::Path,
+        process::{Child, Command, ExitStatus, Stdio},
+        thread,
+    },
+};
+
+/// A process and what it has announced.
+pub(super) struct Process {
+    child: Child,
+    /// The addresses that it has bound.
+    pub bound: Value,
+}
+
+impl Process {
+    /// Starts a process and waits until it has announced its addresses.
+    pub fn start(binary: &Path, args: &[String], log: &Path) -> io::Result<Self> {
+        let mut child = Command::new(binary)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(File::create(log)?)
+            .spawn()?;
+        let stdout = child
+            .stdout
+            .take()
+            .ok_or_else(|| io::Error::other("no output"))?;
+        let mut lines = BufReader::new(stdout);
+        let mut line = String::new();
+        lines.read_line(&mut line)?;
+        let announced: Value = serde_json::from_str(&line).map_err(|_| {
+            io::Error::other(format!("announced no addresses; see {}", log.display()))
+        })?;
+        // Reads what else it prints, so that it never blocks on a full pipe.
+        thread::spawn(move || io::copy(&mut lines, &mut io::sink()));
+        Ok(Self {
+            child,
+            bound: announced["bound"].clone(),
+        })
+    }
+
+    fn signal(&self, signal: Signal) {
+        // A process that has ended needs no signal.
+        let _ = kill_process(Pid::from_child(&self.child), signal);
+    }
+
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    pub fn kill(&mut self) {
+        // Already ended is as good.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/cicadagate-lab/src/fleet/spec.rs
@@ -0,0 +1,149 @@
+/*!
+What a fleet consists of.
+*/
+
+use {
+    serde_json::{Value, json},
+    std::{
+        env,
+        path::PathBuf,
+        process,
+        sync::atomic::{AtomicU32, Ordering},
+    },
+};
+
+/// Runs of this process, to keep their directories apart.
+static RUNS: AtomicU32 = AtomicU32::new(0);
+
+/// A model engine's stand-in.
+#[derive(Clone, Debug)]
+pub struct EngineSpec {
+    /// Name.
+    pub name: String,
+    /// Deployment.
+    pub deployment: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Most streams at once.
+    pub max_streams: usize,
+    /// Further arguments of the stand-in.
+    pub args: Vec<String>,
+}
+
+/// A plain service's stand-in.
+#[derive(Clone, Debug)]
+pub struct ServiceSpec {
+    /// Name.
+    pub name: String,
+    /// Deployment.
+    pub deployment: String,
+    /// Data centre.
+    pub data_centre: String,
+}
+
+/// What a fleet consists of.
+#[derive(Clone, Debug)]
+pub struct FleetSpec {
+    /// Directory of the binaries.
+    pub bin_dir: PathBuf,
+    /// Name of the run, for its directory.
+    pub run: String,
+    /// Instances of ours.
+    pub instances: usize,
+    /// Data centres; instances are spread over them in turn.
+    pub data_centres: Vec<String>,
+    /// Engines.
+    pub engines: Vec<EngineSpec>,
+    /// Services.
+    pub services: Vec<ServiceSpec>,
+    /// How long callers keep addresses, in milliseconds.
+    pub keep_address_ms: u64,
+    /// Settings of the entries' role.
+    pub entry: Value,
+    /// Settings of the dispatch processes' role.
+    pub dispatch: Value,
+    /// Settings of the batch processes' role.
+    pub batch: Value,
+}
+
+impl FleetSpec {
+    /// A fleet without endpoints; binaries are those beside this one.
+    #[must_use]
+    pub fn new(run: &str, instances: usize, data_centres: &[&str]) -> Self {
+        Self {
+            bin_dir: default_bin_dir(),
+            run: run.to_owned(),
+            instances,
+            data_centres: data_centres.iter().map(|&name| name.to_owned()).collect(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            keep_address_ms: 1_000,
+            entry: Value::Null,
+            dispatch: Value::Null,
+            batch: json!({"flush_ms": 50}),
+        }
+    }
+
+    /// Adds engines of a deployment, spread over the data centres.
+    #[must_use]
+    pub fn engines(
+        mut self,
+        deployment: &str,
+        count: usize,
+        max_streams: usize,
+        args: &[&str],
+    ) -> Self {
+        for index in 0..count {
+            let data_centre = self.data_centres[index % self.data_centres.len()].clone();
+            self.engines.push(EngineSpec {
+                name: format!("{deployment}-{}", index + 1),
+                deployment: deployment.to_owned(),
+                data_centre,
+                max_streams,
+                args: args.iter().map(|&arg| arg.to_owned()).collect(),
+            });
+        }
+        self
+    }
+
+    /// Adds services of a deployment, spread over the data centres.
+    #[must_use]
+    pub fn services(mut self, deployment: &str, count: usize) -> Self {
+        for index in 0..count {
+            let data_centre = self.data_centres[index % self.data_centres.len()].clone();
+            self.services.push(ServiceSpec {
+                name: format!("{deployment}-{}", index + 1),
+                deployment: deployment.to_owned(),
+                data_centre,
+            });
+        }
+        self
+    }
+
+    pub(super) fn data_centre_of(&self, instance: &str) -> &str {
+        let index: usize = instance.trim_start_matches('i').parse().unwrap_or(1);
+        &self.data_centres[(index - 1) % self.data_centres.len()]
+    }
+
+    pub(super) fn run_dir(&self) -> PathBuf {
+        let number = RUNS.fetch_add(1, Ordering::Relaxed);
+        let target = self
+            .bin_dir
+            .parent()
+            .map_or_else(env::temp_dir, PathBuf::from);
+        target
+            .join("lab")
+            .join(format!("{}-{}-{number}", self.run, process::id()))
+    }
+}
+
+/// The directory of this binary, or the one above for a test's binary.
+fn default_bin_dir() -> PathBuf {
+    let exe = env::current_exe().unwrap_or_default();
+    let dir = exe.parent().map(PathBuf::from).unwrap_or_default();
+    if dir.ends_with("deps") {
+        dir.parent().map(PathBuf::from).unwrap_or(dir)
+    } else {
+        dir
+    }
+}
--- /dev/null
+++ b/cicadagate-lab/src/load/caller.rs
@@ -0,0 +1,422 @@
+/*!
+A customer's caller, which checks each answer byte by byte.
+
+What a prompt's answer must be is known, since the engines' stand-ins make it
+from the prompt alone. So a doubled, missing or crossed byte shows.
+*/
+
+use {
+    awc::Client,
+    bytes::Bytes,
+    cicadagate_standin::engine::{prompt_hash, token},
+    futures_util::StreamExt,
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time that a request may take.
+const TIMEOUT: Duration = Duration::from_mins(2);
+/// Longest answer, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// A caller with a key.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client,
+    key: String,
+}
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Answered, whole and right.
+    Right,
+    /// Answered, but not what it must be.
+    Wrong(String),
+    /// Refused with this status, code and `not_run`.
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// Stable code.
+        code: String,
+        /// Whether it is said to have not run.
+        not_run: bool,
+        /// When to come back.
+        retry_ms: Option<u64>,
+    },
+    /// The connection failed.
+    Broken(String),
+}
+
+/// A request's outcome and times.
+#[derive(Clone, Debug)]
+pub struct Answered {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time until the first token.
+    pub first: Option<Duration>,
+    /// Times between tokens.
+    pub gaps: Vec<Duration>,
+    /// Time until the end.
+    pub whole: Duration,
+}
+
+/// Returns the text that the answer to a prompt must be.
+#[must_use]
+pub fn expected_text(prompt: &str, tokens: u64) -> String {
+    let hash = prompt_hash(prompt);
+    (0..tokens).map(|index| token(hash, index)).collect()
+}
+
+impl Caller {
+    /// Makes a caller.
+    #[must_use]
+    pub fn new(key: &str) -> Self {
+        let client = Client::builder()
+            .timeout(TIMEOUT)
+            .disable_redirects()
+            .finish();
+        Self {
+            client,
+            key: key.to_owned(),
+        }
+    }
+
+    fn post(&self, entry: SocketAddr, path: &str) -> awc::ClientRequest {
+        let request = self.client.post(format!("http://{entry}{path}"));
+        request.insert_header(("authorization", format!("Bearer {}", self.key)))
+    }
+
+    fn get(&self, entry: SocketAddr, path: &str) -> awc::ClientRequest {
+        let request = self.client.get(format!("http://{entry}{path}"));
+        request.insert_header(("authorization", format!("Bearer {}", self.key)))
+    }
+
+    /// Asks for a chat completion and checks it.
+    pub async fn chat(
+        &self,
+        entry: SocketAddr,
+        model: &str,
+        prompt: &str,
+        tokens: u64,
+        stream: bool,
+    ) -> Answered {
+        let body = json!({
+            "model": model,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": tokens,
+            "stream": stream,
+        });
+        let start = Instant::now();
+        let mut answered = Answered {
+            outcome: Outcome::Right,
+            first: None,
+            gaps: Vec::new(),
+            whole: Duration::ZERO,
+        };
+        answered.outcome = match self
+            .post(entry, "/v1/chat/completions")
+            .send_json(&body)
+            .await
+        {
+            Err(err) => Outcome::Broken(err.to_string()),
+            Ok(res) if res.status().as_u16() != 200 => refused(res).await,
+            Ok(res) if stream => check_stream(res, prompt, tokens, start, &mut answered).await,
+            Ok(res) => check_whole(res, prompt, tokens).await,
+        };
+        answered.whole = start.elapsed();
+        answered
+    }
+
+    /// Calls a plain service and returns status and body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails.
+    pub async fn service(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+        call_id: &str,
+    ) -> Result<(u16, Value), String> {
+        let request = self.post(entry, path).insert_header(("x-call-id", call_id));
+        let mut res = request
+            .send_body("hello")
+            .await
+            .map_err(|err| err.to_string())?;
+        let status = res.status().as_u16();
+        let body = res.body().await.map_err(|err| err.to_string())?;
+        Ok((status, serde_json::from_slice(&body).unwrap_or_default()))
+    }
+
+    /// Uploads a batch file; returns its id.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer if it is not accepted.
+    pub async fn upload(&self, entry: SocketAddr, lines: &str) -> Result<String, String> {
+        let boundary = "cicadagate-lab-boundary";
+        let body = format!(
+            "--{boundary}\r\ncontent-disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
+             --{boundary}\r\ncontent-disposition: form-data; name=\"file\"; \
+             filename=\"in.jsonl\"\r\n\r\n{lines}\r\n--{boundary}--\r\n"
+        );
+        let content_type = format!("multipart/form-data; boundary={boundary}");
+        let request = self
+            .post(entry, "/v1/files")
+            .insert_header(("content-type", content_type));
+        let value = json_answer(request.send_body(body).await).await?;
+        value["id"]
+            .as_str()
+            .map(str::to_owned)
+            .ok_or_else(|| value.to_string())
+    }
+
+    /// Creates a batch job; returns it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer if it is not accepted.
+    pub async fn create_job(
+        &self,
+        entry: SocketAddr,
+        file: &str,
+        endpoint: &str,
+        idempotency_key: &str,
+    ) -> Result<Value, String> {
+        let body = json!({
+            "input_file_id": file,
+            "endpoint": endpoint,
+            "completion_window": "24h",
+        });
+        let request = self.post(entry, "/v1/batches");
+        let request = request.insert_header(("idempotency-key", idempotency_key));
+        json_answer(request.send_json(&body).await).await
+    }
+
+    /// Shows a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer if it is none.
+    pub async fn job(&self, entry: SocketAddr, id: &str) -> Result<Value, String> {
+        json_answer(self.get(entry, &format!("/v1/batches/{id}")).send().await).await
+    }
+
+    /// Cancels a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer if it is not accepted.
+    pub async fn cancel_job(&self, entry: SocketAddr, id: &str) -> Result<Value, String> {
+        json_answer(
+            self.post(entry, &format!("/v1/batches/{id}/cancel"))
+                .send()
+                .await,
+        )
+        .await
+    }
+
+    /// Reads a file's contents.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer if there are none.
+    pub async fn content(&self, entry: SocketAddr, file: &str) -> Result<String, String> {
+        let sent = self
+            .get(entry, &format!("/v1/files/{file}/content"))
+            .send()
+            .await;
+        let mut res = sent.map_err(|err| err.to_string())?;
+        let body = res
+            .body()
+            .limit(MAX_BODY_BYTES)
+            .await
+            .map_err(|err| err.to_string())?;
+        let text = String::from_utf8_lossy(&body).into_owned();
+        if res.status().as_u16() == 200 {
+            Ok(text)
+        } else {
+            Err(text)
+        }
+    }
+
+    /// Asks which entries to use.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer.
+    pub async fn addresses(&self, entry: SocketAddr) -> Result<Vec<SocketAddr>, String> {
+        let value = json_answer(self.get(entry, "/v1/addresses").send().await).await?;
+        let list = value["data"].as_array().cloned().unwrap_or_default();
+        let addr = |item: &Value| {
+            let url = item["base_url"].as_str()?;
+            url.trim_start_matches("http://")
+                .trim_end_matches("/v1")
+                .parse()
+                .ok()
+        };
+        Ok(list.iter().filter_map(addr).collect())
+    }
+}
+
+type Sent<S> = Result<awc::ClientResponse<S>, awc::error::SendRequestError>;
+
+async fn json_answer<S>(sent: Sent<S>) -> Result<Value, String>
+where
+    S: futures_util::Stream<Item = Result<Bytes, actix_http::error::PayloadError>> + Unpin,
+{
+    let mut res = sent.map_err(|err| err.to_string())?;
+    let body = res
+        .body()
+        .limit(MAX_BODY_BYTES)
+        .await
+        .map_err(|err| err.to_string())?;
+    let value: Value = serde_json::from_slice(&body).map_err(|err| err.to_string())?;
+    if res.status().as_u16() == 200 {
+        Ok(value)
+    } else {
+        Err(value.to_string())
+    }
+}
+
+async fn refused<S>(mut res: awc::ClientResponse<S>) -> Outcome
+where
+    S: futures_util::Stream<Item = Result<Bytes, actix_http::error::PayloadError>> + Unpin,
+{
+    let status = res.status().as_u16();
+    let body = res.body().await.unwrap_or_default();
+    let value: Value = serde_json::from_slice(&body).unwrap_or_default();
+    Outcome::Refused {
+        status,
+        code: value["error"]["code"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned(),
+        not_run: value["error"]["not_run"].as_bool().unwrap_or(false),
+        retry_ms: value["error"]["retry_after_ms"].as_u64(),
+    }
+}
+
+async fn check_whole<S>(mut res: awc::ClientResponse<S>, prompt: &str, tokens: u64) -> Outcome
+where
+    S: futures_util::Stream<Item = Result<Bytes, actix_http::error::PayloadError>> + Unpin,
+{
+    let body = match res.body().limit(MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(err) => return Outcome::Broken(err.to_string()),
+    };
+    let value: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let text = value["choices"][0]["message"]["content"]
+        .as_str()
+        .unwrap_or_default();
+    compare(text, prompt, tokens)
+}
+
+fn compare(text: &str, prompt: &str, tokens: u64) -> Outcome {
+    let expected = expected_text(prompt, tokens);
+    if text == expected {
+        return Outcome::Right;
+    }
+    Outcome::Wrong(format!("expected '{expected}', got '{text}'"))
+}
+
+async fn check_stream<S>(
+    mut res: awc::ClientResponse<S>,
+    prompt: &str,
+    tokens: u64,
+    start: Instant,
+    answered: &mut Answered,
+) -> Outcome
+where
+    S: futures_util::Stream<Item = Result<Bytes, actix_http::error::PayloadError>> + Unpin,
+{
+    let (mut buf, mut text) = (String::new(), String::new());
+    let mut last = start;
+    while let Some(chunk) = res.next().await {
+        let chunk = match chunk {
+            Ok(chunk) => chunk,
+            Err(err) => return Outcome::Broken(err.to_string()),
+        };
+        buf.push_str(&String::from_utf8_lossy(&chunk));
+        while let Some(end) = buf.find("\n\n") {
+            let event: String = buf.drain(..end + 2).collect();
+            let data = event.trim().trim_start_matches("data: ");
+            if data == "[DONE]" {
+                return compare(&text, prompt, tokens);
+            }
+            let value: Value = serde_json::from_str(data).unwrap_or_default();
+            let piece = value["choices"][0]["delta"]["content"]
+                .as_str()
+                .unwrap_or_default();
+            if piece.is_empty() {
+                continue;
+            }
+            text.push_str(piece);
+            let now = Instant::now();
+            if answered.first.is_none() {
+                answered.first = Some(now - start);
+            } else {
+                answered.gaps.push(now - last);
+            }
+            last = now;
+        }
+    }
+    Outcome::Broken("stream ended without its end mark".to_owned())
+}
+
+/// Writes a batch file whose lines ask for chat completions.
+#[must_use]
+pub fn job_lines(model: &str, prompts: &[String], tokens: u64) -> String {
+    let lines = prompts.iter().enumerate().map(|(index, prompt)| {
+        json!({
+            "custom_id": format!("item-{index}"),
+            "method": "POST",
+            "url": "/v1/chat/completions",
+            "body": {
+                "model": model,
+                "messages": [{"role": "user", "content": prompt}],
+                "max_tokens": tokens,
+            },
+        })
+        .to_string()
+    });
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+/// Checks a job's output against its prompts; returns the first fault.
+///
+/// # Errors
+///
+/// Returns what is wrong: an item missing, doubled or answered wrongly.
+pub fn check_output(output: &str, prompts: &[String], tokens: u64) -> Result<(), String> {
+    let mut seen = std::collections::BTreeMap::new();
+    for line in output.lines() {
+        let value: Value = serde_json::from_str(line).map_err(|err| err.to_string())?;
+        let id = value["custom_id"].as_str().unwrap_or_default().to_owned();
+        let content = &value["response"]["body"]["choices"][0]["message"]["content"];
+        if seen
+            .insert(id.clone(), content.as_str().unwrap_or_default().to_owned())
+            .is_some()
+        {
+            return Err(format!("{id} is there twice"));
+        }
+    }
+    for (index, prompt) in prompts.iter().enumerate() {
+        let id = format!("item-{index}");
+        let is_poison = prompt.contains("poison");
+        match seen.get(&id) {
+            None if is_poison => {}
+            None => return Err(format!("{id} is missing")),
+            Some(_) if is_poison => return Err(format!("{id} can't be done, yet it was")),
+            Some(text) if *text != expected_text(prompt, tokens) => {
+                return Err(format!("{id} has another answer: {text}"));
+            }
+            Some(_) => {}
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/cicadagate-node/src/command.rs
@@ -0,0 +1,93 @@
+/*!
+The command line that the deployed binaries share, and logging.
+*/
+
+use {
+    crate::settings::{Check, load},
+    serde::de::DeserializeOwned,
+    spdlog::{Level, LevelFilter, Logger, formatter::JsonFormatter, sink::StdStreamSink},
+    std::{path::PathBuf, process::exit, sync::Arc},
+};
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// A process of cicadagate.
+        cmd cicadagate {
+            /// Settings file: JSON with comments.
+            optional settings: PathBuf
+            /// Check the settings and exit.
+            optional --check
+            /// Print the version and exit.
+            optional --version
+            /// Log debug messages too.
+            optional --verbose
+        }
+    }
+}
+
+/// Exit code for a wrong command line or settings.
+pub const EXIT_USAGE: i32 = 2;
+
+/// Reads the command line and settings of a deployed binary.
+///
+/// Exits the process with the reason if they are wrong, and with 0 after
+/// `--check` or `--version`.
+#[must_use]
+pub fn settings_or_exit<T: DeserializeOwned + Check>(name: &str) -> T {
+    let flags = match flags::Cicadagate::from_env() {
+        Ok(flags) => flags,
+        Err(err) if err.is_help() => {
+            println!("{name}: {err}");
+            exit(0);
+        }
+        Err(err) => fail(name, &err.to_string()),
+    };
+    if flags.version {
+        println!("{name} {}", env!("CARGO_PKG_VERSION"));
+        exit(0);
+    }
+    let Some(path) = flags.settings else {
+        fail(name, "a settings file is needed; see --help");
+    };
+    let settings = match load(&path) {
+        Ok(settings) => settings,
+        Err(err) => fail(name, &err.to_string()),
+    };
+    if flags.check {
+        println!("{}: settings are fine", path.display());
+        exit(0);
+    }
+    start_logging(flags.verbose);
+    settings
+}
+
+fn fail(name: &str, reason: &str) -> ! {
+    eprintln!("{name}: {reason}");
+    exit(EXIT_USAGE);
+}
+
+/// Sends log records to standard error, one JSON object a line.
+pub fn start_logging(verbose: bool) {
+    let least = if verbose { Level::Debug } else { Level::Info };
+    let sink = StdStreamSink::builder()
+        .stderr()
+        .formatter(JsonFormatter::new())
+        .level_filter(LevelFilter::MoreSevereEqual(least))
+        .build();
+    let Ok(sink) = sink else {
+        return;
+    };
+    let logger = Logger::builder()
+        .sink(Arc::new(sink))
+        .level_filter(LevelFilter::MoreSevereEqual(least))
+        .flush_level_filter(LevelFilter::All)
+        .build();
+    if let Ok(logger) = logger {
+        spdlog::set_default_logger(Arc::new(logger));
+    }
+}
+
+/// Path of a settings file, for binaries with a command line of their own.
+pub type SettingsPath = PathBuf;
--- /dev/null
+++ b/cicadagate-node/src/connection/http.rs
@@ -0,0 +1,138 @@
+/*!
+Serving HTTP/1.1 on the process's own thread.
+
+Heads are bounded by the library, bodies by the handler, connections by a
+count, and a caller that does not finish its head in time is cut.
+*/
+
+use {
+    crate::{event, metrics::Metrics},
+    actix_http::{
+        HttpService, Request, Response,
+        body::{BoxBody, MessageBody},
+    },
+    actix_rt::net::{TcpListener, TcpStream},
+    actix_service::{Service, ServiceFactory, fn_service},
+    bytes::{Bytes, BytesMut},
+    futures_util::StreamExt,
+    std::{cell::Cell, convert::Infallible, future::Future, rc::Rc, time::Duration},
+};
+
+/// Time that a caller has to send a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time that a caller has to send a request's body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time that an idle connection is kept.
+const KEEP_ALIVE: Duration = Duration::from_mins(1);
+
+/// Serves HTTP on a listener until the returned future is dropped.
+pub async fn serve<F, Fut, B>(
+    listener: TcpListener,
+    max_connections: usize,
+    metrics: Rc<Metrics>,
+    handler: F,
+) where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Result<Response<B>, Infallible>> + 'static,
+    B: MessageBody + 'static,
+{
+    let factory = HttpService::build()
+        .client_request_timeout(HEAD_TIMEOUT)
+        .keep_alive(KEEP_ALIVE)
+        .h1_allow_half_closed(false)
+        .tcp_nodelay(true)
+        .finish(fn_service(handler))
+        .tcp();
+    let Ok(service) = factory.new_service(()).await else {
+        return;
+    };
+    let service = Rc::new(service);
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        if open.get() >= max_connections {
+            metrics
+                .refused_messages
+                .with_label_values(&["connection"])
+                .inc();
+            event!(CONNECTION_REFUSED, open = open.get());
+            continue;
+        }
+        open.set(open.get() + 1);
+        actix_rt::spawn(serve_connection(
+            Rc::clone(&service),
+            stream,
+            Rc::clone(&open),
+        ));
+    }
+}
+
+async fn serve_connection<S: Service<TcpStream>>(
+    service: Rc<S>,
+    stream: TcpStream,
+    open: Rc<Cell<usize>>,
+) {
+    // A broken connection concerns only its own requests.
+    let _ = service.call(stream).await;
+    open.set(open.get() - 1);
+}
+
+/// Why a body was not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyError {
+    /// Longer than allowed.
+    TooLong,
+    /// Broken off, or not finished in time.
+    Incomplete,
+}
+
+/// Reads a request's body, up to `limit` bytes.
+///
+/// # Errors
+///
+/// Returns an error if it is too long or does not arrive whole in time.
+pub async fn read_body(req: &mut Request, limit: usize) -> Result<Bytes, BodyError> {
+    let mut payload = req.take_payload();
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|_| BodyError::Incomplete)?;
+            if body.len() + chunk.len() > limit {
+                return Err(BodyError::TooLong);
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    };
+    actix_rt::time::timeout(BODY_TIMEOUT, read)
+        .await
+        .unwrap_or(Err(BodyError::Incomplete))
+}
+
+/// Makes a response with a body of a content type.
+#[must_use]
+pub fn respond(status: u16, content_type: &str, body: impl Into<Bytes>) -> Response<BoxBody> {
+    let status = actix_http::StatusCode::from_u16(status)
+        .unwrap_or(actix_http::StatusCode::INTERNAL_SERVER_ERROR);
+    Response::build(status)
+        .insert_header(("content-type", content_type))
+        .body(body.into())
+        .map_into_boxed_body()
+}
+
+/// Makes a response with a JSON body.
+#[must_use]
+pub fn respond_json(status: u16, body: &serde_json::Value) -> Response<BoxBody> {
+    respond(status, "application/json", body.to_string())
+}
+
+/// Returns a parameter of a query string, if it is there.
+#[must_use]
+pub fn query_param<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+}
--- /dev/null
+++ b/cicadagate-node/src/connection/link.rs
@@ -0,0 +1,322 @@
+/*!
+Links to peers.
+
+One connection to each peer that is needed, made at first use and shared by
+all requests. When a connection ends, or membership declares its peer dead,
+every attempt on it learns so at once; what that means for the attempt is
+decided by its state, not here.
+*/
+
+use {
+    super::server::read_hello,
+    crate::{metrics::Metrics, process::Identity},
+    actix_rt::net::TcpStream,
+    bytes::BytesMut,
+    cicadagate_policy::ids::RequestId,
+    cicadagate_wire::peer::{FromServer, PeerCodec, Side, Submit, ToServer},
+    snafu::{OptionExt, Snafu},
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        sync::{Mutex, Notify, mpsc, oneshot},
+    },
+};
+
+/// A result of this module.
+pub type Result<T, E = LinkError> = std::result::Result<T, E>;
+
+/// Time that connecting may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Messages that may be queued to a peer.
+const MAX_QUEUED: usize = 65_536;
+/// Bytes that are read at once.
+const READ_BYTES: usize = 64 * 1024;
+
+/// Why a call to a peer failed.
+#[derive(Clone, Debug, Snafu)]
+pub enum LinkError {
+    /// No connection could be made; nothing was sent.
+    #[snafu(display("can't connect"))]
+    NotConnected,
+    /// The connection ended, or no answer came in time.
+    #[snafu(display("no answer"))]
+    NoAnswer,
+}
+
+/// What happens to an attempt.
+#[derive(Clone, Debug)]
+pub enum AttemptEvent {
+    /// A message about it.
+    Message(FromServer),
+    /// The connection ended; it may have run.
+    Lost,
+}
+
+type AttemptKey = (RequestId, u32);
+
+/// State that a link shares with its tasks.
+#[derive(Default)]
+struct Shared {
+    attempts: RefCell<HashMap<AttemptKey, mpsc::UnboundedSender<AttemptEvent>>>,
+    calls: RefCell<HashMap<u64, oneshot::Sender<FromServer>>>,
+    is_closed: Cell<bool>,
+    close: Notify,
+}
+
+impl Shared {
+    fn close(&self) {
+        self.is_closed.set(true);
+        self.close.notify_one();
+        self.calls.borrow_mut().clear();
+        for (_, tx) in self.attempts.borrow_mut().drain() {
+            // The attempt may have ended meanwhile.
+            let _ = tx.send(AttemptEvent::Lost);
+        }
+    }
+
+    fn deliver(&self, message: FromServer) {
+        match &message {
+            FromServer::Drawn { seq, .. }
+            | FromServer::Confirmed { seq, .. }
+            | FromServer::Config { seq, .. }
+            | FromServer::Batch { seq, .. } => {
+                if let Some(tx) = self.calls.borrow_mut().remove(seq) {
+                    // The caller may have given up.
+                    let _ = tx.send(message);
+                }
+            }
+            FromServer::Head { id, attempt, .. }
+            | FromServer::Piece { id, attempt, .. }
+            | FromServer::End { id, attempt, .. }
+            | FromServer::Refused { id, attempt, .. }
+            | FromServer::Failed { id, attempt, .. } => {
+                // An attempt that is not waited for any more is dropped by id.
+                if let Some(tx) = self.attempts.borrow().get(&(*id, *attempt)) {
+                    let _ = tx.send(AttemptEvent::Message(message));
+                }
+            }
+        }
+    }
+}
+
+/// One connection to a peer.
+struct Link {
+    tx: mpsc::Sender<ToServer>,
+    shared: Rc<Shared>,
+}
+
+/// A running attempt. Dropping it cancels the attempt at the peer.
+pub struct AttemptHandle {
+    key: AttemptKey,
+    link: Rc<Link>,
+    rx: mpsc::UnboundedReceiver<AttemptEvent>,
+}
+
+impl AttemptHandle {
+    /// Waits for what happens next.
+    pub async fn next(&mut self) -> AttemptEvent {
+        self.rx.recv().await.unwrap_or(AttemptEvent::Lost)
+    }
+}
+
+impl Drop for AttemptHandle {
+    fn drop(&mut self) {
+        let was_open = self
+            .link
+            .shared
+            .attempts
+            .borrow_mut()
+            .remove(&self.key)
+            .is_some();
+        if was_open {
+            let (id, attempt) = self.key;
+            // A full queue means a dead peer, which needs no cancel.
+            let _ = self.link.tx.try_send(ToServer::Cancel { id, attempt });
+        }
+    }
+}
+
+type Slot = Rc<Mutex<Option<Rc<Link>>>>;
+
+/// The links of a process.
+pub struct Links {
+    identity: Rc<Identity>,
+    metrics: Rc<Metrics>,
+    slots: RefCell<HashMap<SocketAddr, Slot>>,
+    next_seq: Cell<u64>,
+}
+
+impl Links {
+    /// Makes a set without links.
+    #[must_use]
+    pub fn new(identity: Rc<Identity>, metrics: Rc<Metrics>) -> Self {
+        Self {
+            identity,
+            metrics,
+            slots: RefCell::default(),
+            next_seq: Cell::new(1),
+        }
+    }
+
+    /// Sends an attempt to the peer at `addr`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no connection could be made; nothing was sent.
+    pub async fn submit(&self, addr: SocketAddr, submit: Submit) -> Result<AttemptHandle> {
+        let link = self.link(addr).await?;
+        let key = (submit.id, submit.attempt);
+        let (tx, rx) = mpsc::unbounded_channel();
+        link.shared.attempts.borrow_mut().insert(key, tx);
+        let queued = link.tx.try_send(ToServer::Submit(Box::new(submit))).is_ok();
+        if !queued {
+            link.shared.attempts.borrow_mut().remove(&key);
+            return NotConnectedSnafu.fail();
+        }
+        Ok(AttemptHandle { key, link, rx })
+    }
+
+    /// Calls the peer at `addr` and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no connection could be made or no answer came in
+    /// time. In the second case the call may have taken effect.
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        timeout: Duration,
+        make: impl FnOnce(u64) -> ToServer,
+    ) -> Result<FromServer> {
+        let link = self.link(addr).await?;
+        let seq = self.next_seq.get();
+        self.next_seq.set(seq + 1);
+        let (tx, rx) = oneshot::channel();
+        link.shared.calls.borrow_mut().insert(seq, tx);
+        if link.tx.try_send(make(seq)).is_err() {
+            link.shared.calls.borrow_mut().remove(&seq);
+            return NotConnectedSnafu.fail();
+        }
+        let answer = actix_rt::time::timeout(timeout, rx).await;
+        link.shared.calls.borrow_mut().remove(&seq);
+        answer
+            .ok()
+            .and_then(std::result::Result::ok)
+            .context(NoAnswerSnafu)
+    }
+
+    /// Closes the link to a peer that is dead.
+    pub fn close(&self, addr: SocketAddr) {
+        let slot = self.slots.borrow_mut().remove(&addr);
+        if let Some(slot) = slot
+            && let Ok(link) = slot.try_lock()
+            && let Some(link) = &*link
+        {
+            link.shared.close();
+        }
+    }
+
+    async fn link(&self, addr: SocketAddr) -> Result<Rc<Link>> {
+        let slot = Rc::clone(self.slots.borrow_mut().entry(addr).or_default());
+        // Whoever comes while another connects waits for the same connection.
+        let mut link = slot.lock().await;
+        if let Some(link) = link.as_ref().filter(|link| !link.shared.is_closed.get()) {
+            return Ok(Rc::clone(link));
+        }
+        let connect = actix_rt::time::timeout(CONNECT_TIMEOUT, self.connect(addr));
+        let (stream, codec) = connect
+            .await
+            .ok()
+            .and_then(io::Result::ok)
+            .context(NotConnectedSnafu)?;
+        let (tx, rx) = mpsc::channel(MAX_QUEUED);
+        let new = Rc::new(Link {
+            tx,
+            shared: Rc::default(),
+        });
+        let run = run(
+            stream,
+            codec,
+            rx,
+            Rc::clone(&new.shared),
+            Rc::clone(&self.metrics),
+        );
+        actix_rt::spawn(run);
+        *link = Some(Rc::clone(&new));
+        Ok(new)
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> io::Result<(TcpStream, PeerCodec<FromServer>)> {
+        let key = &self.identity.key;
+        let mut stream = TcpStream::connect(addr).await?;
+        stream.set_nodelay(true)?;
+        let mut codec = PeerCodec::handshake(key, Side::Client);
+        let client = self.identity.hello();
+        let mut out = Vec::new();
+        codec.encode(&client, &mut out);
+        stream.write_all(&out).await?;
+        let server = read_hello(&mut codec, &mut stream).await?;
+        Ok((
+            stream,
+            codec.established(key, Side::Client, &client, &server),
+        ))
+    }
+}
+
+async fn run(
+    stream: TcpStream,
+    mut codec: PeerCodec<FromServer>,
+    mut rx: mpsc::Receiver<ToServer>,
+    shared: Rc<Shared>,
+    metrics: Rc<Metrics>,
+) {
+    let (mut reader, mut writer) = stream.into_split();
+    let mut buf = BytesMut::with_capacity(READ_BYTES);
+    let mut out = Vec::new();
+    loop {
+        tokio::select! {
+            () = shared.close.notified() => break,
+            read = reader.read_buf(&mut buf) => {
+                if !matches!(read, Ok(1..)) {
+                    break;
+                }
+                let bytes = buf.split();
+                codec.feed(&bytes);
+                if !deliver_all(&mut codec, &shared) {
+                    break;
+                }
+            }
+            message = rx.recv() => {
+                let Some(message) = message else { break };
+                codec.encode(&message, &mut out);
+                while let Ok(message) = rx.try_recv() {
+                    codec.encode(&message, &mut out);
+                }
+                metrics.peer_messages.with_label_values(&["sent"]).inc_by(out.len() as u64);
+                if writer.write_all(&out).await.is_err() {
+                    break;
+                }
+                out.clear();
+            }
+        }
+    }
+    shared.close();
+}
+
+/// Delivers the received messages; returns whether the connection is sound.
+fn deliver_all(codec: &mut PeerCodec<FromServer>, shared: &Shared) -> bool {
+    loop {
+        match codec.next_message() {
+            Ok(Some(message)) => shared.deliver(message),
+            Ok(None) => return true,
+            Err(_) => return false,
+        }
+    }
+}
--- /dev/null
+++ b/cicadagate-node/src/connection/mod.rs
@@ -0,0 +1,7 @@
+/*!
+Connections: to peers, from peers, and HTTP from callers and operators.
+*/
+
+pub mod http;
+pub mod link;
+pub mod server;
--- /dev/null
+++ b/cicadagate-node/src/connection/server.rs
@@ -0,0 +1,186 @@
+/*!
+The serving side of the peer protocol.
+
+A connection that does not show the fleet's key within [`HELLO_TIMEOUT`] is
+closed. Answers are queued per connection; a peer that lets [`MAX_QUEUED`] of
+them pile up is cut off, which its side treats like any lost connection.
+*/
+
+use {
+    crate::{event, process::Node},
+    actix_rt::net::{TcpListener, TcpStream},
+    bytes::BytesMut,
+    cicadagate_wire::peer::{FromServer, Hello, PROTOCOL, PeerCodec, Side, ToServer},
+    std::{cell::Cell, io, rc::Rc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        sync::mpsc,
+    },
+};
+
+/// Time that a peer has to say hello.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Answers that may be queued on a connection.
+const MAX_QUEUED: usize = 65_536;
+/// Bytes that are read at once.
+const READ_BYTES: usize = 64 * 1024;
+
+/// The sending half of one peer's connection.
+#[derive(Clone, Debug)]
+pub struct Outbox {
+    tx: mpsc::Sender<FromServer>,
+}
+
+impl Outbox {
+    /// Queues a message; one that the connection no longer takes is dropped,
+    /// and the other side finds a piece missing.
+    pub fn send(&self, message: FromServer) {
+        let _ = self.tx.try_send(message);
+    }
+
+    /// Tells whether the connection has ended.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.tx.is_closed()
+    }
+}
+
+/// What a role does with messages of peers.
+pub trait Handler {
+    /// Takes a message; answers go to `outbox`.
+    fn handle(&self, outbox: &Outbox, message: ToServer);
+
+    /// Notes that a connection has ended.
+    fn closed(&self, outbox: &Outbox);
+}
+
+/// Accepts peers' connections until the returned future is dropped.
+pub async fn serve(node: Rc<Node>, listener: TcpListener, handler: Rc<dyn Handler>) {
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        if open.get() >= node.settings.max_connections {
+            node.metrics
+                .refused_messages
+                .with_label_values(&["connection"])
+                .inc();
+            event!(CONNECTION_REFUSED, open = open.get());
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (node, handler, open) = (Rc::clone(&node), Rc::clone(&handler), Rc::clone(&open));
+        actix_rt::spawn(async move {
+            if let Err(err) = serve_peer(&node, stream, &*handler).await {
+                node.metrics
+                    .refused_messages
+                    .with_label_values(&["frame"])
+                    .inc();
+                event!(MESSAGE_REFUSED, reason = err.to_string());
+            }
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+async fn serve_peer(
+    node: &Rc<Node>,
+    mut stream: TcpStream,
+    handler: &dyn Handler,
+) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let hello = actix_rt::time::timeout(HELLO_TIMEOUT, shake_hands(node, &mut stream));
+    let mut codec = hello
+        .await
+        .map_err(|_| io::Error::other("no hello in time"))??;
+    let (tx, mut rx) = mpsc::channel(MAX_QUEUED);
+    let outbox = Outbox { tx };
+    let (mut reader, mut writer) = stream.into_split();
+    let mut buf = BytesMut::with_capacity(READ_BYTES);
+    let mut out = Vec::new();
+    let result = loop {
+        tokio::select! {
+            read = reader.read_buf(&mut buf) => match read {
+                Ok(0) | Err(_) => break Ok(()),
+                Ok(_) => {
+                    let bytes = buf.split();
+                    codec.feed(&bytes);
+                    if let Err(err) = drain(node, &mut codec, &outbox, handler) {
+                        break Err(err);
+                    }
+                }
+            },
+            message = rx.recv() => {
+                let Some(message) = message else { break Ok(()) };
+                codec.encode(&message, &mut out);
+                while let Ok(message) = rx.try_recv() {
+                    codec.encode(&message, &mut out);
+                }
+                node.metrics.peer_messages.with_label_values(&["sent"]).inc_by(out.len() as u64);
+                if writer.write_all(&out).await.is_err() {
+                    break Ok(());
+                }
+                out.clear();
+            }
+        }
+    };
+    rx.close();
+    handler.closed(&outbox);
+    result
+}
+
+fn drain(
+    node: &Rc<Node>,
+    codec: &mut PeerCodec<ToServer>,
+    outbox: &Outbox,
+    handler: &dyn Handler,
+) -> io::Result<()> {
+    while let Some(message) = codec.next_message().map_err(io::Error::other)? {
+        match node.answer_common(&message) {
+            // A peer that does not take its answers is cut by the reader.
+            Some(answer) => {
+                outbox.send(answer);
+            }
+            None => handler.handle(outbox, message),
+        }
+    }
+    Ok(())
+}
+
+async fn shake_hands(node: &Node, stream: &mut TcpStream) -> io::Result<PeerCodec<ToServer>> {
+    let mut codec = PeerCodec::handshake(&node.key, Side::Server);
+    let client = read_hello(&mut codec, stream).await?;
+    let server = node.hello();
+    let mut out = Vec::new();
+    codec.encode(&server, &mut out);
+    stream.write_all(&out).await?;
+    Ok(codec.established(&node.key, Side::Server, &client, &server))
+}
+
+/// Reads the other side's hello.
+///
+/// # Errors
+///
+/// Returns an error if the connection ends or shows no key, or if the other
+/// side speaks another version of the protocol.
+pub(crate) async fn read_hello(
+    codec: &mut PeerCodec<Hello>,
+    stream: &mut TcpStream,
+) -> io::Result<Hello> {
+    let mut buf = [0; 512];
+    loop {
+        if let Some(hello) = codec.next_message().map_err(io::Error::other)? {
+            if hello.protocol != PROTOCOL {
+                return Err(io::Error::other("another version of the peer protocol"));
+            }
+            return Ok(hello);
+        }
+        let read = stream.read(&mut buf).await?;
+        if read == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        codec.feed(&buf[..read]);
+    }
+}
--- /dev/null
+++ b/cicadagate-node/src/events.rs
@@ -0,0 +1,90 @@
+/*!
+Numbered log events.
+
+Each event has a number that stays the same for good, so that operators can
+alert on it. `docs/EVENTS.md` lists them; a test holds it against this table.
+*/
+
+use spdlog::Level;
+
+/// A kind of log record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Number.
+    pub code: u32,
+    /// Short name.
+    pub name: &'static str,
+    /// Severity.
+    pub level: Level,
+    /// What it means and what to do.
+    pub meaning: &'static str,
+}
+
+macro_rules! events {
+    ($($name:ident = $code:literal, $level:ident, $meaning:literal;)*) => {
+        $(
+            #[doc = $meaning]
+            pub const $name: Event = Event {
+                code: $code,
+                name: stringify!($name),
+                level: Level::$level,
+                meaning: $meaning,
+            };
+        )*
+
+        /// All events.
+        pub const ALL: &[Event] = &[$($name),*];
+    };
+}
+
+events! {
+    STARTED = 100, Info, "The process has bound its addresses.";
+    READY = 101, Info, "The process has folded the configuration and serves.";
+    STOPPING = 102, Info, "The process was told to stop and is no longer given out.";
+    STOPPED = 103, Info, "The process has ended what ran and exits.";
+    BIND_FAILED = 104, Error, "An address can't be bound; the process exits.";
+    LOG_UNREACHABLE = 200, Warn, "A stream of the platform's log can't be read; see OPERATING.md, 'An outage of the log'.";
+    LOG_REACHABLE = 201, Info, "A stream of the platform's log can be read again.";
+    LOG_GAP = 202, Warn, "Records have expired before a snapshot covered them; waiting for a snapshot.";
+    RECORD_SKIPPED = 203, Warn, "A record can't be decoded; every reader skips it.";
+    CONFIG_IN_FORCE = 204, Info, "A configuration record was folded.";
+    CONFIG_FROM_PEER = 205, Info, "The configuration was taken from a peer since the log is down.";
+    SNAPSHOT_WRITTEN = 206, Info, "A snapshot of a stream's state was appended.";
+    APPEND_FAILED = 207, Warn, "An append to the log failed or was not answered.";
+    LIST_UNREACHABLE = 210, Warn, "The platform's list of instances can't be read; the last one is used.";
+    CONTACT_LOST = 300, Error, "Neither the log nor a majority of witnesses answers: requests are refused.";
+    CONTACT_BACK = 301, Info, "The log or a majority of witnesses answers again.";
+    MEMBER_CHANGED = 302, Info, "Another process came, went, or is suspected.";
+    ROSTER_PROPOSED = 303, Info, "A new roster of share holders was proposed.";
+    ROSTER_SETTLED = 304, Info, "A roster of share holders was settled.";
+    KEY_WITHDRAWN = 305, Info, "A withdrawn key became known.";
+    MESSAGE_REFUSED = 400, Warn, "A frame or datagram without the fleet's key, or malformed, was refused.";
+    CONNECTION_REFUSED = 401, Warn, "A connection above the limit was refused.";
+    REQUEST_ENDED = 500, Debug, "A caller's request ended.";
+    REQUEST_RETRIED = 501, Info, "An attempt failed and another follows.";
+    REQUEST_FAILED = 502, Warn, "A caller's request ended without its answer.";
+    ENDPOINT_LEAVING = 503, Info, "An endpoint gets no new work.";
+    ENDPOINT_FAILED = 504, Warn, "An attempt at an endpoint failed.";
+    BATCH_PREEMPTED = 505, Debug, "A batch stream gave way to online work.";
+    ORDER_SENT = 506, Info, "An engine was ordered to load a version.";
+    ORDER_FAILED = 507, Warn, "An engine refused or did not answer an order.";
+    JOB_ACCEPTED = 600, Info, "A batch job is durable.";
+    JOB_CLAIMED = 601, Info, "This process works on a batch job.";
+    JOB_CLOSED = 602, Info, "Every item of a batch job has a result.";
+    JOB_CANCELLED = 603, Info, "A batch job was cancelled.";
+    ITEM_FAILED = 604, Warn, "An item was given up after bounded tries.";
+    CHANGE_DECIDED = 700, Info, "An operator's change was accepted or rejected.";
+}
+
+/// Writes a record of an event, with fields.
+#[macro_export]
+macro_rules! event {
+    ($event:ident, $($kv:tt)+) => {{
+        let event = $crate::events::$event;
+        ::spdlog::log!(event.level, "{}", event.name, kv: { event = event.code, $($kv)+ });
+    }};
+    ($event:ident) => {{
+        let event = $crate::events::$event;
+        ::spdlog::log!(event.level, "{}", event.name, kv: { event = event.code });
+    }};
+}
--- /dev/null
+++ b/cicadagate-node/src/metrics.rs
@@ -0,0 +1,177 @@
+/*!
+Metrics of a process, in the Prometheus text format.
+
+`docs/METRICS.md` lists them; a test holds it against [`Metrics`].
+*/
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+/// Buckets for latencies, in seconds.
+const LATENCY_BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// The metrics of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by outcome.
+    pub requests: IntCounterVec,
+    /// Refusals by reason.
+    pub refusals: IntCounterVec,
+    /// Attempts by outcome.
+    pub attempts: IntCounterVec,
+    /// Bytes and messages between processes, by direction.
+    pub peer_messages: IntCounterVec,
+    /// Bytes of datagrams, by direction.
+    pub datagram_bytes: IntCounterVec,
+    /// Batch items by outcome.
+    pub items: IntCounterVec,
+    /// Preempted batch streams.
+    pub preemptions: IntCounterVec,
+    /// Refused frames and datagrams.
+    pub refused_messages: IntCounterVec,
+    /// Sizes of state, by kind.
+    pub state: IntGaugeVec,
+    /// Seconds until the first piece of an answer.
+    pub first_piece_seconds: Histogram,
+    /// Seconds that requests took.
+    pub request_seconds: Histogram,
+}
+
+impl Metrics {
+    /// Makes and registers the metrics.
+    ///
+    /// # Panics
+    ///
+    /// Never: the names are constants and differ.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, label: &str| {
+            let counter = IntCounterVec::new(Opts::new(name, help), &[label]);
+            let counter = counter.expect("constant names are valid");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("names differ");
+            counter
+        };
+        let histogram = |name: &str, help: &str| {
+            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let histogram = Histogram::with_opts(opts).expect("constant names are valid");
+            registry
+                .register(Box::new(histogram.clone()))
+                .expect("names differ");
+            histogram
+        };
+        let state = IntGaugeVec::new(
+            Opts::new("cicadagate_state", "Sizes of state, by kind."),
+            &["kind"],
+        )
+        .expect("constant names are valid");
+        registry
+            .register(Box::new(state.clone()))
+            .expect("names differ");
+        Self {
+            requests: counter(
+                "cicadagate_requests_total",
+                "Requests by outcome.",
+                "outcome",
+            ),
+            refusals: counter("cicadagate_refusals_total", "Refusals by reason.", "reason"),
+            attempts: counter(
+                "cicadagate_attempts_total",
+                "Attempts by outcome.",
+                "outcome",
+            ),
+            peer_messages: counter(
+                "cicadagate_peer_bytes_total",
+                "Bytes between processes over TCP, by direction.",
+                "direction",
+            ),
+            datagram_bytes: counter(
+                "cicadagate_datagram_bytes_total",
+                "Bytes of datagrams, by direction.",
+                "direction",
+            ),
+            items: counter(
+                "cicadagate_items_total",
+                "Batch items by outcome.",
+                "outcome",
+            ),
+            preemptions: counter(
+                "cicadagate_preemptions_total",
+                "Batch streams that gave way, by deployment.",
+                "deployment",
+            ),
+            refused_messages: counter(
+                "cicadagate_refused_messages_total",
+                "Frames and datagrams refused, by kind.",
+                "kind",
+            ),
+            first_piece_seconds: histogram(
+                "cicadagate_first_piece_seconds",
+                "Seconds until the first piece of an answer.",
+            ),
+            request_seconds: histogram("cicadagate_request_seconds", "Seconds that requests took."),
+            state,
+            registry,
+        }
+    }
+
+    /// Sets the size of a piece of state.
+    pub fn set_state(&self, kind: &str, size: usize) {
+        let size = i64::try_from(size).unwrap_or(i64::MAX);
+        self.state.with_label_values(&[kind]).set(size);
+    }
+
+    /// Returns the names and help texts of all metrics.
+    #[must_use]
+    pub fn describe() -> Vec<(&'static str, &'static str)> {
+        vec![
+            ("cicadagate_attempts_total", "Attempts by outcome."),
+            (
+                "cicadagate_datagram_bytes_total",
+                "Bytes of datagrams, by direction.",
+            ),
+            (
+                "cicadagate_first_piece_seconds",
+                "Seconds until the first piece of an answer.",
+            ),
+            ("cicadagate_items_total", "Batch items by outcome."),
+            (
+                "cicadagate_peer_bytes_total",
+                "Bytes between processes over TCP, by direction.",
+            ),
+            (
+                "cicadagate_preemptions_total",
+                "Batch streams that gave way, by deployment.",
+            ),
+            ("cicadagate_refusals_total", "Refusals by reason."),
+            (
+                "cicadagate_refused_messages_total",
+                "Frames and datagrams refused, by kind.",
+            ),
+            ("cicadagate_request_seconds", "Seconds that requests took."),
+            ("cicadagate_requests_total", "Requests by outcome."),
+            ("cicadagate_state", "Sizes of state, by kind."),
+        ]
+    }
+
+    /// Writes all metrics in the text format.
+    #[must_use]
+    pub fn render(&self) -> Vec<u8> {
+        let mut out = Vec::new();
+        // Writing to a vector can't fail.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut out);
+        out
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/cicadagate-node/src/platform/log.rs
@@ -0,0 +1,207 @@
+/*!
+The append-only log.
+
+HTTP: `POST /v1/streams/{stream}/records` with the record as body answers
+`{"offset": n}`. `GET` of the same with `from`, `limit` and `wait_ms` answers
+records, each as offset (8 bytes), length (4 bytes, both big-endian) and body;
+the header `x-end-offset` names the last record of the stream and
+`x-oldest-offset` the first one that is still kept.
+*/
+
+use {
+    super::{
+        CALL_TIMEOUT, NoAnswerSnafu, PlatformError, RefusedSnafu, Result, UnintelligibleSnafu,
+    },
+    bytes::{Buf, Bytes},
+    cicadagate_policy::ids::Offset,
+    futures_util::future::LocalBoxFuture,
+    serde::Deserialize,
+    snafu::{OptionExt, ensure},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Most bytes of one read.
+const MAX_READ_BYTES: usize = 64 * 1024 * 1024;
+
+/// Records of a stream, as read.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    /// Records in order.
+    pub records: Vec<(Offset, Bytes)>,
+    /// Offset of the stream's last record when the service answered.
+    pub end: Offset,
+    /// Offset of the first record that is still kept.
+    pub oldest: Offset,
+}
+
+/// The platform's log.
+pub trait Log {
+    /// Appends a record and returns its offset.
+    fn append(&self, stream: String, record: Bytes) -> LocalBoxFuture<'static, Result<Offset>>;
+
+    /// Reads up to `limit` records from `from` on; waits for one if there is none.
+    fn read(
+        &self,
+        stream: String,
+        from: Offset,
+        limit: usize,
+        wait: Duration,
+    ) -> LocalBoxFuture<'static, Result<Batch>>;
+}
+
+/// Client of the log over HTTP.
+pub struct HttpLog {
+    addr: SocketAddr,
+    client: awc::Client,
+}
+
+impl HttpLog {
+    /// Makes a client of the service at `addr`.
+    #[must_use]
+    pub fn new(addr: SocketAddr) -> Self {
+        let client = awc::Client::builder().disable_redirects().finish();
+        Self { addr, client }
+    }
+}
+
+#[derive(Deserialize)]
+struct Appended {
+    offset: u64,
+}
+
+impl Log for HttpLog {
+    fn append(&self, stream: String, record: Bytes) -> LocalBoxFuture<'static, Result<Offset>> {
+        let url = format!("http://{}/v1/streams/{stream}/records", self.addr);
+        let call = self
+            .client
+            .post(url)
+            .timeout(CALL_TIMEOUT)
+            .send_body(record);
+        Box::pin(async move {
+            let mut res = call.await.map_err(no_answer)?;
+            let status = res.status().as_u16();
+            ensure!(status != 503 && status != 429, RefusedSnafu { status });
+            ensure!(
+                status == 200,
+                UnintelligibleSnafu {
+                    detail: format!("status {status}")
+                }
+            );
+            let body = res.body().await.map_err(no_answer)?;
+            let appended: Appended =
+                serde_json::from_slice(&body)
+                    .ok()
+                    .context(UnintelligibleSnafu {
+                        detail: "no offset",
+                    })?;
+            Ok(Offset(appended.offset))
+        })
+    }
+
+    fn read(
+        &self,
+        stream: String,
+        from: Offset,
+        limit: usize,
+        wait: Duration,
+    ) -> LocalBoxFuture<'static, Result<Batch>> {
+        let wait_ms = wait.as_millis();
+        let url = format!(
+            "http://{}/v1/streams/{stream}/records?from={from}&limit={limit}&wait_ms={wait_ms}",
+            self.addr
+        );
+        let call = self.client.get(url).timeout(CALL_TIMEOUT + wait).send();
+        Box::pin(async move {
+            let mut res = call.await.map_err(no_answer)?;
+            let status = res.status().as_u16();
+            ensure!(status == 200, RefusedSnafu { status });
+            let header = |name: &str| {
+                let value = res
+                    .headers()
+                    .get(name)
+                    .and_then(|value| value.to_str().ok());
+                let offset = value.and_then(|value| value.parse().ok()).map(Offset);
+                offset.context(UnintelligibleSnafu {
+                    detail: format!("no header {name}"),
+                })
+            };
+            let (end, oldest) = (header("x-end-offset")?, header("x-oldest-offset")?);
+            let body = res.body().limit(MAX_READ_BYTES).await.map_err(no_answer)?;
+            let records = split_records(body)?;
+            Ok(Batch {
+                records,
+                end,
+                oldest,
+            })
+        })
+    }
+}
+
+fn no_answer(err: impl std::fmt::Display) -> PlatformError {
+    NoAnswerSnafu {
+        detail: err.to_string(),
+    }
+    .build()
+}
+
+fn split_records(mut body: Bytes) -> Result<Vec<(Offset, Bytes)>> {
+    let mut records = Vec::new();
+    while body.has_remaining() {
+        ensure!(
+            body.len() >= 12,
+            UnintelligibleSnafu {
+                detail: "short record head"
+            }
+        );
+        let offset = Offset(body.get_u64());
+        let len = body.get_u32() as usize;
+        ensure!(
+            body.len() >= len,
+            UnintelligibleSnafu {
+                detail: "short record"
+            }
+        );
+        records.push((offset, body.split_to(len)));
+    }
+    Ok(records)
+}
+
+/// Encodes a record of ours.
+///
+/// # Errors
+///
+/// Returns an error if it can't be encoded.
+pub fn encode<T: serde::Serialize>(record: &T) -> Result<Bytes> {
+    postcard::to_stdvec(record)
+        .map(Bytes::from)
+        .ok()
+        .context(UnintelligibleSnafu {
+            detail: "record can't be encoded",
+        })
+}
+
+/// Decodes a record of ours.
+///
+/// # Errors
+///
+/// Returns an error if it is none.
+pub fn decode<T: serde::de::DeserializeOwned>(record: &[u8]) -> Result<T> {
+    postcard::from_bytes(record)
+        .map_err(|err| err.to_string())
+        .or_else(|detail| UnintelligibleSnafu { detail }.fail())
+}
+
+/// Reads single records at known offsets.
+///
+/// # Errors
+///
+/// Returns an error if the log does not answer or the record is gone.
+pub async fn read_one(log: &dyn Log, stream: &str, offset: Offset) -> Result<Bytes> {
+    let batch = log
+        .read(stream.to_owned(), offset, 1, Duration::ZERO)
+        .await?;
+    let record = batch.records.into_iter().find(|(at, _)| *at == offset);
+    record.map(|(_, body)| body).context(UnintelligibleSnafu {
+        detail: "record is gone",
+    })
+}
--- /dev/null
+++ b/cicadagate-node/src/process/follower.rs
@@ -0,0 +1,278 @@
+/*!
+Following the log's streams and the platform's list.
+*/
+
+use {
+    super::{CONFIG_STREAM, Node},
+    crate::{
+        event,
+        platform::{
+            list::Listing,
+            log::{Log, decode},
+        },
+    },
+    actix_rt::time::sleep,
+    cicadagate_policy::{
+        ids::Offset,
+        process::membership::Role,
+        time::Time,
+        version::{
+            config::{Change, Object, ObjectKey, Record, State, Verdict},
+            reader::{Start, Step},
+        },
+    },
+    cicadagate_wire::peer::{FromServer, ToServer},
+    serde::de::DeserializeOwned,
+    std::{rc::Rc, time::Duration},
+};
+
+/// Records of one read.
+const READ_LIMIT: usize = 1_000;
+/// How long a read waits for a new record.
+const READ_WAIT: Duration = Duration::from_secs(1);
+/// Wait after a failed read.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+/// How often the platform's list is read.
+const LIST_EVERY: Duration = Duration::from_millis(500);
+/// Peers that are asked for the configuration at a start in an outage.
+const PEERS_ASKED: usize = 5;
+/// Time that a peer has to answer.
+const PEER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A fold of a stream, driven by [`follow`].
+pub trait Fold {
+    /// Type of its records.
+    type Record: DeserializeOwned;
+
+    /// Returns the offset up to which a snapshot record covers the stream.
+    fn covers(&self, record: &Self::Record) -> Option<Offset>;
+
+    /// Folds a record.
+    fn fold(&self, offset: Offset, record: &Self::Record);
+
+    /// Marks an offset that held no readable record.
+    fn skip(&self, offset: Offset);
+
+    /// Returns the offset of the last folded record.
+    fn version(&self) -> Offset;
+
+    /// Notes that the stream was read to its end by a read sent at `sent`.
+    fn read_to_end(&self, sent: Time);
+
+    /// Notes that a read failed.
+    fn read_failed(&self) {}
+}
+
+/// Follows a stream of the log for as long as the process lives.
+pub async fn follow<F: Fold>(node: Rc<Node>, log: Rc<dyn Log>, stream: &'static str, fold: Rc<F>) {
+    let mut start = Start::new(fold.version());
+    let mut next = fold.version().next();
+    let mut reachable = true;
+    loop {
+        let sent = node.now();
+        match log
+            .read(stream.to_owned(), next, READ_LIMIT, READ_WAIT)
+            .await
+        {
+            Ok(batch) => {
+                if !reachable {
+                    event!(LOG_REACHABLE, stream);
+                    reachable = true;
+                }
+                if fold.version() >= next {
+                    // The state was taken from a peer meanwhile.
+                    start = Start::new(fold.version());
+                    next = fold.version().next();
+                }
+                let had_gap = start.has_gap();
+                for (offset, body) in batch.records {
+                    if offset < next {
+                        continue;
+                    }
+                    next = offset.next();
+                    take(&mut start, &*fold, offset, &body, stream);
+                }
+                if start.has_gap() && !had_gap {
+                    event!(LOG_GAP, stream);
+                }
+                if !start.has_gap() && next > batch.end {
+                    fold.read_to_end(sent);
+                }
+            }
+            Err(err) => {
+                if reachable {
+                    event!(LOG_UNREACHABLE, stream, reason: = err);
+                    reachable = false;
+                }
+                fold.read_failed();
+                sleep(RETRY_AFTER).await;
+            }
+        }
+    }
+}
+
+fn take<F: Fold>(
+    start: &mut Start<Option<F::Record>>,
+    fold: &F,
+    offset: Offset,
+    body: &[u8],
+    stream: &str,
+) {
+    let record = decode::<F::Record>(body);
+    if let Err(err) = &record {
+        event!(RECORD_SKIPPED, stream, offset: = offset, reason: = err);
+    }
+    let record = record.ok();
+    let covers = record.as_ref().and_then(|record| fold.covers(record));
+    if let Step::Fold(records) = start.push(offset, record, covers) {
+        for (offset, record) in records {
+            match record {
+                Some(record) => fold.fold(offset, &record),
+                None => fold.skip(offset),
+            }
+        }
+    }
+}
+
+struct ConfigFold {
+    node: Rc<Node>,
+}
+
+impl Fold for ConfigFold {
+    type Record = Record;
+
+    fn covers(&self, record: &Record) -> Option<Offset> {
+        match &record.change {
+            Change::Snapshot(state) => Some(state.version()),
+            _ => None,
+        }
+    }
+
+    fn fold(&self, offset: Offset, record: &Record) {
+        let verdict = self.node.config.borrow_mut().fold(offset, record);
+        if let Some(verdict) = &verdict {
+            event!(CONFIG_IN_FORCE, offset: = offset, verdict:? = verdict);
+        }
+        if let (Change::WithdrawKey(id), Some(Verdict::Accepted(_))) = (&record.change, &verdict) {
+            self.spread_withdrawn(id);
+        }
+        self.node.note_config();
+    }
+
+    fn skip(&self, offset: Offset) {
+        self.node.config.borrow_mut().skip(offset);
+        self.node.note_config();
+    }
+
+    fn version(&self) -> Offset {
+        self.node.config.borrow().version()
+    }
+
+    fn read_to_end(&self, sent: Time) {
+        if !self.node.has_folded.replace(true) {
+            event!(READY, version: = self.version());
+        }
+        self.node.contact.borrow_mut().log_read(sent);
+    }
+
+    fn read_failed(&self) {
+        if !self.node.is_configured() {
+            actix_rt::spawn(fetch_config(Rc::clone(&self.node)));
+        }
+    }
+}
+
+impl ConfigFold {
+    fn spread_withdrawn(&self, id: &str) {
+        let config = self.node.config.borrow();
+        let key = ObjectKey::Key(id.to_owned());
+        let object = config.objects().find(|(other, _)| **other == key);
+        if let Some((_, object)) = object
+            && let Object::WithdrawnKey(key) = &object.value
+        {
+            self.node.membership.borrow_mut().spread_withdrawn(key.hash);
+            event!(KEY_WITHDRAWN, id);
+        }
+    }
+}
+
+impl Node {
+    /// Tells everyone concerned that the configuration has changed.
+    fn note_config(&self) {
+        let config = self.config.borrow();
+        let version = config.version();
+        let leaving = !self.phase.get().is_given_out();
+        self.membership.borrow_mut().set_me(version, leaving);
+        if let Some((epoch, state)) = config.epoch() {
+            let witnesses: Vec<_> = state
+                .roster
+                .witnesses
+                .iter()
+                .map(|seat| seat.member)
+                .collect();
+            self.contact.borrow_mut().set_roster(epoch, &witnesses);
+        }
+        self.metrics
+            .set_state("config_version", usize::try_from(version.0).unwrap_or(0));
+        self.changed.send_replace(version);
+    }
+}
+
+/// Follows the configuration's stream.
+pub(super) async fn follow_config(node: Rc<Node>) {
+    let fold = Rc::new(ConfigFold {
+        node: Rc::clone(&node),
+    });
+    let log = Rc::clone(&node.log);
+    follow(node, log, CONFIG_STREAM, fold).await;
+}
+
+/// Takes the highest configuration among several peers.
+async fn fetch_config(node: Rc<Node>) {
+    let peers: Vec<_> = [Role::Dispatch, Role::Batch]
+        .into_iter()
+        .flat_map(|role| node.live(role))
+        .filter(|info| info.id != node.membership.borrow().me().id)
+        .take(PEERS_ASKED)
+        .collect();
+    for peer in peers {
+        let call = node
+            .links
+            .call(peer.tcp, PEER_TIMEOUT, |seq| ToServer::FetchConfig { seq });
+        let Ok(FromServer::Config { state, .. }) = call.await else {
+            continue;
+        };
+        let Ok(state) = decode::<State>(&state) else {
+            continue;
+        };
+        let newer = state.version() > node.config.borrow().version();
+        if newer && !node.has_folded() {
+            event!(CONFIG_FROM_PEER, peer = peer.instance, version: = state.version());
+            *node.config.borrow_mut() = state;
+            node.note_config();
+        }
+    }
+}
+
+/// Follows the platform's list.
+pub(super) async fn follow_list(node: Rc<Node>) {
+    let mut reachable = true;
+    loop {
+        match node.list.read().await {
+            Ok(instances) => {
+                reachable = true;
+                let listing = Listing::new(instances);
+                let mut membership = node.membership.borrow_mut();
+                membership.set_candidates(listing.gossip.clone());
+                *node.listing.borrow_mut() = listing;
+            }
+            Err(err) => {
+                if reachable {
+                    event!(LIST_UNREACHABLE, reason: = err);
+                    reachable = false;
+                }
+            }
+        }
+        sleep(LIST_EVERY).await;
+    }
+}
--- /dev/null
+++ b/cicadagate-node/src/process/gossip.rs
@@ -0,0 +1,95 @@
+/*!
+Carries the membership's messages, and acts on what it learns.
+*/
+
+use {
+    super::Node,
+    crate::event,
+    actix_rt::{net::UdpSocket, time::sleep},
+    cicadagate_policy::{
+        ids::MemberId,
+        process::membership::{Health, Info, Outgoing},
+    },
+    cicadagate_wire::datagram::{DatagramCodec, MAX_DATAGRAM_BYTES},
+    std::{collections::BTreeMap, rc::Rc, time::Duration},
+};
+
+/// How often the members are compared with those known before.
+const WATCH_EVERY: Duration = Duration::from_millis(100);
+
+/// Receives and sends datagrams for as long as the process lives.
+pub(super) async fn run(node: Rc<Node>, socket: UdpSocket) {
+    let codec = DatagramCodec::new(&node.key);
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let now = node.now();
+        let due = node.membership.borrow().next_tick().since(now);
+        tokio::select! {
+            received = socket.recv_from(&mut buf) => {
+                let Ok((len, from)) = received else { continue };
+                node.metrics.datagram_bytes.with_label_values(&["received"]).inc_by(len as u64);
+                match codec.decode(&buf[..len]) {
+                    Ok(message) => {
+                        let out = node.membership.borrow_mut().handle(node.now(), from, message);
+                        send(&node, &codec, &socket, out).await;
+                    }
+                    Err(err) => {
+                        node.metrics.refused_messages.with_label_values(&["datagram"]).inc();
+                        event!(MESSAGE_REFUSED, from: = from, reason: = err);
+                    }
+                }
+            }
+            () = sleep(Duration::from_millis(due)) => {
+                let out = node.membership.borrow_mut().tick(node.now());
+                send(&node, &codec, &socket, out).await;
+            }
+            () = node.leaving() => {
+                let out = node.membership.borrow_mut().leave();
+                send(&node, &codec, &socket, out).await;
+                return;
+            }
+        }
+    }
+}
+
+async fn send(node: &Node, codec: &DatagramCodec, socket: &UdpSocket, out: Vec<Outgoing>) {
+    for (to, message) in out {
+        let datagram = codec.encode(&message);
+        let bytes = datagram.len() as u64;
+        node.metrics
+            .datagram_bytes
+            .with_label_values(&["sent"])
+            .inc_by(bytes);
+        // A lost datagram is the protocol's business.
+        let _ = socket.send_to(&datagram, to).await;
+    }
+}
+
+/// Logs changes of the members and closes links to dead ones.
+pub(super) async fn watch_members(node: Rc<Node>) {
+    let mut known: BTreeMap<MemberId, Health> = BTreeMap::new();
+    loop {
+        sleep(WATCH_EVERY).await;
+        let members: Vec<(Info, Health)> = node
+            .membership
+            .borrow()
+            .members()
+            .map(|(info, health)| (info.clone(), health))
+            .collect();
+        for (info, health) in &members {
+            if known.insert(info.id, *health) != Some(*health) {
+                note_change(&node, info, *health);
+            }
+        }
+        known.retain(|id, _| members.iter().any(|(info, _)| info.id == *id));
+        node.metrics.set_state("members", members.len());
+    }
+}
+
+fn note_change(node: &Node, info: &Info, health: Health) {
+    let process = format!("{}/{}", info.instance, info.role.name());
+    event!(MEMBER_CHANGED, process, health:? = health);
+    if health >= Health::Dead {
+        node.links.close(info.tcp);
+    }
+}
--- /dev/null
+++ b/cicadagate-node/src/process/mod.rs
@@ -0,0 +1,394 @@
+/*!
+The node: what a process shares among its tasks for as long as it lives.
+*/
+
+mod contact;
+mod follower;
+mod gossip;
+mod operations;
+mod stop;
+
+pub use follower::{Fold, follow};
+
+use {
+    crate::{
+        clock::{Clock, epoch_ms},
+        connection::link::Links,
+        event,
+        metrics::Metrics,
+        platform::{
+            list::{HttpInstanceList, InstanceList, Listing},
+            log::{HttpLog, Log},
+        },
+        settings::NodeSettings,
+        trace::Spans,
+    },
+    actix_rt::net::{TcpListener, UdpSocket},
+    bytes::Bytes,
+    cicadagate_policy::{
+        ids::{MemberId, Offset},
+        process::{
+            contact::Contact,
+            homes::Place,
+            membership::{Info, Membership, Role},
+            shutdown::Phase,
+        },
+        time::Time,
+        version::config::{Customer, Seat, State},
+    },
+    cicadagate_wire::{
+        key::FleetKey,
+        peer::{FromServer, Hello, PROTOCOL, ToServer},
+    },
+    serde_json::json,
+    snafu::{ResultExt, Snafu},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+    },
+    tokio::sync::{Notify, watch},
+};
+
+/// A result of this module.
+pub type Result<T, E = StartError> = std::result::Result<T, E>;
+
+/// Why a process could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address can't be bound.
+    #[snafu(display("can't bind {addr}: {source}"))]
+    Bind {
+        /// Address.
+        addr: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The fleet's key is malformed.
+    #[snafu(display("{source}"))]
+    Key {
+        /// Cause.
+        source: cicadagate_wire::key::InvalidKey,
+    },
+}
+
+/// Name of the configuration's stream in the log.
+pub const CONFIG_STREAM: &str = "config";
+
+/// Who this process is to its peers.
+pub struct Identity {
+    /// Fleet's key.
+    pub key: FleetKey,
+    /// This process.
+    pub member: MemberId,
+}
+
+impl Identity {
+    /// Makes the first message of a connection.
+    #[must_use]
+    pub fn hello(&self) -> Hello {
+        let mut nonce = [0; 16];
+        // The other side's nonce still makes the session's key new.
+        let _ = getrandom::fill(&mut nonce);
+        Hello {
+            protocol: PROTOCOL,
+            nonce,
+            member: self.member,
+        }
+    }
+}
+
+/// A process of the fleet.
+pub struct Node {
+    /// Settings.
+    pub settings: NodeSettings,
+    /// Clock.
+    pub clock: Clock,
+    /// Fleet's key.
+    pub key: FleetKey,
+    /// Metrics.
+    pub metrics: Rc<Metrics>,
+    /// Ended spans.
+    pub spans: Spans,
+    /// View of the other processes.
+    pub membership: RefCell<Membership>,
+    /// Configuration in force.
+    pub config: RefCell<State>,
+    /// Contact with the rest.
+    pub contact: RefCell<Contact>,
+    /// The platform's list.
+    pub listing: RefCell<Listing>,
+    /// Links to peers.
+    pub links: Links,
+    /// The platform's log.
+    pub log: Rc<dyn Log>,
+    identity: Rc<Identity>,
+    list: Rc<dyn InstanceList>,
+    phase: Cell<Phase>,
+    has_folded: Cell<bool>,
+    running: Cell<usize>,
+    has_ended: Notify,
+    changed: watch::Sender<Offset>,
+}
+
+/// A started node and its main listener.
+pub struct Started {
+    /// The node.
+    pub node: Rc<Node>,
+    /// Bound main address.
+    pub listener: TcpListener,
+}
+
+impl Node {
+    /// Binds the process's addresses and starts its tasks.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address can't be bound.
+    pub async fn start(role: Role, settings: NodeSettings) -> Result<Started> {
+        let key = FleetKey::from_hex(&settings.fleet_key).context(KeySnafu)?;
+        let listener = bind(settings.listen).await?;
+        let operations = bind(settings.operations).await?;
+        let socket = UdpSocket::bind(settings.gossip).await;
+        let socket = socket.context(BindSnafu {
+            addr: settings.gossip,
+        })?;
+        let local = |addr: std::io::Result<SocketAddr>, asked| addr.unwrap_or(asked);
+        let started = epoch_ms();
+        let name = format!("{}/{}#{started}", settings.instance, role.name());
+        let info = Info {
+            id: MemberId::of(&name),
+            instance: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+            role,
+            udp: local(socket.local_addr(), settings.gossip),
+            tcp: local(listener.local_addr(), settings.listen),
+            started,
+            version: Offset::NONE,
+            leaving: false,
+        };
+        let operations_addr = local(operations.local_addr(), settings.operations);
+        announce(&info, operations_addr);
+        let metrics = Rc::new(Metrics::new());
+        let identity = Rc::new(Identity {
+            key: key.clone(),
+            member: info.id,
+        });
+        let seed = info.id.raw();
+        let node = Rc::new(Self {
+            clock: Clock::start(),
+            key,
+            spans: Spans::default(),
+            membership: RefCell::new(Membership::new(info, seed)),
+            config: RefCell::default(),
+            contact: RefCell::default(),
+            listing: RefCell::default(),
+            links: Links::new(Rc::clone(&identity), Rc::clone(&metrics)),
+            metrics,
+            log: Rc::new(HttpLog::new(settings.log)),
+            identity,
+            list: Rc::new(HttpInstanceList::new(settings.instances)),
+            phase: Cell::default(),
+            has_folded: Cell::new(false),
+            running: Cell::new(0),
+            has_ended: Notify::new(),
+            changed: watch::channel(Offset::NONE).0,
+            settings,
+        });
+        node.spawn_tasks(socket, operations);
+        Ok(Started { node, listener })
+    }
+
+    fn spawn_tasks(self: &Rc<Self>, socket: UdpSocket, operations: TcpListener) {
+        actix_rt::spawn(gossip::run(Rc::clone(self), socket));
+        actix_rt::spawn(gossip::watch_members(Rc::clone(self)));
+        actix_rt::spawn(follower::follow_config(Rc::clone(self)));
+        actix_rt::spawn(follower::follow_list(Rc::clone(self)));
+        actix_rt::spawn(contact::run(Rc::clone(self)));
+        actix_rt::spawn(operations::run(Rc::clone(self), operations));
+    }
+
+    /// Waits for a stop order and for what runs to end.
+    pub async fn run_until_stopped(self: &Rc<Self>) {
+        stop::run(self).await;
+    }
+
+    /// Returns the present time.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Returns what this process tells about itself.
+    #[must_use]
+    pub fn me(&self) -> Info {
+        self.membership.borrow().me().clone()
+    }
+
+    /// Makes the first message of a connection.
+    #[must_use]
+    pub fn hello(&self) -> Hello {
+        self.identity.hello()
+    }
+
+    /// Tells whether requests may be served: the configuration in force can't
+    /// be older than the bound on contact.
+    #[must_use]
+    pub fn has_contact(&self) -> bool {
+        self.contact.borrow().is_fresh(self.now())
+    }
+
+    /// Tells whether the process has folded the log to its end since its start.
+    #[must_use]
+    pub fn has_folded(&self) -> bool {
+        self.has_folded.get()
+    }
+
+    /// Tells whether a configuration is in force here.
+    #[must_use]
+    pub fn is_configured(&self) -> bool {
+        self.has_folded.get() || self.config.borrow().version() > Offset::NONE
+    }
+
+    /// Returns the phase between start and end.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    /// Counts a running request until the guard is dropped.
+    #[must_use]
+    pub fn count_running(self: &Rc<Self>) -> RunningGuard {
+        self.running.set(self.running.get() + 1);
+        RunningGuard {
+            node: Rc::clone(self),
+        }
+    }
+
+    /// Returns a receiver that tells of each new configuration version.
+    #[must_use]
+    pub fn config_changes(&self) -> watch::Receiver<Offset> {
+        self.changed.subscribe()
+    }
+
+    /// Finds the customer that a caller's key speaks for.
+    ///
+    /// A key whose withdrawal was heard of is refused, whether or not the
+    /// log has told of it yet.
+    #[must_use]
+    pub fn customer_of_key(&self, secret: &str) -> Option<Customer> {
+        let hash = self.key.hash_caller_key(secret);
+        if self.membership.borrow().is_withdrawn(&hash) {
+            return None;
+        }
+        self.config.borrow().customer_of_key(&hash).cloned()
+    }
+
+    /// Returns the live processes of a role, this one included if it has it.
+    #[must_use]
+    pub fn live(&self, role: Role) -> Vec<Info> {
+        let membership = self.membership.borrow();
+        let me = std::iter::once(membership.me()).filter(|_| self.phase.get().is_given_out());
+        let others = membership.alive().filter(|info| !info.leaving);
+        me.chain(others)
+            .filter(|info| info.role == role)
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the places that replicas may be homed on.
+    #[must_use]
+    pub fn places(&self, role: Role) -> Vec<Place> {
+        self.live(role).iter().map(place).collect()
+    }
+
+    /// Returns the seats that a roster of the live processes would have.
+    #[must_use]
+    pub fn seats(&self, role: Role) -> Vec<Seat> {
+        let seat = |info: &Info| Seat {
+            member: info.id,
+            process: info.process(),
+            data_centre: place(info).data_centre,
+        };
+        self.live(role).iter().map(seat).collect()
+    }
+
+    /// Returns the address of a member's main interface.
+    #[must_use]
+    pub fn address_of(&self, member: MemberId) -> Option<SocketAddr> {
+        self.membership
+            .borrow()
+            .member(member)
+            .map(|(info, _)| info.tcp)
+    }
+
+    /// Answers the messages that every serving process answers alike.
+    #[must_use]
+    pub fn answer_common(&self, message: &ToServer) -> Option<FromServer> {
+        match message {
+            ToServer::Confirm { seq, withdrawn } => {
+                let mut membership = self.membership.borrow_mut();
+                for hash in withdrawn {
+                    membership.spread_withdrawn(*hash);
+                }
+                let known = membership.withdrawn().copied().collect();
+                let config = self.config.borrow();
+                // Without a roster there is nothing to confirm.
+                let epoch = config.epoch().map(|(version, _)| version);
+                let epoch = epoch.filter(|_| self.has_folded.get());
+                Some(FromServer::Confirmed {
+                    seq: *seq,
+                    epoch,
+                    withdrawn: known,
+                })
+            }
+            ToServer::FetchConfig { seq } => {
+                let config = self.config.borrow();
+                let state = postcard::to_stdvec(&*config).unwrap_or_default();
+                Some(FromServer::Config {
+                    seq: *seq,
+                    state: Bytes::from(state),
+                })
+            }
+            _ => None,
+        }
+    }
+}
+
+/// Place of a member for rendezvous hashing.
+fn place(info: &Info) -> Place {
+    let data_centre = cicadagate_policy::process::homes::data_centre_hash(&info.data_centre);
+    Place {
+        member: info.id,
+        data_centre,
+    }
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr).await.context(BindSnafu { addr })
+}
+
+/// Tells the bound addresses on standard output, for whoever started this
+/// process with port 0.
+fn announce(info: &Info, operations: SocketAddr) {
+    let bound = json!({"bound": {
+        "instance": info.instance,
+        "role": info.role.name(),
+        "listen": info.tcp,
+        "gossip": info.udp,
+        "operations": operations,
+    }});
+    println!("{bound}");
+    event!(STARTED, listen: = info.tcp, gossip: = info.udp, operations: = operations);
+}
+
+/// Counts a running request while it lives.
+pub struct RunningGuard {
+    node: Rc<Node>,
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.node.running.set(self.node.running.get() - 1);
+    }
+}
--- /dev/null
+++ b/cicadagate-node/src/process/operations.rs
@@ -0,0 +1,60 @@
+/*!
+The operators' HTTP port: health, metrics, traces.
+*/
+
+use {
+    super::Node,
+    crate::connection::http::{query_param, respond, respond_json, serve},
+    actix_http::{Request, Response, body::BoxBody},
+    actix_rt::net::TcpListener,
+    serde_json::json,
+    std::{convert::Infallible, rc::Rc},
+};
+
+/// Most connections to the port.
+const MAX_CONNECTIONS: usize = 64;
+
+/// Serves the port for as long as the process lives.
+pub(super) async fn run(node: Rc<Node>, listener: TcpListener) {
+    let metrics = Rc::clone(&node.metrics);
+    let handler = move |req: Request| {
+        let node = Rc::clone(&node);
+        async move { Ok::<_, Infallible>(answer(&node, &req)) }
+    };
+    serve(listener, MAX_CONNECTIONS, metrics, handler).await;
+}
+
+fn answer(node: &Node, req: &Request) -> Response<BoxBody> {
+    match req.path() {
+        "/metrics" => respond(200, "text/plain; version=0.0.4", node.metrics.render()),
+        "/health" => respond(200, "text/plain", "alive\n"),
+        "/ready" => ready(node),
+        "/traces" => {
+            let me = node.me();
+            respond_json(200, &node.spans.render(me.role.name(), &me.instance))
+        }
+        "/explain" => {
+            let id = req
+                .uri()
+                .query()
+                .and_then(|query| query_param(query, "id"))
+                .unwrap_or("");
+            respond_json(200, &json!({"lines": node.spans.explain(id)}))
+        }
+        _ => respond(404, "text/plain", "no such page\n"),
+    }
+}
+
+fn ready(node: &Node) -> Response<BoxBody> {
+    let ready = node.is_configured() && node.has_contact() && node.phase().is_given_out();
+    let body = json!({
+        "ready": ready,
+        "version": node.config.borrow().version().0,
+        "contact": node.has_contact(),
+        "members": node.membership.borrow().alive().count(),
+        "epoch": node.config.borrow().epoch().map(|(version, _)| version.0),
+        "settled": node.config.borrow().epoch().is_some_and(|(_, epoch)| epoch.settled.is_some()),
+        "running": node.running.get(),
+    });
+    respond_json(if ready { 200 } else { 503 }, &body)
+}
--- /dev/null
+++ b/cicadagate-node/src/process/stop.rs
@@ -0,0 +1,58 @@
+/*!
+Stopping a process gracefully.
+*/
+
+use {
+    super::Node,
+    crate::event,
+    actix_rt::time::sleep,
+    std::{rc::Rc, time::Duration},
+    tokio::signal::unix::{SignalKind, signal},
+};
+
+/// How often it is looked whether the process may end.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// Time for the last messages to leave.
+const LINGER: Duration = Duration::from_millis(200);
+
+/// Waits for a stop order, then for what runs to end.
+pub(super) async fn run(node: &Rc<Node>) {
+    wait_for_signal().await;
+    node.phase.set(node.phase.get().stop(node.now()));
+    event!(STOPPING, running = node.running.get());
+    let version = node.config.borrow().version();
+    node.membership.borrow_mut().set_me(version, true);
+    let keep_ms = node.settings.keep_address_ms;
+    while !node
+        .phase
+        .get()
+        .may_end(node.now(), keep_ms, node.running.get())
+    {
+        sleep(LOOK_EVERY).await;
+    }
+    node.has_ended.notify_one();
+    sleep(LINGER).await;
+    event!(STOPPED);
+}
+
+async fn wait_for_signal() {
+    let (term, int) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    );
+    let (Ok(mut term), Ok(mut int)) = (term, int) else {
+        // Without signals the process runs until it is killed.
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
+
+impl Node {
+    /// Waits until the process is about to end.
+    pub(super) async fn leaving(&self) {
+        self.has_ended.notified().await;
+    }
+}
