--- /dev/null
+++ b/cicadagate-node/src/request/answer.rs
@@ -0,0 +1,472 @@
+/*!
+One request and its answer, over several attempts.
+
+[`Answer::next`] yields the answer step by step. Dropping an `Answer` cancels
+what runs, so a caller that goes away needs no further care.
+*/
+
+use {
+    super::router::Router,
+    crate::{
+        connection::link::{AttemptEvent, AttemptHandle},
+        event,
+        trace::{Context, Span},
+    },
+    bytes::Bytes,
+    cicadagate_policy::{
+        ids::{CustomerId, EndpointId, RequestId},
+        process::dispatch::Class,
+        request::{
+            attempt::{Attempts, Progress, Relay, Verdict},
+            choice::attempt_seed,
+        },
+        time::Time,
+    },
+    cicadagate_wire::peer::{FromServer, RefusedReason, Submit, Target},
+    std::{rc::Rc, time::Duration},
+};
+
+/// Replicas that may refuse by their bound before one is made to take it.
+const BOUND_TRIES: usize = 2;
+/// Replicas whose refusal to queue is asked for before giving up.
+const WAIT_TRIES: usize = 3;
+/// Retry-after when no replica could be reached, in milliseconds.
+const NO_REPLICA_RETRY_MS: u64 = 1_000;
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Id of the request.
+    pub id: RequestId,
+    /// Class of work.
+    pub class: Class,
+    /// Customer that it runs for.
+    pub customer: CustomerId,
+    /// Deployment that it goes to.
+    pub deployment: String,
+    /// Kind of endpoint.
+    pub target: Target,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers, without any form of the caller's key.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Bytes,
+    /// Estimated work, in tokens.
+    pub cost: u64,
+    /// Hash of the prompt's prefix.
+    pub prefix: u64,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Milliseconds within which it must have started.
+    pub start_within_ms: u64,
+    /// Milliseconds within which it must have ended.
+    pub end_within_ms: u64,
+    /// Span that it belongs to.
+    pub context: Context,
+}
+
+/// A step of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Status and headers of a plain service's answer.
+    Head(u16, Vec<(String, String)>),
+    /// A piece of the answer.
+    Piece(Bytes),
+    /// The answer is whole.
+    End {
+        /// Why an engine ended it.
+        finish: String,
+        /// Tokens of the prompt.
+        prompt_tokens: u64,
+    },
+}
+
+/// Why a request ended without its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailureKind {
+    /// No replica could take it in time.
+    Busy,
+    /// No replica could be reached.
+    Unavailable,
+    /// The endpoint refused it for good.
+    Permanent,
+    /// Its attempts failed.
+    Failed,
+    /// It did not end in time.
+    Deadline,
+}
+
+/// A request that ended without its answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// Why.
+    pub kind: FailureKind,
+    /// It has not run, for certain.
+    pub not_run: bool,
+    /// Milliseconds after which a resend makes sense, if it does.
+    pub retry_ms: Option<u64>,
+    /// HTTP status that the endpoint gave, 0 if none.
+    pub status: u16,
+    /// What happened.
+    pub detail: String,
+}
+
+struct Current {
+    handle: AttemptHandle,
+    endpoint: EndpointId,
+    number: u32,
+    span: Context,
+    start_ms: u64,
+}
+
+/// A running request.
+pub struct Answer {
+    router: Rc<Router>,
+    plan: Plan,
+    attempts: Attempts,
+    deadline: Time,
+    start_by: Time,
+    current: Option<Current>,
+    over_bound: usize,
+    busy: usize,
+    least_wait_ms: Option<u64>,
+    has_head: bool,
+    detail: String,
+    refused: Vec<EndpointId>,
+}
+
+impl Answer {
+    /// Makes a request that has not been sent yet.
+    #[must_use]
+    pub fn new(router: Rc<Router>, plan: Plan) -> Self {
+        let now = router.node().now();
+        let deadline = now.plus(plan.end_within_ms);
+        router.note_request(&plan.deployment);
+        Self {
+            attempts: Attempts::new(plan.idempotent, deadline),
+            start_by: now.plus(plan.start_within_ms),
+            deadline,
+            router,
+            plan,
+            current: None,
+            over_bound: 0,
+            busy: 0,
+            least_wait_ms: None,
+            has_head: false,
+            detail: String::new(),
+            refused: Vec::new(),
+        }
+    }
+
+    /// Returns the next step of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final failure; there are no steps after it.
+    pub async fn next(&mut self) -> Result<Step, Failure> {
+        loop {
+            let now = self.router.node().now();
+            if now >= self.deadline {
+                return Err(self.fail(FailureKind::Deadline, "deadline has passed"));
+            }
+            if self.current.is_none() {
+                self.start(now).await?;
+                continue;
+            }
+            let left = Duration::from_millis(self.deadline.since(now));
+            let Some(current) = &mut self.current else {
+                continue;
+            };
+            let event = actix_rt::time::timeout(left, current.handle.next()).await;
+            let Ok(event) = event else {
+                continue;
+            };
+            if let Some(step) = self.take(event)? {
+                return Ok(step);
+            }
+        }
+    }
+
+    async fn start(&mut self, now: Time) -> Result<(), Failure> {
+        let number = self.attempts.begin();
+        let seed = attempt_seed(&self.plan.id.0, number);
+        let candidates = self
+            .router
+            .candidates(&self.plan.deployment, self.plan.prefix, seed);
+        let untried = candidates
+            .endpoints
+            .iter()
+            .find(|id| !self.refused.contains(id));
+        let Some(endpoint) = untried.or(candidates.endpoints.first()).copied() else {
+            return Err(self.fail(FailureKind::Unavailable, "no replica is there"));
+        };
+        let Some(home) = self.router.home_of(endpoint) else {
+            return Err(self.fail(FailureKind::Unavailable, "no home is there"));
+        };
+        let span = self.plan.context.child();
+        let submit = self.submit(now, number, endpoint, candidates.bound, span);
+        let node = Rc::clone(self.router.node());
+        match node.links.submit(home, submit).await {
+            Ok(handle) => {
+                self.attempts.sent();
+                self.router.chooser.borrow_mut().note_sent(now, endpoint);
+                let start_ms = crate::clock::epoch_ms();
+                self.current = Some(Current {
+                    handle,
+                    endpoint,
+                    number,
+                    span,
+                    start_ms,
+                });
+                Ok(())
+            }
+            Err(err) => {
+                "home can't be reached".clone_into(&mut self.detail);
+                event!(REQUEST_RETRIED, id: = self.plan.id, reason: = err);
+                self.attempts.failed(Progress::NotSent);
+                self.refused.push(endpoint);
+                self.decide()
+            }
+        }
+    }
+
+    fn submit(
+        &self,
+        now: Time,
+        number: u32,
+        endpoint: EndpointId,
+        bound: u64,
+        span: Context,
+    ) -> Submit {
+        let plan = &self.plan;
+        Submit {
+            id: plan.id,
+            attempt: number,
+            class: plan.class,
+            customer: plan.customer,
+            endpoint,
+            target: plan.target,
+            method: plan.method.clone(),
+            path: plan.path.clone(),
+            headers: plan.headers.clone(),
+            body: plan.body.clone(),
+            cost: plan.cost,
+            start_within_ms: self.start_by.since(now),
+            resume_from: self.attempts.relayed(),
+            force: self.over_bound >= BOUND_TRIES,
+            load_bound: bound,
+            traceparent: span.header(),
+        }
+    }
+
+    fn take(&mut self, event: AttemptEvent) -> Result<Option<Step>, Failure> {
+        let Some(current) = &self.current else {
+            return Ok(None);
+        };
+        let (endpoint, number) = (current.endpoint, current.number);
+        let message = match event {
+            AttemptEvent::Message(message) => message,
+            AttemptEvent::Lost => {
+                return self.end_attempt(Progress::MaybeRun, "connection to the home ended");
+            }
+        };
+        match message {
+            FromServer::Head {
+                status, headers, ..
+            } => {
+                self.has_head = true;
+                Ok(Some(Step::Head(status, headers)))
+            }
+            FromServer::Piece {
+                attempt,
+                index,
+                body,
+                ..
+            } => match self.attempts.piece(attempt, index) {
+                Relay::Pass => Ok(Some(Step::Piece(body))),
+                Relay::Drop => Ok(None),
+                Relay::Gap => self.end_attempt(Progress::MaybeRun, "a piece is missing"),
+            },
+            FromServer::End {
+                attempt,
+                pieces,
+                finish,
+                prompt_tokens,
+                load,
+                ..
+            } => {
+                self.note_load(endpoint, load);
+                if self.attempts.end(attempt, pieces) {
+                    self.end_span("answered");
+                    self.current = None;
+                    return Ok(Some(Step::End {
+                        finish,
+                        prompt_tokens,
+                    }));
+                }
+                self.end_attempt(Progress::MaybeRun, "answer is not whole")
+            }
+            FromServer::Refused { reason, load, .. } => {
+                self.note_load(endpoint, load);
+                self.take_refusal(endpoint, reason)
+            }
+            FromServer::Failed {
+                progress,
+                permanent,
+                status,
+                detail,
+                ..
+            } => {
+                if permanent {
+                    self.attempts.failed(progress);
+                    let failure = self.fail(FailureKind::Permanent, &detail);
+                    return Err(Failure {
+                        status,
+                        retry_ms: None,
+                        ..failure
+                    });
+                }
+                event!(REQUEST_RETRIED, id: = self.plan.id, attempt = number, reason = detail.as_str());
+                self.end_attempt(progress, &detail)
+            }
+            _ => Ok(None),
+        }
+    }
+
+    fn take_refusal(
+        &mut self,
+        endpoint: EndpointId,
+        reason: RefusedReason,
+    ) -> Result<Option<Step>, Failure> {
+        self.refused.push(endpoint);
+        match reason {
+            RefusedReason::OverBound => {
+                self.over_bound += 1;
+                if self.over_bound >= BOUND_TRIES {
+                    // The next one has to take it: the least loaded by hint.
+                    self.refused.clear();
+                }
+            }
+            RefusedReason::WouldWait(ms) | RefusedReason::Full(ms) => {
+                self.busy += 1;
+                self.least_wait_ms = Some(self.least_wait_ms.map_or(ms, |least| least.min(ms)));
+                if self.busy >= WAIT_TRIES {
+                    self.attempts.failed(Progress::NotSent);
+                    return Err(self.fail(FailureKind::Busy, "every replica would take too long"));
+                }
+            }
+            RefusedReason::Expired => {
+                self.attempts.failed(Progress::NotSent);
+                return Err(self.fail(FailureKind::Busy, "waited too long in the queue"));
+            }
+            _ => {}
+        }
+        let avoid = matches!(reason, RefusedReason::Unreachable | RefusedReason::Leaving);
+        if avoid {
+            let now = self.router.node().now();
+            self.router.chooser.borrow_mut().note_failure(now, endpoint);
+        }
+        let detail = format!("refused: {reason:?}");
+        self.end_attempt(Progress::NotSent, &detail)
+    }
+
+    fn note_load(&self, endpoint: EndpointId, load: u64) {
+        let now = self.router.node().now();
+        self.router
+            .chooser
+            .borrow_mut()
+            .note_load(now, endpoint, load);
+    }
+
+    fn end_attempt(&mut self, progress: Progress, detail: &str) -> Result<Option<Step>, Failure> {
+        self.end_span(detail);
+        if let Some(current) = self.current.take()
+            && progress != Progress::NotSent
+        {
+            let now = self.router.node().now();
+            self.router
+                .chooser
+                .borrow_mut()
+                .note_failure(now, current.endpoint);
+        }
+        self.attempts.failed(progress);
+        detail.clone_into(&mut self.detail);
+        self.decide().map(|()| None)
+    }
+
+    /// Decides whether another attempt follows.
+    fn decide(&mut self) -> Result<(), Failure> {
+        let now = self.router.node().now();
+        let attempts = &self.attempts;
+        let verdict = self.router.with_budget(&self.plan.deployment, |budget| {
+            attempts.verdict(now, budget)
+        });
+        let label = if verdict == Verdict::Retry {
+            "retried"
+        } else {
+            "given up"
+        };
+        self.router
+            .node()
+            .metrics
+            .attempts
+            .with_label_values(&[label])
+            .inc();
+        // A plain service's answer can't be continued by another attempt.
+        if verdict == Verdict::Retry && !self.has_head {
+            return Ok(());
+        }
+        let detail = self.detail.clone();
+        let kind = if self.busy > 0 {
+            FailureKind::Busy
+        } else {
+            FailureKind::Failed
+        };
+        Err(self.fail(kind, &detail))
+    }
+
+    fn fail(&mut self, kind: FailureKind, detail: &str) -> Failure {
+        self.end_span(detail);
+        self.current = None;
+        let not_run = self.attempts.worst() == Progress::NotSent;
+        let retry_ms = self.least_wait_ms.unwrap_or(NO_REPLICA_RETRY_MS).max(1);
+        let failure = Failure {
+            kind,
+            not_run,
+            retry_ms: Some(retry_ms),
+            status: 0,
+            detail: detail.to_owned(),
+        };
+        event!(REQUEST_FAILED, id: = self.plan.id, not_run, reason = detail);
+        failure
+    }
+
+    fn end_span(&self, outcome: &str) {
+        let Some(current) = &self.current else {
+            return;
+        };
+        let node = self.router.node();
+        let name = node
+            .listing
+            .borrow()
+            .endpoints
+            .get(&current.endpoint)
+            .map(|e| e.name.clone());
+        node.spans.end(Span {
+            name: "attempt",
+            context: current.span,
+            parent: Some(self.plan.context.span),
+            start_ms: current.start_ms,
+            end_ms: crate::clock::epoch_ms(),
+            attributes: vec![
+                ("request", self.plan.id.to_string()),
+                ("attempt", current.number.to_string()),
+                ("endpoint", name.unwrap_or_default()),
+                ("outcome", outcome.to_owned()),
+            ],
+        });
+    }
+}
--- /dev/null
+++ b/cicadagate-node/src/request/mod.rs
@@ -0,0 +1,14 @@
+/*!
+Running a request at the endpoints, over as many attempts as it may have.
+
+Entries and batch processes share this: both choose a replica, send the
+request to its home, and decide what follows a failed attempt.
+*/
+
+mod answer;
+mod router;
+
+pub use {
+    answer::{Answer, Failure, FailureKind, Plan, Step},
+    router::Router,
+};
--- /dev/null
+++ b/cicadagate-node/src/request/router.rs
@@ -0,0 +1,129 @@
+/*!
+Replica choice and retry budgets of one process.
+*/
+
+use {
+    crate::process::Node,
+    cicadagate_policy::{
+        ids::EndpointId,
+        process::{homes::home, membership::Role},
+        request::{
+            attempt::Budget,
+            choice::{Chooser, Rule},
+        },
+    },
+    std::{
+        cell::RefCell,
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        rc::Rc,
+    },
+};
+
+/// Chooses replicas and finds their homes.
+pub struct Router {
+    node: Rc<Node>,
+    pub(super) chooser: RefCell<Chooser>,
+    budgets: RefCell<BTreeMap<String, Budget>>,
+    drained: RefCell<(cicadagate_policy::ids::Offset, BTreeSet<EndpointId>)>,
+}
+
+/// Replicas of a deployment in the order to try them.
+pub(super) struct Candidates {
+    pub endpoints: Vec<EndpointId>,
+    pub bound: u64,
+}
+
+impl Router {
+    /// Makes a router without load hints.
+    #[must_use]
+    pub fn new(node: Rc<Node>, rule: Rule) -> Self {
+        Self {
+            node,
+            chooser: RefCell::new(Chooser::new(rule)),
+            budgets: RefCell::default(),
+            drained: RefCell::default(),
+        }
+    }
+
+    /// Returns the process's node.
+    #[must_use]
+    pub fn node(&self) -> &Rc<Node> {
+        &self.node
+    }
+
+    /// Notes a request of a deployment, which earns retries.
+    pub(super) fn note_request(&self, deployment: &str) {
+        let mut budgets = self.budgets.borrow_mut();
+        budgets
+            .entry(deployment.to_owned())
+            .or_default()
+            .note_request();
+    }
+
+    /// Lends the retry budget of a deployment.
+    pub(super) fn with_budget<T>(
+        &self,
+        deployment: &str,
+        decide: impl FnOnce(&mut Budget) -> T,
+    ) -> T {
+        decide(
+            self.budgets
+                .borrow_mut()
+                .entry(deployment.to_owned())
+                .or_default(),
+        )
+    }
+
+    /// Orders the replicas of a deployment that may get new work.
+    pub(super) fn candidates(&self, deployment: &str, prefix: u64, seed: u64) -> Candidates {
+        self.refresh_drained();
+        let listing = self.node.listing.borrow();
+        let drained = self.drained.borrow();
+        let usable: Vec<EndpointId> = listing
+            .deployment(deployment)
+            .filter(|endpoint| !endpoint.leaving && !drained.1.contains(&endpoint.id))
+            .map(|endpoint| endpoint.id)
+            .collect();
+        let now = self.node.now();
+        let mut chooser = self.chooser.borrow_mut();
+        chooser.retain(|endpoint| listing.endpoints.contains_key(&endpoint));
+        let bound = chooser.bound(now, &usable);
+        Candidates {
+            endpoints: chooser.order(now, prefix, seed, &usable),
+            bound,
+        }
+    }
+
+    fn refresh_drained(&self) {
+        let config = self.node.config.borrow();
+        let mut drained = self.drained.borrow_mut();
+        if drained.0 != config.version() {
+            *drained = (config.version(), config.drained());
+        }
+    }
+
+    /// Returns the number of streams that a deployment's replicas run at once.
+    #[must_use]
+    pub fn capacity(&self, deployment: &str) -> usize {
+        let listing = self.node.listing.borrow();
+        listing
+            .deployment(deployment)
+            .map(|endpoint| endpoint.max_streams.max(1))
+            .sum()
+    }
+
+    /// Returns the address of a replica's home.
+    pub(super) fn home_of(&self, endpoint: EndpointId) -> Option<SocketAddr> {
+        let data_centre = self
+            .node
+            .listing
+            .borrow()
+            .endpoints
+            .get(&endpoint)?
+            .data_centre;
+        let places = self.node.places(Role::Dispatch);
+        self.node
+            .address_of(home(endpoint.raw(), data_centre, &places)?)
+    }
+}
--- /dev/null
+++ b/cicadagate-node/src/settings.rs
@@ -0,0 +1,178 @@
+/*!
+Settings files: JSON with comments.
+
+A file is read as a whole and checked as a whole: an unknown field, a wrong
+type or an impossible value stops the process before it binds anything, and
+each fault is named with its line.
+*/
+
+use {
+    cicadagate_wire::key::FleetKey,
+    json_comments::StripComments,
+    serde::{Deserialize, de::DeserializeOwned},
+    snafu::{ResultExt, Snafu, ensure},
+    std::{fs, io::Read, net::SocketAddr, path::Path},
+};
+
+/// A result of this module.
+pub type Result<T, E = SettingsError> = std::result::Result<T, E>;
+
+/// Why settings were refused.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[snafu(display("can't read {path}: {source}"))]
+    Unreadable {
+        /// Path of the file.
+        path: String,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The file is not JSON with comments, or a field has the wrong name or type.
+    #[snafu(display("{path}: {source}"))]
+    Malformed {
+        /// Path of the file.
+        path: String,
+        /// Cause, with line and column.
+        source: serde_json::Error,
+    },
+    /// Values are impossible.
+    #[snafu(display("{}", faults.join("\n")))]
+    Impossible {
+        /// One line for each fault.
+        faults: Vec<String>,
+    },
+}
+
+/// An impossible value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Name of the field.
+    pub field: &'static str,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl Fault {
+    /// Makes a fault.
+    pub fn new(field: &'static str, reason: impl Into<String>) -> Self {
+        Self {
+            field,
+            reason: reason.into(),
+        }
+    }
+}
+
+/// Settings that can tell what is impossible about them.
+pub trait Check {
+    /// Returns every fault.
+    fn faults(&self) -> Vec<Fault>;
+}
+
+/// Settings that every process has.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Name of the instance.
+    pub instance: String,
+    /// Name of the data centre.
+    pub data_centre: String,
+    /// Address of the process's main interface.
+    pub listen: SocketAddr,
+    /// Address for datagrams between processes.
+    pub gossip: SocketAddr,
+    /// Address of the operators' HTTP interface: metrics, health, traces.
+    pub operations: SocketAddr,
+    /// Address of the platform's log.
+    pub log: SocketAddr,
+    /// Address of the platform's list of instances.
+    pub instances: SocketAddr,
+    /// The fleet's key: 64 hexadecimal digits.
+    pub fleet_key: String,
+    /// How long callers may keep an address, in milliseconds.
+    #[serde(default = "default_keep_address_ms")]
+    pub keep_address_ms: u64,
+    /// Most connections to the main interface. Default: 4096.
+    #[serde(default = "default_max_connections")]
+    pub max_connections: usize,
+}
+
+const fn default_keep_address_ms() -> u64 {
+    cicadagate_policy::process::shutdown::KEEP_ADDRESS_MS
+}
+
+const fn default_max_connections() -> usize {
+    4096
+}
+
+impl Check for NodeSettings {
+    fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        for (field, name) in [
+            ("instance", &self.instance),
+            ("data_centre", &self.data_centre),
+        ] {
+            if name.is_empty() || name.len() > 64 {
+                faults.push(Fault::new(field, "must have 1 to 64 bytes"));
+            }
+        }
+        if FleetKey::from_hex(&self.fleet_key).is_err() {
+            faults.push(Fault::new("fleet_key", "must be 64 hexadecimal digits"));
+        }
+        if self.log.port() == 0 {
+            faults.push(Fault::new("log", "must name a port"));
+        }
+        if self.instances.port() == 0 {
+            faults.push(Fault::new("instances", "must name a port"));
+        }
+        if self.keep_address_ms > 600_000 {
+            faults.push(Fault::new("keep_address_ms", "must be at most 600000"));
+        }
+        if self.max_connections == 0 {
+            faults.push(Fault::new("max_connections", "must be at least 1"));
+        }
+        faults
+    }
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Returns an error that names every fault with its line.
+pub fn load<T: DeserializeOwned + Check>(path: &Path) -> Result<T> {
+    let name = path.display().to_string();
+    let text = fs::read_to_string(path).context(UnreadableSnafu { path: &name })?;
+    parse(&name, &text)
+}
+
+/// Parses and checks the text of a settings file.
+///
+/// # Errors
+///
+/// Returns an error that names every fault with its line.
+pub fn parse<T: DeserializeOwned + Check>(path: &str, text: &str) -> Result<T> {
+    let mut stripped = String::new();
+    // Comments become spaces, so that lines and columns stay.
+    StripComments::new(text.as_bytes())
+        .read_to_string(&mut stripped)
+        .context(UnreadableSnafu { path })?;
+    let settings: T = serde_json::from_str(&stripped).context(MalformedSnafu { path })?;
+    let faults: Vec<String> = settings
+        .faults()
+        .iter()
+        .map(|fault| match line_of(&stripped, fault.field) {
+            Some(line) => format!("{path}:{line}: {}: {}", fault.field, fault.reason),
+            None => format!("{path}: {}: {}", fault.field, fault.reason),
+        })
+        .collect();
+    ensure!(faults.is_empty(), ImpossibleSnafu { faults });
+    Ok(settings)
+}
+
+fn line_of(text: &str, field: &str) -> Option<usize> {
+    let quoted = format!("\"{field}\"");
+    text.lines()
+        .position(|line| line.contains(&quoted))
+        .map(|index| index + 1)
+}
--- /dev/null
+++ b/cicadagate-node/src/trace.rs
@@ -0,0 +1,182 @@
+/*!
+Spans and W3C trace context.
+
+Each hop of a request makes a span whose parent is the span of the hop before,
+carried in `traceparent`. Ended spans are kept in a bounded ring and given out
+on the operators' port as OTLP in JSON, which common collectors take.
+*/
+
+use {
+    serde_json::{Value, json},
+    std::{cell::RefCell, collections::VecDeque, fmt::Write},
+};
+
+/// Ended spans that are kept.
+const KEPT_SPANS: usize = 4_096;
+
+/// Place of a span in a trace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Context {
+    /// Id of the trace.
+    pub trace: [u8; 16],
+    /// Id of the span.
+    pub span: [u8; 8],
+}
+
+/// Fills a buffer with random bytes; `None` if there are none to be had.
+pub fn random_bytes(bytes: &mut [u8]) -> Option<()> {
+    getrandom::fill(bytes).ok()
+}
+
+fn random<const N: usize>() -> [u8; N] {
+    let mut bytes = [0; N];
+    // Without randomness ids repeat; traces get worse, requests do not.
+    let _ = getrandom::fill(&mut bytes);
+    bytes
+}
+
+fn hex(bytes: &[u8]) -> String {
+    cicadagate_wire::key::encode_hex(bytes)
+}
+
+impl Context {
+    /// Begins a new trace.
+    #[must_use]
+    pub fn root() -> Self {
+        Self {
+            trace: random(),
+            span: random(),
+        }
+    }
+
+    /// Begins a child of this span.
+    #[must_use]
+    pub fn child(&self) -> Self {
+        Self {
+            trace: self.trace,
+            span: random(),
+        }
+    }
+
+    /// Reads a `traceparent` header; `None` if it is malformed.
+    #[must_use]
+    pub fn parse(header: &str) -> Option<Self> {
+        let mut parts = header.split('-');
+        let (version, trace, span) = (parts.next()?, parts.next()?, parts.next()?);
+        parts.next()?;
+        let decode = cicadagate_wire::key::decode_hex;
+        if version.len() != 2 || version == "ff" {
+            return None;
+        }
+        let context = Self {
+            trace: decode(trace)?.try_into().ok()?,
+            span: decode(span)?.try_into().ok()?,
+        };
+        (context.trace != [0; 16] && context.span != [0; 8]).then_some(context)
+    }
+
+    /// Writes a `traceparent` header.
+    #[must_use]
+    pub fn header(&self) -> String {
+        let mut out = String::from("00-");
+        // Writing to a string can't fail.
+        let _ = write!(out, "{}-{}-01", hex(&self.trace), hex(&self.span));
+        out
+    }
+}
+
+/// An ended span.
+#[derive(Clone, Debug)]
+pub struct Span {
+    /// What was done.
+    pub name: &'static str,
+    /// Its place.
+    pub context: Context,
+    /// The span before, if any.
+    pub parent: Option<[u8; 8]>,
+    /// Milliseconds since the epoch.
+    pub start_ms: u64,
+    /// Milliseconds since the epoch.
+    pub end_ms: u64,
+    /// Facts about it.
+    pub attributes: Vec<(&'static str, String)>,
+}
+
+/// The spans that ended lately in this process.
+#[derive(Debug, Default)]
+pub struct Spans {
+    ended: RefCell<VecDeque<Span>>,
+}
+
+impl Spans {
+    /// Keeps an ended span.
+    pub fn end(&self, span: Span) {
+        let mut ended = self.ended.borrow_mut();
+        if ended.len() == KEPT_SPANS {
+            ended.pop_front();
+        }
+        ended.push_back(span);
+    }
+
+    /// Returns the kept spans as an OTLP export request in JSON.
+    #[must_use]
+    pub fn render(&self, service: &str, instance: &str) -> Value {
+        let spans: Vec<Value> = self.ended.borrow().iter().map(render_span).collect();
+        let attribute =
+            |key: &str, value: &str| json!({"key": key, "value": {"stringValue": value}});
+        json!({"resourceSpans": [{
+            "resource": {"attributes": [
+                attribute("service.name", service),
+                attribute("service.instance.id", instance),
+            ]},
+            "scopeSpans": [{"scope": {"name": "cicadagate"}, "spans": spans}],
+        }]})
+    }
+
+    /// Returns the kept spans with an attribute, as text lines.
+    #[must_use]
+    pub fn explain(&self, value: &str) -> Vec<String> {
+        let ended = self.ended.borrow();
+        let about = |span: &&Span| {
+            hex(&span.context.trace) == value
+                || span
+                    .attributes
+                    .iter()
+                    .any(|(_, attribute)| attribute == value)
+        };
+        ended.iter().filter(about).map(explain_span).collect()
+    }
+}
+
+fn explain_span(span: &Span) -> String {
+    let mut line = format!(
+        "{} {} {}ms",
+        span.start_ms,
+        span.name,
+        span.end_ms - span.start_ms
+    );
+    for (key, value) in &span.attributes {
+        // Writing to a string can't fail.
+        let _ = write!(line, " {key}={value}");
+    }
+    line
+}
+
+fn render_span(span: &Span) -> Value {
+    let attributes: Vec<Value> = span
+        .attributes
+        .iter()
+        .map(|(key, value)| json!({"key": key, "value": {"stringValue": value}}))
+        .collect();
+    let nanos = |ms: u64| (u128::from(ms) * 1_000_000).to_string();
+    json!({
+        "traceId": hex(&span.context.trace),
+        "spanId": hex(&span.context.span),
+        "parentSpanId": span.parent.map(|parent| hex(&parent)).unwrap_or_default(),
+        "name": span.name,
+        "kind": 2,
+        "startTimeUnixNano": nanos(span.start_ms),
+        "endTimeUnixNano": nanos(span.end_ms),
+        "attributes": attributes,
+    })
+}
--- /dev/null
+++ b/cicadagate-operator/src/main.rs
@@ -0,0 +1,78 @@
+/*!
+The operators' RPC of cicadagate.
+
+Checks operators' changes, appends them to the platform's log, and tells what
+every reader makes of them and where a version is in force. Any operator
+process serves any operator; the log decides between two of them.
+*/
+
+mod process;
+mod request;
+
+use {
+    cicadagate_node::{
+        command::{EXIT_USAGE, settings_or_exit},
+        event,
+        process::Node,
+        settings::{Check, Fault, NodeSettings},
+    },
+    cicadagate_policy::process::membership::Role,
+    cicadagate_wire::rpc::{DESCRIPTORS, operator_server::OperatorServer},
+    process::Operators,
+    request::Service,
+    serde::Deserialize,
+    std::{process::exit, rc::Rc},
+    tokio::sync::mpsc,
+    tokio_stream::wrappers::TcpListenerStream,
+    tonic::transport::Server,
+};
+
+/// Settings of the process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Settings {
+    node: NodeSettings,
+}
+
+impl Check for Settings {
+    fn faults(&self) -> Vec<Fault> {
+        self.node.faults()
+    }
+}
+
+/// RPCs that may wait for the process's own thread.
+const MAX_WAITING: usize = 256;
+
+async fn run(settings: Settings) {
+    let started = match Node::start(Role::Operator, settings.node).await {
+        Ok(started) => started,
+        Err(err) => {
+            event!(BIND_FAILED, reason: = err);
+            exit(EXIT_USAGE);
+        }
+    };
+    let node = started.node;
+    let operators = Operators::start(Rc::clone(&node));
+    let (tx, rx) = mpsc::channel(MAX_WAITING);
+    actix_rt::spawn(request::run(operators, rx));
+    let (health, health_service) = tonic_health::server::health_reporter();
+    health.set_serving::<OperatorServer<Service>>().await;
+    let reflection = tonic_reflection::server::Builder::configure()
+        .register_encoded_file_descriptor_set(DESCRIPTORS)
+        .build_v1();
+    let server = Server::builder()
+        .add_service(health_service)
+        .add_service(OperatorServer::new(Service::new(tx)))
+        .add_optional_service(reflection.ok())
+        .serve_with_incoming(TcpListenerStream::new(started.listener));
+    actix_rt::spawn(async move {
+        // Ends only with the process.
+        let _ = server.await;
+    });
+    node.run_until_stopped().await;
+}
+
+fn main() {
+    let settings = settings_or_exit("cicadagate-operator");
+    actix_rt::System::new().block_on(run(settings));
+}
--- /dev/null
+++ b/cicadagate-operator/src/process/history.rs
@@ -0,0 +1,85 @@
+/*!
+The changes that this process has read, as far back as the log keeps them.
+*/
+
+use {
+    cicadagate_node::process::{CONFIG_STREAM, Fold, Node, follow},
+    cicadagate_policy::{
+        ids::Offset,
+        time::Time,
+        version::config::{Change, Record, State, Verdict, object_key},
+    },
+    std::{cell::RefCell, collections::VecDeque, rc::Rc},
+};
+
+/// Changes that are kept.
+const KEPT: usize = 2_000;
+
+/// One change and what readers made of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Decided {
+    pub version: Offset,
+    pub request_id: String,
+    pub object: String,
+    pub accepted: bool,
+    pub verdict: String,
+}
+
+/// A second fold of the configuration, which remembers the verdicts.
+#[derive(Default)]
+pub(crate) struct History {
+    state: RefCell<State>,
+    decided: RefCell<VecDeque<Decided>>,
+}
+
+impl History {
+    /// Returns the kept changes, oldest first.
+    pub fn entries(&self) -> Vec<Decided> {
+        self.decided.borrow().iter().cloned().collect()
+    }
+}
+
+impl Fold for History {
+    type Record = Record;
+
+    fn covers(&self, record: &Record) -> Option<Offset> {
+        match &record.change {
+            Change::Snapshot(state) => Some(state.version()),
+            _ => None,
+        }
+    }
+
+    fn fold(&self, offset: Offset, record: &Record) {
+        let Some(verdict) = self.state.borrow_mut().fold(offset, record) else {
+            return;
+        };
+        let object = object_key(&record.change).map_or_else(String::new, |key| format!("{key:?}"));
+        let mut decided = self.decided.borrow_mut();
+        if decided.len() == KEPT {
+            decided.pop_front();
+        }
+        decided.push_back(Decided {
+            version: offset,
+            request_id: record.id.to_string(),
+            object,
+            accepted: matches!(verdict, Verdict::Accepted(_)),
+            verdict: format!("{verdict:?}"),
+        });
+    }
+
+    fn skip(&self, offset: Offset) {
+        self.state.borrow_mut().skip(offset);
+    }
+
+    fn version(&self) -> Offset {
+        self.state.borrow().version()
+    }
+
+    fn read_to_end(&self, _sent: Time) {}
+}
+
+/// Follows the configuration's stream.
+pub(super) async fn run(node: Rc<Node>, history: Rc<History>) {
+    let log = Rc::clone(&node.log);
+    follow(node, log, CONFIG_STREAM, history).await;
+}
--- /dev/null
+++ b/cicadagate-operator/src/request/apply.rs
@@ -0,0 +1,205 @@
+/*!
+Applying a change.
+
+The record is appended and then looked up by its id in the fold: an append
+whose answer was lost is never repeated blindly, and the verdict is the one
+that every reader reaches.
+*/
+
+use {
+    super::{Result, convert},
+    crate::process::{Operators, tell_witnesses},
+    cicadagate_node::{event, platform::log::encode, process::CONFIG_STREAM, trace::random_bytes},
+    cicadagate_policy::{
+        ids::{Offset, RequestId},
+        version::config::{Change, Key, Object, ObjectKey, Record, Rejection, Verdict, object_key},
+    },
+    cicadagate_wire::{
+        key::encode_hex,
+        rpc::{self, ApplyRequest, ApplyResponse, change::Change as RpcChange},
+    },
+    std::time::Duration,
+    tonic::Status,
+};
+
+/// Time that this process waits to read its own record back.
+const READ_BACK: Duration = Duration::from_secs(6);
+
+impl Operators {
+    pub(super) async fn apply(&self, req: ApplyRequest) -> Result<ApplyResponse> {
+        let change = req.change.and_then(|change| change.change);
+        let change = change.ok_or_else(|| Status::invalid_argument("the change is missing"))?;
+        let id = request_id(&req.request_id)?;
+        let (change, secret) = match change {
+            RpcChange::CreateKey(key) => self.new_key(key, &id)?,
+            other => (convert::change(other)?, String::new()),
+        };
+        let object = object_key(&change);
+        let now_at = object.map_or(Offset::NONE, |key| {
+            self.node.config.borrow().object_version(&key)
+        });
+        let based_on = if req.force {
+            now_at
+        } else {
+            Offset(req.based_on)
+        };
+        let record = Record {
+            id,
+            based_on,
+            change,
+        };
+        if req.dry_run {
+            self.node
+                .config
+                .borrow()
+                .check(&record)
+                .map_err(|rejection| rejected(&rejection))?;
+            return Ok(ApplyResponse {
+                version: 0,
+                secret: String::new(),
+                log_pending: false,
+            });
+        }
+        if let Change::WithdrawKey(key) = &record.change {
+            self.spread_withdrawal(key, record.based_on)?;
+        }
+        let result = self.append_and_read_back(&record).await;
+        let result = match (&record.change, result) {
+            (Change::WithdrawKey(key), Err(status))
+                if status.code() == tonic::Code::Unavailable =>
+            {
+                self.withdraw_without_log(key, status).await
+            }
+            (_, result) => result.map(|version| (version, false)),
+        };
+        event!(CHANGE_DECIDED, id: = id, accepted = result.is_ok());
+        let (version, log_pending) = result?;
+        Ok(ApplyResponse {
+            version: version.0,
+            secret,
+            log_pending,
+        })
+    }
+
+    fn new_key(&self, key: rpc::Key, id: &RequestId) -> Result<(Change, String)> {
+        let mut secret = [0; 24];
+        random_bytes(&mut secret).ok_or_else(|| Status::unavailable("no randomness"))?;
+        let secret = format!("cg-{}", encode_hex(&secret));
+        let key_id = if key.id.is_empty() {
+            format!("key-{}", &id.to_string()[..12])
+        } else {
+            key.id
+        };
+        let hash = self.node.key.hash_caller_key(&secret);
+        let key = Key {
+            id: key_id,
+            customer: key.customer,
+            hash,
+        };
+        Ok((Change::PutKey(key), secret))
+    }
+
+    /// Spreads a withdrawal to peers before the log has it.
+    fn spread_withdrawal(&self, id: &str, based_on: Offset) -> Result<()> {
+        let config = self.node.config.borrow();
+        let key = ObjectKey::Key(id.to_owned());
+        let object = config
+            .objects()
+            .find(|(other, _)| **other == key)
+            .map(|(_, object)| object);
+        match object.map(|object| (&object.value, object.version)) {
+            Some((Object::Key(key) | Object::WithdrawnKey(key), now_at)) => {
+                // Only what the fold would accept may be spread: it can't be
+                // taken back.
+                if now_at != based_on {
+                    return Err(rejected(&Rejection::Conflict { now_at }));
+                }
+                self.node.membership.borrow_mut().spread_withdrawn(key.hash);
+                Ok(())
+            }
+            _ => Err(rejected(&Rejection::Missing)),
+        }
+    }
+
+    /// In an outage of the log a withdrawal counts once a majority of the
+    /// witnesses has it.
+    async fn withdraw_without_log(&self, id: &str, status: Status) -> Result<(Offset, bool)> {
+        self.withdrawals.add(id);
+        if tell_witnesses(&self.node).await {
+            Ok((Offset::NONE, true))
+        } else {
+            Err(status)
+        }
+    }
+
+    async fn append_and_read_back(&self, record: &Record) -> Result<Offset> {
+        let check = self.node.config.borrow().check(record);
+        let known = self.node.config.borrow().verdict(record.id).cloned();
+        match (known, check) {
+            (Some(verdict), _) => return decided(&verdict),
+            (None, Err(rejection)) => return Err(rejected(&rejection)),
+            (None, Ok(())) => {}
+        }
+        let body = encode(record).map_err(|err| Status::internal(err.to_string()))?;
+        let appended = self.node.log.append(CONFIG_STREAM.to_owned(), body).await;
+        if let Err(err) = &appended {
+            event!(APPEND_FAILED, stream = CONFIG_STREAM, reason: = err);
+        }
+        match self.wait_for_verdict(record.id).await {
+            Some(verdict) => decided(&verdict),
+            None => Err(Status::unavailable(format!(
+                "the log does not answer; the change may take effect later; \
+                 ask again with request id {}",
+                record.id
+            ))),
+        }
+    }
+
+    async fn wait_for_verdict(&self, id: RequestId) -> Option<Verdict> {
+        let mut changes = self.node.config_changes();
+        let waiting = async {
+            loop {
+                let verdict = self.node.config.borrow().verdict(id).cloned();
+                if verdict.is_some() {
+                    return verdict;
+                }
+                changes.changed().await.ok()?;
+            }
+        };
+        actix_rt::time::timeout(READ_BACK, waiting).await.ok()?
+    }
+}
+
+fn request_id(text: &str) -> Result<RequestId> {
+    if text.is_empty() {
+        let mut id = RequestId::default();
+        random_bytes(&mut id.0).ok_or_else(|| Status::unavailable("no randomness"))?;
+        return Ok(id);
+    }
+    if text.len() > 256 {
+        return Err(Status::invalid_argument(
+            "a request id has at most 256 bytes",
+        ));
+    }
+    let bytes = cicadagate_wire::key::decode_hex(text).and_then(|bytes| bytes.try_into().ok());
+    // The id as this process wrote it, or any text of the operator's.
+    Ok(bytes.map_or_else(|| RequestId::of(text), RequestId))
+}
+
+fn decided(verdict: &Verdict) -> Result<Offset> {
+    match verdict {
+        Verdict::Accepted(version) => Ok(*version),
+        Verdict::Repeated(first) => decided(first),
+        Verdict::Rejected(rejection) => Err(rejected(rejection)),
+    }
+}
+
+fn rejected(rejection: &Rejection) -> Status {
+    match rejection {
+        Rejection::Conflict { now_at } => {
+            Status::failed_precondition(format!("conflict: the object is now at version {now_at}"))
+        }
+        Rejection::Missing => Status::not_found("there is no such object"),
+        Rejection::Invalid(reason) => Status::invalid_argument(reason.clone()),
+    }
+}
--- /dev/null
+++ b/cicadagate-operator/src/request/mod.rs
@@ -0,0 +1,128 @@
+/*!
+RPCs of operators.
+
+The RPC library wants services that can move between threads; everything else
+in a process lives on one. So the service only hands each RPC over a channel
+to a task on the process's own thread and awaits the answer.
+*/
+
+mod apply;
+mod convert;
+mod jobs;
+mod queries;
+
+use {
+    crate::process::Operators,
+    cicadagate_wire::rpc::{
+        ApplyRequest, ApplyResponse, CancelJobRequest, CancelJobResponse, HistoryRequest,
+        HistoryResponse, ListJobsRequest, ListJobsResponse, ListRequest, ListResponse,
+        VersionsRequest, VersionsResponse, WaitInForceRequest, operator_server::Operator,
+    },
+    std::rc::Rc,
+    tokio::sync::{mpsc, oneshot},
+    tonic::{Request, Response, Status},
+};
+
+/// A result of an RPC.
+pub(crate) type Result<T, E = Status> = std::result::Result<T, E>;
+
+/// An RPC and where its answer goes.
+pub(crate) enum Rpc {
+    Apply(ApplyRequest, oneshot::Sender<Result<ApplyResponse>>),
+    List(oneshot::Sender<Result<ListResponse>>),
+    Versions(oneshot::Sender<Result<VersionsResponse>>),
+    WaitInForce(
+        WaitInForceRequest,
+        oneshot::Sender<Result<VersionsResponse>>,
+    ),
+    History(oneshot::Sender<Result<HistoryResponse>>),
+    ListJobs(oneshot::Sender<Result<ListJobsResponse>>),
+    CancelJob(CancelJobRequest, oneshot::Sender<Result<CancelJobResponse>>),
+}
+
+/// The service as the RPC library sees it.
+pub(crate) struct Service {
+    tx: mpsc::Sender<Rpc>,
+}
+
+impl Service {
+    pub const fn new(tx: mpsc::Sender<Rpc>) -> Self {
+        Self { tx }
+    }
+
+    async fn hand_over<T>(
+        &self,
+        make: impl FnOnce(oneshot::Sender<Result<T>>) -> Rpc,
+    ) -> Result<Response<T>> {
+        let (tx, rx) = oneshot::channel();
+        let busy = |_| Status::resource_exhausted("too many RPCs wait; not run, come back in 1 s");
+        self.tx.try_send(make(tx)).map_err(busy)?;
+        let answer = rx
+            .await
+            .map_err(|_| Status::unavailable("the process is stopping"))?;
+        answer.map(Response::new)
+    }
+}
+
+#[tonic::async_trait]
+impl Operator for Service {
+    async fn apply(&self, req: Request<ApplyRequest>) -> Result<Response<ApplyResponse>> {
+        self.hand_over(|tx| Rpc::Apply(req.into_inner(), tx)).await
+    }
+
+    async fn list(&self, _req: Request<ListRequest>) -> Result<Response<ListResponse>> {
+        self.hand_over(Rpc::List).await
+    }
+
+    async fn versions(&self, _req: Request<VersionsRequest>) -> Result<Response<VersionsResponse>> {
+        self.hand_over(Rpc::Versions).await
+    }
+
+    async fn wait_in_force(
+        &self,
+        req: Request<WaitInForceRequest>,
+    ) -> Result<Response<VersionsResponse>> {
+        self.hand_over(|tx| Rpc::WaitInForce(req.into_inner(), tx))
+            .await
+    }
+
+    async fn history(&self, _req: Request<HistoryRequest>) -> Result<Response<HistoryResponse>> {
+        self.hand_over(Rpc::History).await
+    }
+
+    async fn list_jobs(
+        &self,
+        _req: Request<ListJobsRequest>,
+    ) -> Result<Response<ListJobsResponse>> {
+        self.hand_over(Rpc::ListJobs).await
+    }
+
+    async fn cancel_job(
+        &self,
+        req: Request<CancelJobRequest>,
+    ) -> Result<Response<CancelJobResponse>> {
+        self.hand_over(|tx| Rpc::CancelJob(req.into_inner(), tx))
+            .await
+    }
+}
+
+/// Answers RPCs for as long as the process lives.
+pub(crate) async fn run(operators: Rc<Operators>, mut rx: mpsc::Receiver<Rpc>) {
+    while let Some(rpc) = rx.recv().await {
+        actix_rt::spawn(answer(Rc::clone(&operators), rpc));
+    }
+}
+
+async fn answer(operators: Rc<Operators>, rpc: Rpc) {
+    let _guard = operators.node.count_running();
+    // An operator that has gone away needs no answer.
+    match rpc {
+        Rpc::Apply(req, tx) => drop(tx.send(operators.apply(req).await)),
+        Rpc::List(tx) => drop(tx.send(operators.list())),
+        Rpc::Versions(tx) => drop(tx.send(Ok(operators.versions()))),
+        Rpc::WaitInForce(req, tx) => drop(tx.send(operators.wait_in_force(req).await)),
+        Rpc::History(tx) => drop(tx.send(Ok(operators.list_history()))),
+        Rpc::ListJobs(tx) => drop(tx.send(operators.list_jobs().await)),
+        Rpc::CancelJob(req, tx) => drop(tx.send(operators.cancel_job(req).await)),
+    }
+}
--- /dev/null
+++ b/cicadagate-operator/src/request/queries.rs
@@ -0,0 +1,157 @@
+/*!
+Telling operators what is in force, and where.
+*/
+
+use {
+    super::{Result, convert},
+    crate::process::Operators,
+    actix_rt::time::sleep,
+    cicadagate_policy::{
+        process::membership::{Health, Info},
+        version::config::{Object, ObjectKey},
+    },
+    cicadagate_wire::rpc::{
+        Drain, HistoryEntry, HistoryResponse, ListResponse, ListedCustomer, ListedDrain, ListedKey,
+        ListedModelVersion, ListedRoute, ModelVersion, ProcessVersion, VersionsResponse,
+        WaitInForceRequest,
+    },
+    std::time::Duration,
+    tonic::Status,
+};
+
+/// How often versions are compared while waiting.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// Longest wait, in milliseconds.
+const MAX_WAIT_MS: u32 = 120_000;
+
+impl Operators {
+    pub(super) fn list(&self) -> Result<ListResponse> {
+        if !self.node.is_configured() {
+            return Err(Status::unavailable(
+                "the configuration is not read yet; come back in 1 s",
+            ));
+        }
+        let config = self.node.config.borrow();
+        let mut list = ListResponse {
+            version: config.version().0,
+            ..ListResponse::default()
+        };
+        for (key, object) in config.objects() {
+            let version = object.version.0;
+            match (key, &object.value) {
+                (_, Object::Customer(customer)) => {
+                    let customer = Some(convert::customer(customer));
+                    list.customers.push(ListedCustomer { customer, version });
+                }
+                (_, Object::Key(key)) => {
+                    let key = Some(convert::key(key, false));
+                    list.keys.push(ListedKey { key, version });
+                }
+                (_, Object::WithdrawnKey(key)) => {
+                    let key = Some(convert::key(key, true));
+                    list.keys.push(ListedKey { key, version });
+                }
+                (_, Object::Route(route)) => {
+                    let route = Some(convert::rpc_route(route));
+                    list.routes.push(ListedRoute { route, version });
+                }
+                (_, Object::ModelVersion(wanted)) => {
+                    let model_version = Some(ModelVersion {
+                        deployment: wanted.deployment.clone(),
+                        version: wanted.version.clone(),
+                    });
+                    list.model_versions.push(ListedModelVersion {
+                        model_version,
+                        version,
+                    });
+                }
+                (ObjectKey::Drain(endpoint), Object::Drained) => {
+                    let drain = Some(Drain {
+                        endpoint: endpoint.clone(),
+                    });
+                    list.drains.push(ListedDrain { drain, version });
+                }
+                _ => {}
+            }
+        }
+        Ok(list)
+    }
+
+    pub(super) fn versions(&self) -> VersionsResponse {
+        let membership = self.node.membership.borrow();
+        let me = (membership.me(), Health::Alive);
+        let mut processes: Vec<ProcessVersion> = std::iter::once(me)
+            .chain(membership.members())
+            .map(process_version)
+            .collect();
+        processes.sort_by(|a, b| (&a.instance, &a.role).cmp(&(&b.instance, &b.role)));
+        let live = processes
+            .iter()
+            .filter(|process| process.state != "dead" && process.state != "left");
+        let in_force_everywhere = live.map(|process| process.version).min().unwrap_or(0);
+        VersionsResponse {
+            in_force_everywhere,
+            processes,
+        }
+    }
+
+    pub(super) async fn wait_in_force(&self, req: WaitInForceRequest) -> Result<VersionsResponse> {
+        let timeout = Duration::from_millis(u64::from(req.timeout_ms.min(MAX_WAIT_MS)));
+        let waiting = async {
+            loop {
+                let versions = self.versions();
+                if versions.in_force_everywhere >= req.version {
+                    return versions;
+                }
+                sleep(LOOK_EVERY).await;
+            }
+        };
+        let late = |_| {
+            let versions = self.versions();
+            let behind = versions
+                .processes
+                .iter()
+                .filter(|process| process.version < req.version);
+            let names: Vec<String> = behind
+                .map(|process| format!("{}/{}", process.instance, process.role))
+                .collect();
+            Status::deadline_exceeded(format!("not yet in force at: {}", names.join(", ")))
+        };
+        actix_rt::time::timeout(timeout, waiting)
+            .await
+            .map_err(late)
+    }
+
+    pub(super) fn list_history(&self) -> HistoryResponse {
+        let entries = self
+            .history
+            .entries()
+            .into_iter()
+            .map(|decided| HistoryEntry {
+                version: decided.version.0,
+                request_id: decided.request_id,
+                object: decided.object,
+                accepted: decided.accepted,
+                verdict: decided.verdict,
+            });
+        HistoryResponse {
+            entries: entries.collect(),
+        }
+    }
+}
+
+fn process_version((info, health): (&Info, Health)) -> ProcessVersion {
+    let state = match health {
+        Health::Alive if info.leaving => "leaving",
+        Health::Alive => "alive",
+        Health::Suspect => "suspect",
+        Health::Dead => "dead",
+        Health::Left => "left",
+    };
+    ProcessVersion {
+        instance: info.instance.clone(),
+        role: info.role.name().to_owned(),
+        state: state.to_owned(),
+        version: info.version.0,
+    }
+}
--- /dev/null
+++ b/cicadagate-policy/src/ids.rs
@@ -0,0 +1,129 @@
+/*!
+Small `Copy` identifiers.
+
+Names of customers, instances and endpoints are strings in the configuration
+and in messages that operators read. Inside the deciding functions they are
+hashes of those names: eight bytes that can be compared, sorted and stored in
+arenas. At the sizes that cicadagate is designed for (thousands of names) a
+collision of 64-bit keyed hashes has a probability below 1e-12, which is
+accepted instead of carrying strings.
+*/
+
+use {
+    serde::{Deserialize, Serialize},
+    std::fmt,
+};
+
+/// Hashes parts, each with its length, to 64 bits.
+#[must_use]
+pub fn hash64(parts: &[&[u8]]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut out = [0; 8];
+    out.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(out)
+}
+
+macro_rules! name_id {
+    ($(#[$doc:meta])* $name:ident, $space:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Serialize, Deserialize)]
+        pub struct $name(u64);
+
+        impl $name {
+            /// Derives the id from a name.
+            #[must_use]
+            pub fn of(name: &str) -> Self {
+                Self(hash64(&[$space, name.as_bytes()]))
+            }
+
+            /// Makes an id from its raw value.
+            #[must_use]
+            pub const fn from_raw(raw: u64) -> Self {
+                Self(raw)
+            }
+
+            /// Returns the raw value.
+            #[must_use]
+            pub const fn raw(self) -> u64 {
+                self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:016x}", self.0)
+            }
+        }
+    };
+}
+
+name_id!(
+    /// A customer.
+    CustomerId, b"customer"
+);
+name_id!(
+    /// An endpoint: one replica of a model engine or of a plain service.
+    EndpointId, b"endpoint"
+);
+name_id!(
+    /// A process of the system: one role on one instance.
+    MemberId, b"member"
+);
+name_id!(
+    /// A batch job.
+    JobId, b"job"
+);
+name_id!(
+    /// An uploaded file.
+    FileId, b"file"
+);
+
+/// A request id that is unique over the fleet; resends carry the same one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct RequestId(pub [u8; 16]);
+
+impl RequestId {
+    /// Derives an id from a name that the requester chose.
+    #[must_use]
+    pub fn of(name: &str) -> Self {
+        let mut id = [0; 16];
+        id.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..16]);
+        Self(id)
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+/// A position in a stream of the log. Offsets start at 1; 0 is "none".
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Offset(pub u64);
+
+impl Offset {
+    /// The position before the first record.
+    pub const NONE: Self = Self(0);
+
+    /// Returns the next position.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Offset {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/cicadagate-policy/src/process/contact.rs
@@ -0,0 +1,125 @@
+/*!
+Telling an outage of the log from being cut off.
+
+# Problem
+
+A process that hears nothing from the log may be one of all processes (the
+log is down: go on under the configuration in force) or the only one (it is
+cut off: a key may have been withdrawn, a share moved, and it must stop).
+
+# Choice
+
+A roster names up to fifteen *witnesses*, spread over data centres. Contact is
+fresh for a bounded time after either
+
+* a read of the log up to its end, counted from when the read was sent, or
+* confirmations from a majority of the roster's witnesses that they know no
+  later roster, counted from when the oldest of them was asked for.
+
+A confirmation also carries the withdrawals that the witness knows. An
+emergency withdrawal in an outage of the log is accepted once a majority of
+the witnesses has it, and any two majorities share a witness. So whoever has
+contact hears of it within the bound. The same argument carries the moving of
+shares, see [`holder`](super::holder).
+
+This is no consensus: witnesses agree on nothing, they only repeat what they
+have read. Only a process that has itself folded the log to its end since its
+start may confirm, for a restarted one has forgotten what it confirmed.
+
+# Cost
+
+While the log is reachable, nothing. In an outage each process asks at most
+fifteen witnesses each interval, so the load on a witness grows with the
+fleet: 410 nodes with four processes each, once a second, are 1640 small
+questions a second at a witness.
+*/
+
+use {
+    crate::{
+        ids::{MemberId, Offset},
+        planted::{Fault, is_planted},
+        time::Time,
+    },
+    std::collections::BTreeMap,
+};
+
+/// How long contact stays fresh, in milliseconds.
+pub const FRESH_MS: u64 = 4_000;
+/// How often witnesses are asked while the log is out of reach, in milliseconds.
+pub const ASK_EVERY_MS: u64 = 1_000;
+
+/// What a process knows about its contact with the rest.
+#[derive(Clone, Debug, Default)]
+pub struct Contact {
+    epoch: Offset,
+    witnesses: Vec<MemberId>,
+    log_read: Option<Time>,
+    confirmed: BTreeMap<MemberId, Time>,
+    last_asked: Option<Time>,
+}
+
+impl Contact {
+    /// Takes the roster in force; confirmations of an earlier one lapse.
+    pub fn set_roster(&mut self, epoch: Offset, witnesses: &[MemberId]) {
+        if epoch != self.epoch {
+            self.epoch = epoch;
+            self.witnesses = witnesses.to_vec();
+            self.confirmed.clear();
+        }
+    }
+
+    /// Notes a read of the log up to its end, sent at `sent`.
+    pub fn log_read(&mut self, sent: Time) {
+        self.log_read = self.log_read.max(Some(sent));
+    }
+
+    /// Notes a confirmation for `epoch`, asked for at `sent`.
+    pub fn confirmed(&mut self, witness: MemberId, epoch: Offset, sent: Time) {
+        if epoch == self.epoch && self.witnesses.contains(&witness) {
+            let last = self.confirmed.entry(witness).or_insert(sent);
+            *last = sent.max(*last);
+        }
+    }
+
+    /// Returns the witnesses to ask now: none while the log answers.
+    pub fn to_ask(&mut self, now: Time) -> Vec<MemberId> {
+        let log_is_fresh = self
+            .log_read
+            .is_some_and(|read| now.since(read) < ASK_EVERY_MS);
+        let asked_lately = self
+            .last_asked
+            .is_some_and(|asked| now.since(asked) < ASK_EVERY_MS);
+        if log_is_fresh || asked_lately {
+            return Vec::new();
+        }
+        self.last_asked = Some(now);
+        self.witnesses.clone()
+    }
+
+    /// Returns the time up to which the present contact is fresh.
+    #[must_use]
+    pub fn fresh_until(&self) -> Option<Time> {
+        let majority = self.witnesses.len() / 2 + 1;
+        let mut times: Vec<Time> = self.confirmed.values().copied().collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        let quorum = if self.witnesses.is_empty() {
+            None
+        } else {
+            times.get(majority - 1).copied()
+        };
+        self.log_read.max(quorum).map(|time| time.plus(FRESH_MS))
+    }
+
+    /// Tells whether contact is fresh at `now`.
+    #[must_use]
+    pub fn is_fresh(&self, now: Time) -> bool {
+        is_planted(Fault::ServeWithoutContact)
+            || self.fresh_until().is_some_and(|until| now < until)
+    }
+
+    /// Returns the epoch that contact is kept for.
+    #[must_use]
+    pub const fn epoch(&self) -> Offset {
+        self.epoch
+    }
+}
--- /dev/null
+++ b/cicadagate-policy/src/process/homes.rs
@@ -0,0 +1,68 @@
+/*!
+Placement by rendezvous hashing.
+
+Each key (a replica, a customer's share) goes to the members with the highest
+hash of key and member. Any process computes it from its own view of the live
+members; when two views differ, only the keys of the members they differ in
+are placed differently, and for moments only. A member's loss moves just its
+own keys, spread over all others.
+*/
+
+use crate::ids::{MemberId, hash64};
+
+/// A member that keys may be placed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Place {
+    /// Member.
+    pub member: MemberId,
+    /// Hash of its data centre's name.
+    pub data_centre: u64,
+}
+
+/// Hash of a data centre's name.
+#[must_use]
+pub fn data_centre_hash(name: &str) -> u64 {
+    hash64(&[b"data centre", name.as_bytes()])
+}
+
+fn score(key: u64, member: MemberId) -> u64 {
+    hash64(&[&key.to_le_bytes(), &member.raw().to_le_bytes()])
+}
+
+/// Returns the member that a key is placed on, in `data_centre` if it has any.
+#[must_use]
+pub fn home(key: u64, data_centre: u64, places: &[Place]) -> Option<MemberId> {
+    let near = places
+        .iter()
+        .filter(|place| place.data_centre == data_centre);
+    let best = |place: &&Place| score(key, place.member);
+    near.max_by_key(best)
+        .or_else(|| places.iter().max_by_key(best))
+        .map(|place| place.member)
+}
+
+/// Returns up to `count` members for a key, spread over data centres.
+///
+/// Takes the best member of each data centre first, in order of score, then
+/// the best of the rest.
+#[must_use]
+pub fn spread(key: u64, count: usize, places: &[Place]) -> Vec<MemberId> {
+    let mut ranked: Vec<(u64, Place)> = places
+        .iter()
+        .map(|place| (score(key, place.member), *place))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    let mut seen = Vec::new();
+    let (mut chosen, mut rest) = (Vec::new(), Vec::new());
+    for (_, place) in ranked {
+        if seen.contains(&place.data_centre) {
+            rest.push(place.member);
+        } else {
+            seen.push(place.data_centre);
+            chosen.push(place.member);
+        }
+    }
+    chosen.extend(rest);
+    chosen.truncate(count);
+    chosen
+}
--- /dev/null
+++ b/cicadagate-policy/src/process/roster.rs
@@ -0,0 +1,108 @@
+/*!
+Proposing and settling rosters.
+
+Any member may propose; the log decides. To spare the log, the member whose
+hash with the epoch is highest proposes at once and the others after a delay,
+so that a lost proposer costs seconds and two proposals at once cost one
+rejected record.
+
+A roster is settled once a majority of the previous witnesses can no longer
+confirm the roster before it: they have read the new one, or they are gone for
+good. Gone is known of a process whose name belongs to a later incarnation:
+its address is bound by another process now.
+*/
+
+use {
+    super::homes::{Place, spread},
+    crate::{
+        ids::{MemberId, Offset, hash64},
+        time::Time,
+        version::config::{Epoch, MAX_WITNESSES, Roster, Seat},
+    },
+    std::collections::BTreeSet,
+};
+
+/// How long the live members must differ from the roster, in milliseconds.
+pub const STABLE_MS: u64 = 2_000;
+/// How much later each next member proposes, in milliseconds.
+pub const TURN_MS: u64 = 1_000;
+/// Most turns that a member waits.
+const MAX_TURNS: usize = 5;
+
+/// Watches for the time to propose a roster.
+#[derive(Clone, Debug, Default)]
+pub struct Proposer {
+    differing: Option<(Vec<Seat>, Time)>,
+}
+
+impl Proposer {
+    /// Returns the roster to propose now, if it is this member's turn.
+    pub fn propose(
+        &mut self,
+        now: Time,
+        me: MemberId,
+        version: Offset,
+        epoch: Option<&Epoch>,
+        live: &[Seat],
+    ) -> Option<Roster> {
+        let mut live = live.to_vec();
+        live.sort_unstable();
+        let same = epoch.is_some_and(|epoch| epoch.roster.members == live);
+        let waiting = epoch.is_some_and(|epoch| epoch.settled.is_none());
+        if same || waiting || live.is_empty() {
+            self.differing = None;
+            return None;
+        }
+        let since = match &self.differing {
+            Some((members, since)) if *members == live => *since,
+            _ => {
+                self.differing = Some((live.clone(), now));
+                now
+            }
+        };
+        let wait = STABLE_MS + turn(me, version, &live) as u64 * TURN_MS;
+        (now.since(since) >= wait).then(|| make(version, live))
+    }
+}
+
+/// Position of a member in the order of proposers for an epoch.
+#[must_use]
+pub fn turn(me: MemberId, version: Offset, live: &[Seat]) -> usize {
+    let rank = |member: MemberId| hash64(&[&version.0.to_le_bytes(), &member.raw().to_le_bytes()]);
+    let mine = rank(me);
+    live.iter()
+        .filter(|seat| rank(seat.member) > mine)
+        .count()
+        .min(MAX_TURNS)
+}
+
+fn make(version: Offset, members: Vec<Seat>) -> Roster {
+    let places: Vec<Place> = members
+        .iter()
+        .map(|seat| Place {
+            member: seat.member,
+            data_centre: seat.data_centre,
+        })
+        .collect();
+    let chosen = spread(version.0, MAX_WITNESSES, &places);
+    let witnesses = members
+        .iter()
+        .filter(|seat| chosen.contains(&seat.member))
+        .copied()
+        .collect();
+    Roster { members, witnesses }
+}
+
+/// Tells whether a roster may be settled.
+///
+/// `unable` holds the previous witnesses that have read the new roster, or
+/// that are gone for good.
+#[must_use]
+pub fn may_settle(epoch: &Epoch, unable: &BTreeSet<MemberId>) -> bool {
+    let count = epoch
+        .previous
+        .iter()
+        .filter(|seat| unable.contains(&seat.member))
+        .count();
+    epoch.previous.is_empty() || count > epoch.previous.len() / 2
+}
--- /dev/null
+++ b/cicadagate-policy/src/request/mod.rs
@@ -0,0 +1,7 @@
+/*!
+What is decided about one request.
+*/
+
+pub mod attempt;
+pub mod choice;
+pub mod limit;
--- /dev/null
+++ b/cicadagate-policy/src/time.rs
@@ -0,0 +1,44 @@
+/*!
+Time as the deciding functions see it.
+
+A [`Time`] is a reading of one process's monotonic clock in milliseconds.
+Readings of two processes can't be compared; the only thing that two clocks
+are trusted with is to run at nearly the same rate, see [`MAX_DRIFT_PPM`].
+*/
+
+use std::fmt;
+
+/// How far one clock's rate may be off true time, in parts per million.
+pub const MAX_DRIFT_PPM: u64 = 500;
+
+/// A reading of the local monotonic clock, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// Returns the time `ms` milliseconds later.
+    #[must_use]
+    pub const fn plus(self, ms: u64) -> Self {
+        Self(self.0.saturating_add(ms))
+    }
+
+    /// Returns the milliseconds since an earlier reading, 0 if it is later.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl fmt::Display for Time {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+/// Lengthens a duration so that it covers the same span by any other clock.
+///
+/// Both clocks may be off, in opposite directions, hence twice the drift.
+#[must_use]
+pub const fn with_drift(ms: u64) -> u64 {
+    ms + (ms * 2 * MAX_DRIFT_PPM).div_ceil(1_000_000)
+}
--- /dev/null
+++ b/cicadagate-standin/src/platform/list.rs
@@ -0,0 +1,48 @@
+/*!
+The list of instances, as it was some time ago.
+*/
+
+use {
+    super::Dated,
+    cicadagate_policy::time::Time,
+    serde_json::Value,
+    std::{cell::RefCell, collections::BTreeMap},
+};
+
+/// Changes of each instance; a null value stands for its removal.
+#[derive(Default)]
+pub(super) struct List {
+    changes: RefCell<BTreeMap<String, Vec<Dated>>>,
+}
+
+impl List {
+    pub(super) fn put(&self, now: Time, instance: Value) {
+        let id = instance["id"].as_str().unwrap_or_default().to_owned();
+        self.changes
+            .borrow_mut()
+            .entry(id)
+            .or_default()
+            .push((now, instance));
+    }
+
+    pub(super) fn remove(&self, now: Time, id: &str) {
+        self.changes
+            .borrow_mut()
+            .entry(id.to_owned())
+            .or_default()
+            .push((now, Value::Null));
+    }
+
+    /// Returns the instances as of `lag_ms` ago.
+    pub(super) fn as_of(&self, now: Time, lag_ms: u64) -> Value {
+        let changes = self.changes.borrow();
+        let seen = |dated: &&Dated| now.since(dated.0) >= lag_ms;
+        let latest = changes
+            .values()
+            .filter_map(|changes| changes.iter().rev().find(seen));
+        latest
+            .map(|(_, value)| value.clone())
+            .filter(|value| !value.is_null())
+            .collect()
+    }
+}
--- /dev/null
+++ b/cicadagate-standin/src/platform/mod.rs
@@ -0,0 +1,222 @@
+/*!
+The platform: log, instance list and weight store on one address.
+
+Faults are ordered by `POST /control/faults` with a JSON object; the fields
+that it has are set, see [`Faults`].
+*/
+
+mod list;
+mod log;
+
+use {
+    crate::serve_announced,
+    actix_http::{Method, Request, Response, body::BoxBody},
+    cicadagate_node::connection::http::{query_param, read_body, respond, respond_json},
+    cicadagate_policy::time::Time,
+    list::List,
+    log::Log,
+    serde::Deserialize,
+    serde_json::{Value, json},
+    std::{cell::RefCell, convert::Infallible, io, net::SocketAddr, rc::Rc, time::Duration},
+};
+
+/// How the platform behaves without faults.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Appends that the log takes a second.
+    pub appends_per_sec: u64,
+    /// Milliseconds that an append takes.
+    pub append_ms: u64,
+}
+
+/// Faults in force.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Faults {
+    /// The log does not answer.
+    log_down: Option<bool>,
+    /// Milliseconds that each call to the log takes longer.
+    log_slow_ms: Option<u64>,
+    /// So many next appends act, but their answer is lost.
+    lose_answers: Option<u64>,
+    /// Records are dropped but for so many of each stream.
+    expire_to: Option<usize>,
+    /// Milliseconds that the list lags behind.
+    list_lag_ms: Option<u64>,
+    /// The list does not answer.
+    list_down: Option<bool>,
+}
+
+struct Platform {
+    cfg: Config,
+    faults: RefCell<Faults>,
+    log: Log,
+    list: List,
+    clock: cicadagate_node::clock::Clock,
+}
+
+/// Longest record, in bytes.
+const MAX_RECORD_BYTES: usize = 64 * 1024 * 1024;
+/// Bytes that the weight store gives out a second.
+const WEIGHT_BYTES_PER_SEC: u64 = 1024 * 1024 * 1024;
+
+/// Serves the platform until the process ends.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+pub async fn run(addr: SocketAddr, cfg: Config) -> io::Result<()> {
+    let platform = Rc::new(Platform {
+        cfg,
+        faults: RefCell::default(),
+        log: Log::default(),
+        list: List::default(),
+        clock: cicadagate_node::clock::Clock::start(),
+    });
+    let handler = move |req| {
+        let platform = Rc::clone(&platform);
+        async move { Ok::<_, Infallible>(answer(&platform, req).await) }
+    };
+    serve_announced(addr, "platform", handler).await
+}
+
+async fn answer(platform: &Platform, mut req: Request) -> Response<BoxBody> {
+    let path = req.path().to_owned();
+    let query = req.uri().query().unwrap_or("").to_owned();
+    let Ok(body) = read_body(&mut req, MAX_RECORD_BYTES).await else {
+        return respond(413, "text/plain", "too long\n");
+    };
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (req.method(), parts.as_slice()) {
+        (&Method::POST, ["v1", "streams", stream, "records"]) => {
+            append(platform, stream, body).await
+        }
+        (&Method::GET, ["v1", "streams", stream, "records"]) => {
+            read(platform, stream, &query).await
+        }
+        (&Method::GET, ["v1", "instances"]) => instances(platform),
+        (&Method::POST, ["v1", "instances"]) => put_instance(platform, &body),
+        (&Method::DELETE, ["v1", "instances", id]) => {
+            platform.list.remove(platform.clock.now(), id);
+            respond(200, "text/plain", "removed\n")
+        }
+        (&Method::GET, ["v1", "weights", version]) => weights(version, &query).await,
+        (&Method::POST, ["control", "faults"]) => set_faults(platform, &body),
+        (&Method::GET, ["control", "stats"]) => respond_json(200, &platform.log.stats()),
+        _ => respond(404, "text/plain", "no such page\n"),
+    }
+}
+
+/// Never answers, as a service that is down.
+async fn hang() -> Response<BoxBody> {
+    actix_rt::time::sleep(Duration::from_secs(20)).await;
+    respond(503, "text/plain", "down\n")
+}
+
+impl Platform {
+    async fn delay(&self) {
+        let ms = self.faults.borrow().log_slow_ms.unwrap_or(0);
+        if ms > 0 {
+            actix_rt::time::sleep(Duration::from_millis(ms)).await;
+        }
+    }
+
+    fn is_log_down(&self) -> bool {
+        self.faults.borrow().log_down.unwrap_or(false)
+    }
+
+    fn loses_answer(&self) -> bool {
+        let mut faults = self.faults.borrow_mut();
+        let left = faults.lose_answers.unwrap_or(0);
+        faults.lose_answers = Some(left.saturating_sub(1));
+        left > 0
+    }
+}
+
+async fn append(platform: &Platform, stream: &str, body: bytes::Bytes) -> Response<BoxBody> {
+    if platform.is_log_down() {
+        return hang().await;
+    }
+    platform.delay().await;
+    if !platform
+        .log
+        .may_append(platform.clock.now(), platform.cfg.appends_per_sec)
+    {
+        return respond(429, "text/plain", "too many appends\n");
+    }
+    actix_rt::time::sleep(Duration::from_millis(platform.cfg.append_ms)).await;
+    let offset = platform.log.append(stream, body);
+    if platform.loses_answer() {
+        return hang().await;
+    }
+    respond_json(200, &json!({"offset": offset}))
+}
+
+async fn read(platform: &Platform, stream: &str, query: &str) -> Response<BoxBody> {
+    let number = |name| query_param(query, name).and_then(|value| value.parse::<u64>().ok());
+    let from = number("from").unwrap_or(1);
+    let limit = usize::try_from(number("limit").unwrap_or(100))
+        .unwrap_or(100)
+        .clamp(1, 10_000);
+    let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(30_000));
+    platform.delay().await;
+    platform.log.wait_for(stream, from, wait).await;
+    if platform.is_log_down() {
+        return hang().await;
+    }
+    let (body, end, oldest) = platform.log.read(stream, from, limit);
+    let mut res = respond(200, "application/octet-stream", body);
+    for (name, value) in [("x-end-offset", end), ("x-oldest-offset", oldest)] {
+        let name = actix_http::header::HeaderName::from_static(name);
+        res.headers_mut().insert(name, value.into());
+    }
+    res
+}
+
+fn instances(platform: &Platform) -> Response<BoxBody> {
+    let faults = platform.faults.borrow();
+    if faults.list_down.unwrap_or(false) {
+        return respond(503, "text/plain", "down\n");
+    }
+    let lag_ms = faults.list_lag_ms.unwrap_or(0);
+    respond_json(200, &platform.list.as_of(platform.clock.now(), lag_ms))
+}
+
+fn put_instance(platform: &Platform, body: &[u8]) -> Response<BoxBody> {
+    match serde_json::from_slice(body) {
+        Ok(instance) => {
+            platform.list.put(platform.clock.now(), instance);
+            respond(200, "text/plain", "listed\n")
+        }
+        Err(err) => respond(400, "text/plain", format!("{err}\n")),
+    }
+}
+
+async fn weights(version: &str, query: &str) -> Response<BoxBody> {
+    let bytes: u64 = query_param(query, "bytes")
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(0);
+    let ms = (bytes * 1000 / WEIGHT_BYTES_PER_SEC).min(30_000);
+    actix_rt::time::sleep(Duration::from_millis(ms)).await;
+    respond_json(200, &json!({"version": version, "bytes": bytes}))
+}
+
+fn set_faults(platform: &Platform, body: &[u8]) -> Response<BoxBody> {
+    let new: Faults = match serde_json::from_slice(body) {
+        Ok(faults) => faults,
+        Err(err) => return respond(400, "text/plain", format!("{err}\n")),
+    };
+    let mut faults = platform.faults.borrow_mut();
+    if let Some(keep) = new.expire_to {
+        platform.log.expire_to(keep);
+    }
+    faults.log_down = new.log_down.or(faults.log_down);
+    faults.log_slow_ms = new.log_slow_ms.or(faults.log_slow_ms);
+    faults.lose_answers = new.lose_answers.or(faults.lose_answers);
+    faults.list_lag_ms = new.list_lag_ms.or(faults.list_lag_ms);
+    faults.list_down = new.list_down.or(faults.list_down);
+    respond(200, "text/plain", "set\n")
+}
+
+/// Time and value of a change, for a list that lags.
+type Dated = (Time, Value);
