Move shares by witnessed versions; fuzz the fleet's promises

Change: the holder takes every record in turn and starts over after a jump; witnesses confirm only to those who know at least as much; a part that comes or grows waits until a majority of the witnesses has read its version, then the lease. A process behind its witnesses takes their configuration.

Ruled out: waiting for the settling record alone (covers rosters, not changes of a customer).

--- a/cicadactl/src/client.rs
+++ b/cicadactl/src/client.rs
@@ -83,6 +83,7 @@
                 "version": answer.version,
                 "secret": answer.secret,
                 "log_pending": answer.log_pending,
+                "peers_pending": answer.peers_pending,
             });
             println!("{body}");
             return Ok(());
@@ -92,6 +93,9 @@
         } else {
             println!("version {}", answer.version);
         }
+        if answer.peers_pending {
+            println!("processes cut off from the log may not know it yet");
+        }
         if !answer.secret.is_empty() {
             println!("key {} (shown only now)", answer.secret);
         }
--- a/cicadagate-dispatch/src/process/mod.rs
+++ b/cicadagate-dispatch/src/process/mod.rs
@@ -75,7 +75,7 @@
     /// Makes the dispatcher and starts its tasks.
     pub fn start(node: Rc<Node>, settings: DispatchSettings) -> Rc<Self> {
         let dispatcher = Rc::new_cyclic(|me| Self {
-            shares: Shares::new(&node),
+            shares: Shares::start(&node),
             clients: crate::request::Clients::new(),
             replicas: RefCell::default(),
             pending: RefCell::default(),
@@ -354,7 +354,6 @@
     loop {
         sleep(LOOK_EVERY).await;
         dispatcher.clear_leaving();
-        dispatcher.shares.refresh(&dispatcher.node);
         let pending = dispatcher.pending.borrow().len();
         dispatcher.node.metrics.set_state("requests", pending);
         dispatcher
--- a/cicadagate-dispatch/src/process/roster.rs
+++ b/cicadagate-dispatch/src/process/roster.rs
@@ -111,13 +111,9 @@
 }
 
 async fn has_read(node: &Node, witness: MemberId, version: Offset) -> bool {
-    if witness == node.me().id {
-        return node.has_folded();
-    }
-    let answer = node.ask_witness(witness).await;
-    answer
-        .and_then(|(epoch, _)| epoch)
-        .is_some_and(|epoch| epoch >= version)
+    node.ask_witness(witness)
+        .await
+        .is_some_and(|answer| answer.version >= version)
 }
 
 async fn append(node: &Node, record: &Record) -> bool {
--- a/cicadagate-node/src/process/contact.rs
+++ b/cicadagate-node/src/process/contact.rs
@@ -6,7 +6,10 @@
     super::Node,
     crate::event,
     actix_rt::time::sleep,
-    cicadagate_policy::{ids::MemberId, time::Time},
+    cicadagate_policy::{
+        ids::{MemberId, Offset},
+        time::Time,
+    },
     cicadagate_wire::peer::{FromServer, ToServer},
     std::{rc::Rc, time::Duration},
 };
@@ -38,49 +41,90 @@
     }
 }
 
+/// What a witness answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WitnessAnswer {
+    /// Epoch that it knows; `None` if it may not confirm.
+    pub epoch: Option<Offset>,
+    /// Version of the configuration that it knows.
+    pub version: Offset,
+}
+
 async fn ask(node: Rc<Node>, witness: MemberId, sent: Time) {
-    if witness == node.membership.borrow().me().id {
-        let epoch = node.config.borrow().epoch().map(|(version, _)| version);
-        if let Some(epoch) = epoch.filter(|_| node.has_folded()) {
-            node.contact.borrow_mut().confirmed(witness, epoch, sent);
-        }
-        return;
-    }
-    let Some((epoch, withdrawn)) = node.ask_witness(witness).await else {
+    let mine = node.config.borrow().version();
+    let Some(answer) = node.ask_witness(witness).await else {
         return;
     };
-    {
-        let mut membership = node.membership.borrow_mut();
-        for hash in withdrawn {
-            membership.spread_withdrawn(hash);
-        }
+    if answer.version > mine {
+        node.fetch_config_from(witness).await;
+        return;
     }
-    if let Some(epoch) = epoch {
-        node.contact.borrow_mut().confirmed(witness, epoch, sent);
+    if let Some(epoch) = answer.epoch {
+        let mut contact = node.contact.borrow_mut();
+        contact.confirmed(witness, epoch, answer.version, mine, sent);
     }
 }
 
 impl Node {
-    /// Asks a witness which roster it knows and which keys are withdrawn.
-    ///
-    /// The inner epoch is `None` if the witness may not confirm.
-    pub async fn ask_witness(
-        &self,
-        witness: MemberId,
-    ) -> Option<(Option<cicadagate_policy::ids::Offset>, Vec<[u8; 32]>)> {
+    /// Asks a witness what it knows, and exchanges withdrawn keys with it.
+    pub async fn ask_witness(&self, witness: MemberId) -> Option<WitnessAnswer> {
+        if witness == self.membership.borrow().me().id {
+            let config = self.config.borrow();
+            let epoch = config
+                .epoch()
+                .map(|(epoch, _)| epoch)
+                .filter(|_| self.has_folded());
+            return Some(WitnessAnswer {
+                epoch,
+                version: config.version(),
+            });
+        }
         let addr = self.address_of(witness)?;
         let withdrawn: Vec<[u8; 32]> = self.membership.borrow().withdrawn().copied().collect();
-        let call = self
-            .links
-            .call(addr, CONFIRM_TIMEOUT, |seq| ToServer::Confirm {
-                seq,
-                withdrawn,
-            });
-        match call.await {
+        let make = |seq| ToServer::Confirm { seq, withdrawn };
+        match self.links.call(addr, CONFIRM_TIMEOUT, make).await {
             Ok(FromServer::Confirmed {
-                epoch, withdrawn, ..
-            }) => Some((epoch, withdrawn)),
+                epoch,
+                version,
+                withdrawn,
+                ..
+            }) => {
+                let mut membership = self.membership.borrow_mut();
+                for hash in withdrawn {
+                    membership.spread_withdrawn(hash);
+                }
+                Some(WitnessAnswer { epoch, version })
+            }
             _ => None,
         }
     }
+
+    /// Asks all witnesses of the roster in force; returns the epoch and the
+    /// highest version that a majority of them has read.
+    pub async fn witnessed_version(&self) -> Option<(Offset, Offset)> {
+        let (epoch, witnesses): (Offset, Vec<MemberId>) = {
+            let config = self.config.borrow();
+            let (epoch, state) = config.epoch()?;
+            (
+                epoch,
+                state
+                    .roster
+                    .witnesses
+                    .iter()
+                    .map(|seat| seat.member)
+                    .collect(),
+            )
+        };
+        let asked = witnesses.iter().map(|witness| self.ask_witness(*witness));
+        let answers = futures_util::future::join_all(asked).await;
+        let mut versions: Vec<Offset> = answers
+            .iter()
+            .flatten()
+            .map(|answer| answer.version)
+            .collect();
+        versions.sort_unstable_by(|a, b| b.cmp(a));
+        versions
+            .get(witnesses.len() / 2)
+            .map(|version| (epoch, *version))
+    }
 }
--- a/cicadagate-node/src/process/follower.rs
+++ b/cicadagate-node/src/process/follower.rs
@@ -13,7 +13,7 @@
     },
     actix_rt::time::sleep,
     cicadagate_policy::{
-        ids::Offset,
+        ids::{MemberId, Offset},
         process::membership::Role,
         time::Time,
         version::{
@@ -214,8 +214,33 @@
         }
         self.metrics
             .set_state("config_version", usize::try_from(version.0).unwrap_or(0));
+        drop(config);
+        for hook in &*self.hooks.borrow() {
+            hook(self);
+        }
         self.changed.send_replace(version);
     }
+
+    /// Takes the configuration of a peer if it is newer.
+    pub(super) async fn fetch_config_from(&self, peer: MemberId) {
+        let Some(addr) = self.address_of(peer) else {
+            return;
+        };
+        let call = self
+            .links
+            .call(addr, PEER_TIMEOUT, |seq| ToServer::FetchConfig { seq });
+        let Ok(FromServer::Config { state, .. }) = call.await else {
+            return;
+        };
+        let Ok(state) = decode::<State>(&state) else {
+            return;
+        };
+        if state.version() > self.config.borrow().version() {
+            event!(CONFIG_FROM_PEER, peer: = peer, version: = state.version());
+            *self.config.borrow_mut() = state;
+            self.note_config();
+        }
+    }
 }
 
 /// Follows the configuration's stream.
@@ -236,21 +261,7 @@
         .take(PEERS_ASKED)
         .collect();
     for peer in peers {
-        let call = node
-            .links
-            .call(peer.tcp, PEER_TIMEOUT, |seq| ToServer::FetchConfig { seq });
-        let Ok(FromServer::Config { state, .. }) = call.await else {
-            continue;
-        };
-        let Ok(state) = decode::<State>(&state) else {
-            continue;
-        };
-        let newer = state.version() > node.config.borrow().version();
-        if newer && !node.has_folded() {
-            event!(CONFIG_FROM_PEER, peer = peer.instance, version: = state.version());
-            *node.config.borrow_mut() = state;
-            node.note_config();
-        }
+        node.fetch_config_from(peer.id).await;
     }
 }
 
--- a/cicadagate-node/src/process/mod.rs
+++ b/cicadagate-node/src/process/mod.rs
@@ -8,7 +8,10 @@
 mod operations;
 mod stop;
 
-pub use follower::{Fold, follow};
+pub use {
+    contact::WitnessAnswer,
+    follower::{Fold, follow},
+};
 
 use {
     crate::{
@@ -129,8 +132,12 @@
     running: Cell<usize>,
     has_ended: Notify,
     changed: watch::Sender<Offset>,
+    hooks: RefCell<Vec<ConfigHook>>,
 }
 
+/// Called for each folded record, before anything else happens.
+pub type ConfigHook = Box<dyn Fn(&Node)>;
+
 /// A started node and its main listener.
 pub struct Started {
     /// The node.
@@ -193,6 +200,7 @@
             running: Cell::new(0),
             has_ended: Notify::new(),
             changed: watch::channel(Offset::NONE).0,
+            hooks: RefCell::default(),
             settings,
         });
         node.spawn_tasks(socket, operations);
@@ -271,6 +279,11 @@
         self.changed.subscribe()
     }
 
+    /// Has `hook` called for each folded record of the configuration.
+    pub fn on_config(&self, hook: ConfigHook) {
+        self.hooks.borrow_mut().push(hook);
+    }
+
     /// Finds the customer that a caller's key speaks for.
     ///
     /// A key whose withdrawal was heard of is refused, whether or not the
@@ -339,6 +352,7 @@
                 Some(FromServer::Confirmed {
                     seq: *seq,
                     epoch,
+                    version: config.version(),
                     withdrawn: known,
                 })
             }
--- a/cicadagate-operator/src/request/apply.rs
+++ b/cicadagate-operator/src/request/apply.rs
@@ -54,11 +54,7 @@
                 .borrow()
                 .check(&record)
                 .map_err(|rejection| rejected(&rejection))?;
-            return Ok(ApplyResponse {
-                version: 0,
-                secret: String::new(),
-                log_pending: false,
-            });
+            return Ok(ApplyResponse::default());
         }
         if let Change::WithdrawKey(key) = &record.change {
             self.spread_withdrawal(key, record.based_on)?;
@@ -70,15 +66,22 @@
             {
                 self.withdraw_without_log(key, status).await
             }
-            (_, result) => result.map(|version| (version, false)),
+            (Change::WithdrawKey(_), Ok(version)) => {
+                // Processes that can't reach the log hear it from witnesses.
+                let peers_pending = !tell_witnesses(&self.node).await;
+                Ok(ApplyResponse {
+                    version: version.0,
+                    peers_pending,
+                    ..ApplyResponse::default()
+                })
+            }
+            (_, result) => result.map(|version| ApplyResponse {
+                version: version.0,
+                ..ApplyResponse::default()
+            }),
         };
         event!(CHANGE_DECIDED, id: = id, accepted = result.is_ok());
-        let (version, log_pending) = result?;
-        Ok(ApplyResponse {
-            version: version.0,
-            secret,
-            log_pending,
-        })
+        Ok(ApplyResponse { secret, ..result? })
     }
 
     fn new_key(&self, key: rpc::Key, id: &RequestId) -> Result<(Change, String)> {
@@ -123,13 +126,15 @@
 
     /// In an outage of the log a withdrawal counts once a majority of the
     /// witnesses has it.
-    async fn withdraw_without_log(&self, id: &str, status: Status) -> Result<(Offset, bool)> {
+    async fn withdraw_without_log(&self, id: &str, status: Status) -> Result<ApplyResponse> {
         self.withdrawals.add(id);
-        if tell_witnesses(&self.node).await {
-            Ok((Offset::NONE, true))
-        } else {
-            Err(status)
+        if !tell_witnesses(&self.node).await {
+            return Err(status);
         }
+        Ok(ApplyResponse {
+            log_pending: true,
+            ..ApplyResponse::default()
+        })
     }
 
     async fn append_and_read_back(&self, record: &Record) -> Result<Offset> {
--- a/cicadagate-policy/src/process/contact.rs
+++ b/cicadagate-policy/src/process/contact.rs
@@ -14,13 +14,15 @@
 
 * a read of the log up to its end, counted from when the read was sent, or
 * confirmations from a majority of the roster's witnesses that they know no
-  later roster, counted from when the oldest of them was asked for.
+  later version of the configuration than the asker, counted from when the
+  oldest of them was asked for. An asker that knows less takes the witness's
+  configuration and asks again.
 
-A confirmation also carries the withdrawals that the witness knows. An
-emergency withdrawal in an outage of the log is accepted once a majority of
-the witnesses has it, and any two majorities share a witness. So whoever has
-contact hears of it within the bound. The same argument carries the moving of
-shares, see [`holder`](super::holder).
+A confirmation also carries the withdrawals that the witness knows. A change
+that a majority of the witnesses knows reaches everyone who keeps contact by
+witnesses, since any two majorities share a witness. That carries emergency
+withdrawals in an outage of the log, and the moving of shares, see
+[`holder`](super::holder).
 
 This is no consensus: witnesses agree on nothing, they only repeat what they
 have read. Only a process that has itself folded the log to its end since its
@@ -73,9 +75,20 @@
         self.log_read = self.log_read.max(Some(sent));
     }
 
-    /// Notes a confirmation for `epoch`, asked for at `sent`.
-    pub fn confirmed(&mut self, witness: MemberId, epoch: Offset, sent: Time) {
-        if epoch == self.epoch && self.witnesses.contains(&witness) {
+    /// Notes a witness's answer that was asked for at `sent`.
+    ///
+    /// `version` is what the witness knows and `mine` what this process knew
+    /// when it asked. A witness that knows more confirms nothing.
+    pub fn confirmed(
+        &mut self,
+        witness: MemberId,
+        epoch: Offset,
+        version: Offset,
+        mine: Offset,
+        sent: Time,
+    ) {
+        let knows_more = version > mine;
+        if epoch == self.epoch && !knows_more && self.witnesses.contains(&witness) {
             let last = self.confirmed.entry(witness).or_insert(sent);
             *last = sent.max(*last);
         }
--- a/cicadagate-policy/src/process/holder.rs
+++ b/cicadagate-policy/src/process/holder.rs
@@ -21,9 +21,14 @@
   written only after a majority of the previous roster's witnesses has read
   the proposal. From then on nobody who missed the new roster can renew its
   contact by witnesses, nor by reading the log.
-* A part that a roster brings to a new holder is granted only
-  [`HANDOVER_MS`] after that holder has read the settling record. By then the
-  lease of the previous holder has ended, by any clock within the drift.
+* A part that comes to a holder or gets larger, by a roster or by a change of
+  the customer, is granted only [`HANDOVER_MS`] after a majority of the
+  witnesses is known to have read the version that brought it. Witnesses
+  confirm only to those who know at least as much as they do. So by then the
+  lease of whoever does not know that version has ended, by any clock within
+  the drift.
+* Each record is taken in turn. After a jump over records every part starts
+  over, since in a version jumped over it may have been another's.
 * A new or restarted holder starts empty. A member that restarts is another
   incarnation and holds nothing until a roster names it.
 * A grant counts only for [`GRANT_LIFE_MS`] after it was asked for, by the
@@ -43,7 +48,7 @@
         planted::{Fault, is_planted},
         process::contact::FRESH_MS,
         time::{MAX_DRIFT_PPM, Time, with_drift},
-        version::config::{Customer, Epoch, Roster},
+        version::config::{Customer, Roster, State},
     },
     std::collections::BTreeMap,
 };
@@ -56,6 +61,9 @@
 pub const HANDOVER_MS: u64 = with_drift(FRESH_MS + GRANT_LIFE_MS);
 /// Bucket units in one request's token: thousandths of thousandths.
 const UNITS: u64 = 1_000_000;
+/// How much later than its draw a grant may be used, by any clock, with both
+/// clocks' readings rounded down, in milliseconds.
+const LATE_MS: u64 = GRANT_LIFE_MS + 2;
 /// Bucket units that one thousandth of a request a second yields in 1 ms.
 const UNITS_PER_MILLI_MS: u64 = 1;
 
@@ -158,31 +166,61 @@
     customer.rate_milli * (1_000_000 - MAX_DRIFT_PPM) / 1_000_000 / parts
 }
 
-/// Capacity of one of `parts` parts, less what refills in a grant's life.
-///
-/// With one holder at least one request must fit, or the customer could send
-/// none at all. Then a grant's late use can add at most a grant's life of
-/// refill, which the single holder makes up for by a part that small.
+/// What refills while a grant may still be used.
+const fn late_units(customer: &Customer) -> u64 {
+    customer.rate_milli * LATE_MS
+}
+
+/// Capacity of one of `parts` parts, less what refills while a grant may
+/// still be used: late use must not add to a full bucket.
 fn part_capacity(customer: &Customer, parts: u64) -> u64 {
     let burst = u64::from(customer.burst) * UNITS;
-    let late = (customer.rate_milli * GRANT_LIFE_MS).min(burst.saturating_sub(UNITS));
-    (burst - late) / parts
+    // One request must fit, or the customer could send none at all.
+    (burst - late_units(customer).min(burst - UNITS)) / parts
+}
+
+/// Time that a bucket does not refill after a draw, in milliseconds.
+///
+/// A burst too small for the full reduction of the capacity can't make up for
+/// late use by tokens, so its draws are spaced by the grant's life instead.
+/// Such a customer gets less than its rate.
+fn spacing_ms(customer: &Customer) -> u64 {
+    let burst = u64::from(customer.burst) * UNITS;
+    if late_units(customer) > burst - UNITS {
+        LATE_MS
+    } else {
+        0
+    }
 }
 
 #[derive(Clone, Debug)]
 struct Part {
     bucket: Bucket,
     parts: u64,
-    granted_from: Time,
+    spacing_ms: u64,
+    standing: Standing,
+}
+
+/// Whether a part may be granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    /// Others may not know yet that the part is here now: a majority of the
+    /// witnesses must have read this version first.
+    Unwitnessed(Offset),
+    /// May be granted from this time on.
+    From(Time),
 }
 
 /// The parts that one member holds.
 #[derive(Clone, Debug)]
 pub struct Holder {
     me: MemberId,
+    version: Offset,
     epoch: Offset,
     settled: Option<Offset>,
     parts: BTreeMap<CustomerId, Part>,
+    /// Rate and burst by which the parts were computed.
+    known: BTreeMap<CustomerId, (u64, u32)>,
 }
 
 /// A holder's answer to a draw.
@@ -205,64 +243,115 @@
     pub const fn new(me: MemberId) -> Self {
         Self {
             me,
+            version: Offset::NONE,
             epoch: Offset::NONE,
             settled: None,
             parts: BTreeMap::new(),
+            known: BTreeMap::new(),
         }
     }
 
-    /// Takes the roster and customers in force.
+    /// Takes the configuration in force; call it for each folded record.
     ///
-    /// Parts that stay are kept with their tokens, parts that come start empty
-    /// and late, parts that go are dropped at once.
-    pub fn update<'a>(
-        &mut self,
-        now: Time,
-        version: Offset,
-        epoch: &Epoch,
-        customers: impl Iterator<Item = &'a Customer>,
-    ) {
-        let settled = epoch.settled;
-        let newly_settled = settled.is_some() && (self.epoch, self.settled) != (version, settled);
-        let from = self.granted_from(now, settled, newly_settled);
-        let mut parts = BTreeMap::new();
-        for customer in customers {
-            let holders = holders(customer, &epoch.roster);
-            if !holders.contains(&self.me) {
-                continue;
-            }
-            let id = CustomerId::of(&customer.name);
-            let old = self.parts.remove(&id);
-            parts.insert(
-                id,
-                update_part(old, customer, holders.len() as u64, now, from),
-            );
+    /// Parts that stay or get smaller are kept with their tokens, parts that
+    /// come or get larger start empty and late, parts that go are dropped at
+    /// once. After a jump over records every part starts over: in a version
+    /// that was jumped over it may have been another's.
+    pub fn update(&mut self, now: Time, state: &State) {
+        let version = state.version();
+        if version == self.version {
+            return;
         }
-        self.parts = parts;
-        if newly_settled {
-            self.start_waiting(now);
+        let has_jumped = version != self.version.next();
+        self.version = version;
+        let Some((epoch_version, epoch)) = state.epoch() else {
+            self.parts.clear();
+            return;
+        };
+        let epoch_changed = epoch_version != self.epoch;
+        (self.epoch, self.settled) = (epoch_version, epoch.settled);
+        if has_jumped {
+            self.parts.clear();
         }
-        (self.epoch, self.settled) = (version, settled);
+        let mut known = BTreeMap::new();
+        for customer in state.customers() {
+            let id = CustomerId::of(&customer.name);
+            let definition = (customer.rate_milli, customer.burst);
+            let same = self.known.get(&id) == Some(&definition);
+            known.insert(id, definition);
+            if has_jumped || epoch_changed || !same {
+                self.update_part(now, id, customer, &epoch.roster);
+            }
+        }
+        self.parts.retain(|id, _| known.contains_key(id));
+        self.known = known;
     }
 
-    /// Time from which a part that comes now may be granted.
-    ///
-    /// A customer that is created under a settled roster has no previous
-    /// holder, but this one may learn of it late after an earlier removal, so
-    /// it waits all the same.
-    fn granted_from(&self, now: Time, settled: Option<Offset>, newly_settled: bool) -> Time {
-        match settled {
-            _ if is_planted(Fault::SkipHandoverWait) => now,
-            Some(_) if newly_settled || self.settled.is_some() => now.plus(HANDOVER_MS),
-            _ => Time(u64::MAX),
+    fn update_part(&mut self, now: Time, id: CustomerId, customer: &Customer, roster: &Roster) {
+        let holders = holders(customer, roster);
+        let old = self.parts.remove(&id);
+        if !holders.contains(&self.me) {
+            return;
         }
+        let parts = holders.len() as u64;
+        let rate = part_rate(customer, parts);
+        let capacity = part_capacity(customer, parts);
+        let spacing_ms = spacing_ms(customer);
+        let part = match old {
+            Some(mut part) if parts >= part.parts => {
+                part.bucket.refill(now);
+                part.bucket.resize(rate, capacity);
+                Part {
+                    parts,
+                    spacing_ms,
+                    ..part
+                }
+            }
+            _ => {
+                let mut bucket = Bucket::empty(rate, capacity, now);
+                if is_planted(Fault::RefillOnRestart) {
+                    bucket.units = capacity;
+                }
+                let standing = if is_planted(Fault::SkipHandoverWait) {
+                    Standing::From(now)
+                } else {
+                    Standing::Unwitnessed(self.version)
+                };
+                Part {
+                    bucket,
+                    parts,
+                    spacing_ms,
+                    standing,
+                }
+            }
+        };
+        self.parts.insert(id, part);
     }
 
-    fn start_waiting(&mut self, now: Time) {
+    /// Returns the version that a majority of the witnesses must have read
+    /// before all parts here may be granted, if some may not.
+    #[must_use]
+    pub fn unwitnessed(&self) -> Option<Offset> {
+        let versions = self.parts.values().filter_map(|part| match part.standing {
+            Standing::Unwitnessed(version) => Some(version),
+            Standing::From(_) => None,
+        });
+        versions.max()
+    }
+
+    /// Notes that a majority of the witnesses of `epoch` has read `version`.
+    ///
+    /// From now on nobody who has not read it can renew its contact, so the
+    /// parts that came with it may be granted when present leases have ended.
+    pub fn witnessed(&mut self, now: Time, epoch: Offset, version: Offset) {
+        if epoch != self.epoch || self.settled.is_none() {
+            return;
+        }
+        let from = now.plus(HANDOVER_MS);
         for part in self.parts.values_mut() {
-            if part.granted_from == Time(u64::MAX) {
-                part.granted_from = now.plus(HANDOVER_MS);
-                part.bucket.refilled = part.granted_from;
+            if matches!(part.standing, Standing::Unwitnessed(needed) if needed <= version) {
+                part.standing = Standing::From(from);
+                part.bucket.refilled = from;
             }
         }
     }
@@ -273,14 +362,26 @@
         let Some(part) = self.parts.get_mut(&id).filter(|_| leased) else {
             return Draw::NotHolder;
         };
-        if now < part.granted_from {
+        if !matches!(part.standing, Standing::From(from) if from <= now) {
             return Draw::NotHolder;
         }
+        // A spaced part holds one request at most.
+        let want = if part.spacing_ms > 0 {
+            want.min(1)
+        } else {
+            want
+        };
         match part.bucket.take(want, now) {
             0 => Draw::Empty {
                 wait_ms: part.bucket.wait_ms(),
             },
-            taken => Draw::Granted(taken),
+            taken => {
+                if part.spacing_ms > 0 {
+                    part.bucket.units = 0;
+                    part.bucket.refilled = now.plus(part.spacing_ms);
+                }
+                Draw::Granted(taken)
+            }
         }
     }
 
@@ -289,29 +390,3 @@
         self.parts.keys().copied()
     }
 }
-
-fn update_part(old: Option<Part>, customer: &Customer, parts: u64, now: Time, from: Time) -> Part {
-    let rate = part_rate(customer, parts);
-    let capacity = part_capacity(customer, parts);
-    match old {
-        // The same or a smaller part goes on with its tokens. An enlarged one
-        // starts over like a new one, since others may still hold more.
-        Some(mut part) if parts >= part.parts => {
-            part.bucket.refill(now);
-            part.bucket.resize(rate, capacity);
-            part.parts = parts;
-            part
-        }
-        _ => {
-            let mut bucket = Bucket::empty(rate, capacity, from.max(now));
-            if is_planted(Fault::RefillOnRestart) {
-                bucket.units = capacity;
-            }
-            Part {
-                bucket,
-                parts,
-                granted_from: from,
-            }
-        }
-    }
-}
--- /dev/null
+++ b/cicadagate-policy/tests/fleet/node.rs
@@ -0,0 +1,208 @@
+//! A pure node and the fake log.
+
+use {
+    cicadagate_policy::{
+        ids::{CustomerId, MemberId, Offset, hash64},
+        process::{
+            contact::{Contact, FRESH_MS},
+            holder::{Draw, Holder},
+        },
+        request::limit::Limiter,
+        time::Time,
+        version::{
+            config::{Change, Record, Seat, State},
+            reader::{Start, Step},
+        },
+    },
+    std::collections::BTreeSet,
+};
+
+/// Rates of the nodes' clocks, in parts per million of true time.
+const RATE_PPM: [u128; 5] = [1_000_000, 1_000_500, 999_500, 1_000_300, 999_600];
+
+/// The fake log.
+#[derive(Default)]
+pub struct Log {
+    pub down: bool,
+    first: u64,
+    records: Vec<Record>,
+}
+
+impl Log {
+    pub fn append(&mut self, record: Record) {
+        self.records.push(record);
+    }
+
+    pub fn end(&self) -> Offset {
+        Offset(self.first + self.records.len() as u64)
+    }
+
+    fn from(&self, next: Offset) -> impl Iterator<Item = (Offset, &Record)> {
+        let first = self.first;
+        let offsets = (first + 1..).map(Offset);
+        offsets
+            .zip(&self.records)
+            .filter(move |(offset, _)| *offset >= next)
+    }
+
+    /// Drops the records that the last snapshot covers.
+    pub fn expire(&mut self) -> bool {
+        let covered = self
+            .records
+            .iter()
+            .rev()
+            .find_map(|record| match &record.change {
+                Change::Snapshot(state) => Some(state.version().0),
+                _ => None,
+            });
+        let drop = covered.unwrap_or(0).saturating_sub(self.first);
+        self.records
+            .drain(..usize::try_from(drop).expect("as many as are there"));
+        self.first += drop;
+        drop > 0
+    }
+}
+
+/// One node: entry and dispatch at once.
+pub struct Node {
+    index: usize,
+    pub incarnation: u64,
+    pub id: MemberId,
+    pub alive: bool,
+    pub paused: bool,
+    pub log_cut: bool,
+    /// The time of the first fold to the log's end, by this node's clock.
+    pub folded: Option<Time>,
+    pub state: State,
+    pub highest: Offset,
+    pub contact: Contact,
+    pub withdrawn: BTreeSet<[u8; 32]>,
+    pub limiter: Limiter,
+    start: Start<Record>,
+    next: Offset,
+    holder: Holder,
+    log_read: Time,
+}
+
+impl Node {
+    pub fn new(index: usize) -> Self {
+        Self::with_incarnation(index, 0)
+    }
+
+    fn with_incarnation(index: usize, incarnation: u64) -> Self {
+        let id = MemberId::of(&format!("n{index}#{incarnation}"));
+        Self {
+            index,
+            incarnation,
+            id,
+            alive: true,
+            paused: false,
+            log_cut: false,
+            folded: None,
+            state: State::default(),
+            highest: Offset::NONE,
+            contact: Contact::default(),
+            withdrawn: BTreeSet::new(),
+            limiter: Limiter::default(),
+            start: Start::new(Offset::NONE),
+            next: Offset(1),
+            holder: Holder::new(id),
+            log_read: Time::default(),
+        }
+    }
+
+    /// Starts again without memory.
+    pub fn restart(&mut self) {
+        *self = Self::with_incarnation(self.index, self.incarnation + 1);
+    }
+
+    pub fn seat(&self) -> Seat {
+        Seat {
+            member: self.id,
+            process: hash64(&[&self.index.to_le_bytes()]),
+            data_centre: (self.index % 3) as u64,
+        }
+    }
+
+    /// Reads the clock at a true time.
+    pub fn clock(&self, now_us: u64) -> Time {
+        let us = u128::from(now_us) * RATE_PPM[self.index] / 1_000_000;
+        let ms = u64::try_from(us / 1000).expect("small times");
+        Time(ms + self.index as u64 * 77_777)
+    }
+
+    /// Folds the log up to `end`; returns whether a snapshot was adopted late.
+    pub fn read_until(&mut self, log: &Log, end: Offset, sent: Time, now: Time) -> bool {
+        let mut adopted = false;
+        let records: Vec<(Offset, Record)> = log
+            .from(self.next)
+            .take_while(|(offset, _)| *offset <= end)
+            .map(|(offset, record)| (offset, record.clone()))
+            .collect();
+        for (offset, record) in records {
+            self.next = offset.next();
+            let covers = match &record.change {
+                Change::Snapshot(state) => Some(state.version()),
+                _ => None,
+            };
+            let had_gap = self.start.has_gap();
+            if let Step::Fold(records) = self.start.push(offset, record, covers) {
+                adopted |= had_gap;
+                for (offset, record) in records {
+                    self.state.fold(offset, &record);
+                    self.note_config(now);
+                }
+            }
+        }
+        if !self.start.has_gap() && self.next > end {
+            self.contact.log_read(sent);
+            self.log_read = self.log_read.max(sent);
+            self.folded.get_or_insert(now);
+        }
+        adopted
+    }
+
+    /// Takes a peer's configuration.
+    pub fn adopt(&mut self, now: Time, state: State) {
+        self.state = state;
+        self.start = Start::new(self.state.version());
+        self.next = self.state.version().next();
+        self.note_config(now);
+    }
+
+    fn note_config(&mut self, now: Time) {
+        if let Some((epoch, state)) = self.state.epoch() {
+            let witnesses: Vec<MemberId> = state
+                .roster
+                .witnesses
+                .iter()
+                .map(|seat| seat.member)
+                .collect();
+            self.contact.set_roster(epoch, &witnesses);
+        }
+        if self.folded.is_some() {
+            self.holder.update(now, &self.state);
+        }
+    }
+
+    pub fn witnessed(&mut self, now: Time, epoch: Offset, version: Offset) {
+        self.holder.update(now, &self.state);
+        self.holder.witnessed(now, epoch, version);
+    }
+
+    /// The epoch that this node confirms as a witness.
+    pub fn confirms(&self) -> Option<Offset> {
+        self.state
+            .epoch()
+            .map(|(epoch, _)| epoch)
+            .filter(|_| self.folded.is_some())
+    }
+
+    pub fn contact_is_by_log(&self, now: Time) -> bool {
+        now.since(self.log_read) < FRESH_MS
+    }
+
+    pub fn draw(&mut self, now: Time, id: CustomerId, want: u32) -> Draw {
+        self.holder.draw(now, self.contact.is_fresh(now), id, want)
+    }
+}
--- /dev/null
+++ b/cicadagate-policy/tests/fleet/oracle.rs
@@ -0,0 +1,125 @@
+//! The simple side: one bucket in true time, and a plain list of versions.
+
+use {
+    cicadagate_policy::{
+        ids::{Offset, RequestId},
+        version::config::{Change, Customer, Object, ObjectKey, Record, State, object_key},
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// One token bucket by true time, in billionths of a request.
+pub struct TrueBucket {
+    rate_milli: u128,
+    capacity: u128,
+    units: u128,
+    at_us: u64,
+}
+
+/// Bucket units of one request.
+const UNITS: u128 = 1_000_000_000;
+
+impl TrueBucket {
+    pub fn new(customer: &Customer, now_us: u64) -> Self {
+        let capacity = u128::from(customer.burst) * UNITS;
+        let rate_milli = u128::from(customer.rate_milli);
+        Self {
+            rate_milli,
+            capacity,
+            units: capacity,
+            at_us: now_us,
+        }
+    }
+
+    pub fn take(&mut self, now_us: u64) -> bool {
+        let elapsed = u128::from(now_us - self.at_us);
+        self.units = (self.units + elapsed * self.rate_milli).min(self.capacity);
+        self.at_us = now_us;
+        let has = self.units >= UNITS;
+        if has {
+            self.units -= UNITS;
+        }
+        has
+    }
+}
+
+/// What one object went through: offset and whether it was withdrawn.
+type Changes = Vec<(Offset, bool)>;
+
+/// Every reader's verdicts, by the plainest possible rule.
+#[derive(Default)]
+pub struct Reference {
+    ids: BTreeSet<RequestId>,
+    changes: BTreeMap<ObjectKey, Changes>,
+    settled: BTreeSet<Offset>,
+}
+
+impl Reference {
+    /// Returns the version of an object now.
+    pub fn version(&self, key: &ObjectKey) -> Offset {
+        let changes = self.changes.get(key);
+        changes
+            .and_then(|changes| changes.last())
+            .map_or(Offset::NONE, |(offset, _)| *offset)
+    }
+
+    /// Folds a record; returns whether it is accepted.
+    pub fn fold(&mut self, offset: Offset, record: &Record) -> bool {
+        let Some(key) = object_key(&record.change) else {
+            return false;
+        };
+        if !self.ids.insert(record.id) {
+            return false;
+        }
+        let now_at = self.version(&key);
+        if record.based_on != now_at {
+            return false;
+        }
+        let withdrawn = self
+            .changes
+            .get(&key)
+            .is_some_and(|all| all.iter().any(|(_, w)| *w));
+        match &record.change {
+            Change::PutKey(_) if withdrawn => return false,
+            Change::WithdrawKey(_) if now_at == Offset::NONE => return false,
+            Change::PutRoster(_) if now_at != Offset::NONE && !self.settled.contains(&now_at) => {
+                return false;
+            }
+            Change::SettleRoster => return self.settled.insert(now_at),
+            _ => {}
+        }
+        let is_withdrawal = matches!(record.change, Change::WithdrawKey(_));
+        self.changes
+            .entry(key)
+            .or_default()
+            .push((offset, is_withdrawal));
+        true
+    }
+
+    /// Compares a node's state with what it must be at its version.
+    pub fn compare(&self, state: &State) -> Result<(), String> {
+        for (key, changes) in &self.changes {
+            let seen = changes
+                .iter()
+                .rev()
+                .find(|(offset, _)| *offset <= state.version());
+            let (expected, withdrawn) = seen.copied().unwrap_or((Offset::NONE, false));
+            let actual = state.object_version(key);
+            if actual != expected {
+                return Err(format!(
+                    "{key:?} is at {actual} in version {}, must be at {expected}",
+                    state.version()
+                ));
+            }
+            let object = state.objects().find(|(other, _)| *other == key);
+            let is_withdrawn =
+                object.is_some_and(|(_, object)| matches!(object.value, Object::WithdrawnKey(_)));
+            if withdrawn != is_withdrawn {
+                return Err(format!(
+                    "{key:?} withdrawn: {is_withdrawn}, must be {withdrawn}"
+                ));
+            }
+        }
+        Ok(())
+    }
+}
--- a/cicadagate-wire/src/peer.rs
+++ b/cicadagate-wire/src/peer.rs
@@ -356,6 +356,8 @@
         /// Epoch of the roster that the witness knows; none if it may not
         /// confirm.
         epoch: Option<Offset>,
+        /// Version of the configuration that the witness knows.
+        version: Offset,
         /// Withdrawn keys that the witness knows.
         withdrawn: Vec<[u8; 32]>,
     },
