Fuzz jobs and requests against oracles, with planted faults

Cause: the promises on jobs, attempts, queues and shutdown had no proof.

Change: two more worlds of pure nodes with fakes and a plain oracle; 21 planted faults in all, each caught by a test.

--- a/cicadagate-batch/src/process/calls.rs
+++ b/cicadagate-batch/src/process/calls.rs
@@ -11,7 +11,7 @@
     cicadagate_policy::{
         ids::{FileId, JobId, hash64},
         process::membership::Role,
-        version::jobs::{Job, JobState, MAX_ITEMS, Phase, Record},
+        version::jobs::{Job, JobState, MAX_ITEMS, Phase, Record, may_acknowledge},
     },
     cicadagate_wire::peer::{BatchCall, BatchReply, JobView},
 };
@@ -124,7 +124,7 @@
         // An append whose answer is lost may have been accepted all the same:
         // only the fold tells.
         let appended = self.append(&Record::Accept(job)).await;
-        let is_known = self.wait_for(|state| state.job(id).is_some()).await;
+        let is_known = self.wait_for(|state| may_acknowledge(state, id)).await;
         let state = self.jobs.state.borrow().job(id).cloned();
         match state {
             Some(state) if is_known => self.show(&state),
--- a/cicadagate-policy/src/process/dispatch.rs
+++ b/cicadagate-policy/src/process/dispatch.rs
@@ -315,6 +315,15 @@
         }
         let chosen = self.choose()?;
         self.queued.remove(&chosen.request.id);
+        if is_planted(Fault::CrossCustomers)
+            && let Some(other) = self.queued.values().next()
+        {
+            let crossed = Request {
+                customer: other.request.customer,
+                ..chosen.request
+            };
+            return Some(Action::Start(crossed));
+        }
         let index = class_index(chosen.request.class);
         self.virtual_time[index] = self.virtual_time[index].max(chosen.start_tag);
         let running = Running {
--- a/cicadagate-policy/src/version/jobs.rs
+++ b/cicadagate-policy/src/version/jobs.rs
@@ -485,6 +485,13 @@
     }
 }
 
+/// Whether a job may be acknowledged to its client: only a fold that shows it
+/// proves that it is durable, an answered append or not.
+#[must_use]
+pub fn may_acknowledge(state: &State, job: JobId) -> bool {
+    state.job(job).is_some() || is_planted(Fault::AcknowledgeEarly)
+}
+
 /// Whether a claimant may send an item of a job now.
 ///
 /// A claimant stops at a cancel, at another's claim, and when it has lost
--- /dev/null
+++ b/cicadagate-policy/tests/jobs/log.rs
@@ -0,0 +1,47 @@
+//! One stream of the fake log.
+
+use cicadagate_policy::{ids::Offset, version::jobs::Record};
+
+pub struct Stream<R> {
+    first: u64,
+    records: Vec<R>,
+}
+
+impl<R> Default for Stream<R> {
+    fn default() -> Self {
+        Self {
+            first: 0,
+            records: Vec::new(),
+        }
+    }
+}
+
+impl<R: Clone> Stream<R> {
+    pub fn append(&mut self, record: R) -> Offset {
+        self.records.push(record);
+        Offset(self.first + self.records.len() as u64)
+    }
+
+    pub fn from(&self, next: Offset) -> Vec<(Offset, R)> {
+        let offsets = (self.first + 1..).map(Offset);
+        offsets
+            .zip(self.records.iter().cloned())
+            .filter(|(offset, _)| *offset >= next)
+            .collect()
+    }
+}
+
+impl Stream<Record> {
+    /// Drops the records that the last carried state covers.
+    pub fn expire_covered(&mut self) -> bool {
+        let covered = self.records.iter().rev().find_map(|record| match record {
+            Record::Carry(state) => Some(state.version().0),
+            _ => None,
+        });
+        let drop = covered.unwrap_or(0).saturating_sub(self.first);
+        self.records
+            .drain(..usize::try_from(drop).expect("as many as are there"));
+        self.first += drop;
+        drop > 0
+    }
+}
--- /dev/null
+++ b/cicadagate-policy/tests/jobs/mod.rs
@@ -0,0 +1,494 @@
+//! The world of the jobs' tests.
+
+mod log;
+mod op;
+mod worker;
+
+pub use op::Op;
+
+use {
+    super::support::{Counts, World},
+    cicadagate_policy::{
+        ids::{FileId, JobId, MemberId, Offset},
+        process::contact::FRESH_MS,
+        time::Time,
+        version::jobs::{
+            Data, File, Items, Job, Next, Outcome, Phase, Record, State, may_acknowledge, may_send,
+        },
+    },
+    log::Stream,
+    std::collections::{BTreeMap, BTreeSet},
+    worker::Worker,
+};
+
+/// Batch processes.
+pub const WORKERS: usize = 3;
+/// Jobs; the odd ones' items can't be repeated.
+pub const JOBS: usize = 3;
+/// Items of each job.
+pub const ITEMS: u32 = 3;
+
+/// An item that runs at the engine.
+struct Running {
+    worker: usize,
+    incarnation: u64,
+    job: usize,
+    item: u32,
+    fence: Offset,
+    run: u64,
+}
+
+pub struct JobsWorld {
+    now: Time,
+    workers: Vec<Worker>,
+    jobs: Stream<Record>,
+    data: Stream<Data>,
+    log_down: bool,
+    running: Vec<Running>,
+    runs: BTreeMap<(usize, u32), u64>,
+    next_run: u64,
+    acknowledged: BTreeSet<usize>,
+    /// When a job's cancel came into the log.
+    cancelled: BTreeMap<usize, Time>,
+    /// First result of each item in log order, by the plainest rule.
+    results: BTreeMap<(usize, u32), Offset>,
+    counts: Counts,
+}
+
+fn job_id(job: usize) -> JobId {
+    JobId::from_raw(job as u64 + 1)
+}
+
+fn file() -> File {
+    File {
+        id: FileId::from_raw(1),
+        customer: "c".to_owned(),
+        name: "in".to_owned(),
+        bytes: 1,
+        lines: ITEMS,
+        chunks: Vec::new(),
+        created: 0,
+    }
+}
+
+fn accept(job: usize) -> Job {
+    Job {
+        id: job_id(job),
+        customer: "c".to_owned(),
+        file: file().id,
+        endpoint: "/v1/x".to_owned(),
+        items: ITEMS,
+        data_from: Offset::NONE,
+        created: 0,
+        keep_until: 1,
+    }
+}
+
+const fn is_idempotent(job: usize) -> bool {
+    job.is_multiple_of(2)
+}
+
+impl World for JobsWorld {
+    type Op = Op;
+
+    fn new() -> Self {
+        let mut world = Self {
+            now: Time(100_000),
+            workers: (0..WORKERS).map(Worker::new).collect(),
+            jobs: Stream::default(),
+            data: Stream::default(),
+            log_down: false,
+            running: Vec::new(),
+            runs: BTreeMap::new(),
+            next_run: 0,
+            acknowledged: BTreeSet::new(),
+            cancelled: BTreeMap::new(),
+            results: BTreeMap::new(),
+            counts: Counts::new(),
+        };
+        world.jobs.append(Record::File(file()));
+        for worker in 0..WORKERS {
+            world.read(worker);
+        }
+        world
+    }
+
+    fn step(&mut self, op: &Op) -> Result<(), String> {
+        match *op {
+            Op::Advance(ms) => self.now = self.now.plus(u64::from(ms)),
+            Op::Read(worker) => self.read(worker),
+            Op::Create { worker, job, lost } => self.create(worker, job, lost),
+            Op::Acknowledge(worker, job) => self.acknowledge(worker, job),
+            Op::Cancel(worker, job) => self.cancel(worker, job),
+            Op::Claim(worker, job) => self.claim(worker, job),
+            Op::Intend(worker, job) => self.intend(worker, job),
+            Op::Begin(worker, job) => {
+                (0..ITEMS).try_for_each(|item| self.begin(worker, job, item))?;
+            }
+            Op::End(index) => self.end(index),
+            Op::Write { worker, job, lost } => self.write(worker, job, lost),
+            Op::Close(worker, job) => self.close(worker, job),
+            Op::Kill(worker) => self.kill(worker),
+            Op::Restart(worker) => self.restart(worker),
+            Op::Pause(worker) => {
+                self.workers[worker].paused = true;
+                self.count("paused");
+            }
+            Op::Resume(worker) => self.workers[worker].paused = false,
+            Op::LogDown => {
+                self.log_down = true;
+                self.count("log down");
+            }
+            Op::LogUp => self.log_down = false,
+            Op::Carry(worker) => self.carry(worker),
+            Op::Expire => {
+                if self.jobs.expire_covered() {
+                    self.count("expired");
+                }
+            }
+        }
+        self.check()
+    }
+
+    /// Whoever reads the whole log in the end finds what was promised.
+    fn finish(&mut self) -> Result<(), String> {
+        self.log_down = false;
+        let mut reader = Worker::new(0);
+        reader.read(&self.jobs, &self.data, self.now);
+        for job in &self.acknowledged {
+            if reader.state.job(job_id(*job)).is_none() {
+                return Err(format!("job {job} was acknowledged and is gone"));
+            }
+        }
+        self.check_results(&reader)
+    }
+
+    fn counts(&self) -> &Counts {
+        &self.counts
+    }
+}
+
+impl JobsWorld {
+    fn count(&mut self, name: &'static str) {
+        *self.counts.entry(name).or_insert(0) += 1;
+    }
+
+    fn reaches_log(&self, worker: usize) -> bool {
+        self.is_up(worker) && !self.log_down
+    }
+
+    fn is_up(&self, worker: usize) -> bool {
+        self.workers[worker].alive && !self.workers[worker].paused
+    }
+
+    fn read(&mut self, worker: usize) {
+        if self.reaches_log(worker) {
+            self.workers[worker].read(&self.jobs, &self.data, self.now);
+        }
+    }
+
+    /// Appends if the log can be reached; `lost` loses the answer.
+    fn append(&mut self, worker: usize, record: Record) -> bool {
+        if !self.reaches_log(worker) {
+            self.count("append refused");
+            return false;
+        }
+        if let Record::Cancel(id) = &record {
+            let job = (0..JOBS).find(|job| job_id(*job) == *id).unwrap_or(0);
+            let mut reader = Worker::new(0);
+            reader.read(&self.jobs, &self.data, self.now);
+            if reader
+                .state
+                .job(*id)
+                .is_some_and(|job| job.phase == Phase::Open)
+            {
+                self.cancelled.entry(job).or_insert(self.now);
+            }
+        }
+        self.jobs.append(record);
+        true
+    }
+
+    fn create(&mut self, worker: usize, job: usize, lost: bool) {
+        if self.workers[worker].state.job(job_id(job)).is_some() {
+            self.count("resent");
+        }
+        if self.append(worker, Record::Accept(accept(job))) && lost {
+            self.count("answer lost");
+        }
+    }
+
+    fn acknowledge(&mut self, worker: usize, job: usize) {
+        let wants = self.is_up(worker) && !self.acknowledged.contains(&job);
+        if wants && may_acknowledge(&self.workers[worker].state, job_id(job)) {
+            self.acknowledged.insert(job);
+            self.count("acknowledged");
+        }
+    }
+
+    fn cancel(&mut self, worker: usize, job: usize) {
+        if self.append(worker, Record::Cancel(job_id(job))) {
+            self.count("cancelled");
+        }
+    }
+
+    fn claim(&mut self, worker: usize, job: usize) {
+        let Some(state) = self.workers[worker].state.job(job_id(job)).cloned() else {
+            return;
+        };
+        let member = self.workers[worker].id;
+        if state.claim.is_some_and(|claim| claim.claimant == member) {
+            return;
+        }
+        let after = state.claim.map_or(Offset::NONE, |claim| claim.fence);
+        let record = Record::Claim {
+            job: job_id(job),
+            claimant: member,
+            incarnation: 1,
+            after,
+        };
+        if self.append(worker, record) {
+            self.count("claimed");
+            if after != Offset::NONE {
+                self.count("claim lost");
+            }
+        }
+    }
+
+    /// The fence of a worker's claim on a job, by its own fold.
+    fn fence(&self, worker: usize, job: usize) -> Option<Offset> {
+        let state = self.workers[worker].state.job(job_id(job))?;
+        let claim = state
+            .claim
+            .filter(|claim| claim.claimant == self.workers[worker].id)?;
+        Some(claim.fence)
+    }
+
+    fn intend(&mut self, worker: usize, job: usize) {
+        let Some(fence) = self.fence(worker, job) else {
+            return;
+        };
+        if is_idempotent(job) || !self.reaches_log(worker) {
+            return;
+        }
+        let items = (0..ITEMS).collect();
+        let offset = self.data.append(Data::Intent {
+            job: job_id(job),
+            fence,
+            items,
+        });
+        self.read(worker);
+        self.workers[worker].intended.insert((job, offset));
+    }
+
+    fn begin(&mut self, worker: usize, job: usize, item: u32) -> Result<(), String> {
+        let Some(fence) = self.fence(worker, job).filter(|_| self.is_up(worker)) else {
+            return Ok(());
+        };
+        let has_contact = self.now.since(self.workers[worker].last_read) < FRESH_MS;
+        if !has_contact {
+            self.count("no contact");
+        }
+        let state = self.workers[worker].state.job(job_id(job)).cloned();
+        let state = state.ok_or("a claimed job is not there")?;
+        if !may_send(&state, fence, has_contact) {
+            return Ok(());
+        }
+        let may_repeat = is_idempotent(job);
+        let has_intent = self.workers[worker]
+            .intended
+            .iter()
+            .any(|(other, _)| *other == job);
+        if !may_repeat && !has_intent {
+            return Ok(());
+        }
+        if self.workers[worker].begun.contains(&(job, item, fence)) {
+            return Ok(());
+        }
+        match self.workers[worker]
+            .items(job)
+            .next(item, fence, may_repeat)
+        {
+            Next::Done => return Ok(()),
+            Next::Unknown => {
+                self.count("item unknown");
+                self.workers[worker]
+                    .unwritten
+                    .push((job, item, Outcome::Unknown));
+                return Ok(());
+            }
+            Next::Run => {}
+        }
+        self.check_cancel(worker, job)?;
+        self.workers[worker].begun.insert((job, item, fence));
+        self.next_run += 1;
+        let run = self.next_run;
+        let incarnation = self.workers[worker].incarnation;
+        self.running.push(Running {
+            worker,
+            incarnation,
+            job,
+            item,
+            fence,
+            run,
+        });
+        self.count("item begun");
+        let runs = self.runs.entry((job, item)).or_insert(0);
+        *runs += 1;
+        if *runs > 1 {
+            if !may_repeat {
+                return Err(format!(
+                    "item {item} of job {job} can't be repeated and ran twice"
+                ));
+            }
+            self.count("item doubled");
+        }
+        Ok(())
+    }
+
+    fn check_cancel(&self, worker: usize, job: usize) -> Result<(), String> {
+        let Some(since) = self.cancelled.get(&job) else {
+            return Ok(());
+        };
+        if self.now.since(*since) > FRESH_MS {
+            return Err(format!(
+                "worker {worker} began an item long after job {job}'s cancel"
+            ));
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, index: usize) {
+        if self.running.is_empty() {
+            return;
+        }
+        let running = self.running.swap_remove(index % self.running.len());
+        let worker = &mut self.workers[running.worker];
+        if worker.alive && worker.incarnation == running.incarnation {
+            let outcome = Outcome::Completed(running.run.to_le_bytes().to_vec());
+            worker.unwritten.push((running.job, running.item, outcome));
+            worker.fences.insert(running.job, running.fence);
+        }
+    }
+
+    fn write(&mut self, worker: usize, job: usize, lost: bool) {
+        if !self.reaches_log(worker) {
+            return;
+        }
+        let unwritten = &self.workers[worker].unwritten;
+        let results: Vec<(u32, Outcome)> = unwritten
+            .iter()
+            .filter(|(other, _, _)| *other == job)
+            .map(|(_, item, outcome)| (*item, outcome.clone()))
+            .collect();
+        if results.is_empty() {
+            return;
+        }
+        let fence = self.workers[worker]
+            .fences
+            .get(&job)
+            .copied()
+            .unwrap_or_default();
+        let items: Vec<u32> = results.iter().map(|(item, _)| *item).collect();
+        let offset = self.data.append(Data::Results {
+            job: job_id(job),
+            fence,
+            results,
+        });
+        for item in items {
+            if self.results.contains_key(&(job, item)) {
+                self.count("result came second");
+            }
+            self.results.entry((job, item)).or_insert(offset);
+        }
+        self.count("result written");
+        if lost {
+            self.count("answer lost");
+        } else {
+            self.workers[worker]
+                .unwritten
+                .retain(|(other, _, _)| *other != job);
+        }
+    }
+
+    fn close(&mut self, worker: usize, job: usize) {
+        let Some(fence) = self.fence(worker, job) else {
+            return;
+        };
+        let items = self.workers[worker].items(job);
+        if items.remaining() > 0 {
+            return;
+        }
+        let failed = items.failed();
+        let record = Record::Close {
+            job: job_id(job),
+            fence,
+            completed: ITEMS - failed,
+            failed,
+            results: items.records().to_vec(),
+        };
+        if self.append(worker, record) {
+            self.count("closed");
+        }
+    }
+
+    fn kill(&mut self, worker: usize) {
+        if self.workers[worker].alive {
+            self.workers[worker].alive = false;
+            self.count("killed");
+        }
+    }
+
+    fn restart(&mut self, worker: usize) {
+        if !self.workers[worker].alive {
+            let incarnation = self.workers[worker].incarnation + 1;
+            self.workers[worker] = Worker::with_incarnation(worker, incarnation);
+            self.count("restarted");
+        }
+    }
+
+    fn carry(&mut self, worker: usize) {
+        let state = Box::new(self.workers[worker].state.clone());
+        if self.workers[worker].is_started() && self.append(worker, Record::Carry(state)) {
+            self.count("carried");
+        }
+    }
+
+    /// Every worker that has read as far agrees on each item's result.
+    fn check(&self) -> Result<(), String> {
+        self.workers
+            .iter()
+            .filter(|worker| worker.alive)
+            .try_for_each(|w| self.check_results(w))
+    }
+
+    fn check_results(&self, worker: &Worker) -> Result<(), String> {
+        for ((job, item), first) in &self.results {
+            if *first > worker.data_read() {
+                continue;
+            }
+            let seen = worker.items(*job).result_at(*item);
+            if seen != Some(*first) {
+                return Err(format!(
+                    "item {item} of job {job}: result {seen:?}, first {first}"
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Items of a job as a worker without memory sees them.
+fn no_items(job: usize) -> Items {
+    Items::new(job_id(job), ITEMS)
+}
+
+/// Member of a worker.
+fn member(index: usize, incarnation: u64) -> MemberId {
+    MemberId::of(&format!("b{index}#{incarnation}"))
+}
+
+/// State without records.
+fn no_state() -> State {
+    State::default()
+}
--- /dev/null
+++ b/cicadagate-policy/tests/jobs/worker.rs
@@ -0,0 +1,94 @@
+//! One pure batch process.
+
+use {
+    super::{JOBS, log::Stream, member, no_items, no_state},
+    cicadagate_policy::{
+        ids::{MemberId, Offset},
+        time::Time,
+        version::{
+            jobs::{Data, Items, Outcome, Record, State},
+            reader::{Start, Step},
+        },
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+pub struct Worker {
+    pub id: MemberId,
+    pub incarnation: u64,
+    pub alive: bool,
+    pub paused: bool,
+    pub state: State,
+    pub last_read: Time,
+    pub unwritten: Vec<(usize, u32, Outcome)>,
+    pub fences: BTreeMap<usize, Offset>,
+    pub intended: BTreeSet<(usize, Offset)>,
+    pub begun: BTreeSet<(usize, u32, Offset)>,
+    start: Start<Record>,
+    next: Offset,
+    data_next: Offset,
+    items: Vec<Items>,
+}
+
+impl Worker {
+    pub fn new(index: usize) -> Self {
+        Self::with_incarnation(index, 0)
+    }
+
+    pub fn with_incarnation(index: usize, incarnation: u64) -> Self {
+        Self {
+            id: member(index, incarnation),
+            incarnation,
+            alive: true,
+            paused: false,
+            state: no_state(),
+            last_read: Time::default(),
+            unwritten: Vec::new(),
+            fences: BTreeMap::new(),
+            intended: BTreeSet::new(),
+            begun: BTreeSet::new(),
+            start: Start::new(Offset::NONE),
+            next: Offset(1),
+            data_next: Offset(1),
+            items: (0..JOBS).map(no_items).collect(),
+        }
+    }
+
+    pub fn items(&self, job: usize) -> &Items {
+        &self.items[job]
+    }
+
+    /// Offset of the last data record that was read.
+    pub fn data_read(&self) -> Offset {
+        Offset(self.data_next.0 - 1)
+    }
+
+    /// It has folded the jobs stream without a gap.
+    pub fn is_started(&self) -> bool {
+        !self.start.has_gap() && self.next > Offset(1)
+    }
+
+    pub fn read(&mut self, jobs: &Stream<Record>, data: &Stream<Data>, now: Time) {
+        for (offset, record) in jobs.from(self.next) {
+            self.next = offset.next();
+            let covers = match &record {
+                Record::Carry(state) => Some(state.version()),
+                _ => None,
+            };
+            if let Step::Fold(records) = self.start.push(offset, record, covers) {
+                for (offset, record) in records {
+                    self.state.fold(offset, &record);
+                }
+            }
+        }
+        for (offset, record) in data.from(self.data_next) {
+            self.data_next = offset.next();
+            for items in &mut self.items {
+                items.fold(offset, &record);
+            }
+        }
+        if !self.start.has_gap() {
+            self.last_read = now;
+        }
+    }
+}
--- /dev/null
+++ b/cicadagate-policy/tests/requests/mod.rs
@@ -0,0 +1,571 @@
+//! The world of the requests' tests.
+
+mod op;
+
+pub use op::Op;
+
+use {
+    super::support::{Counts, World},
+    cicadagate_policy::{
+        ids::{CustomerId, RequestId},
+        process::{
+            dispatch::{Action, Class, Config, Queue, Refused, Request},
+            shutdown::{KEEP_ADDRESS_MS, Phase},
+        },
+        request::attempt::{Attempts, Budget, Progress, Relay, Verdict},
+        time::Time,
+    },
+    std::collections::BTreeMap,
+};
+
+/// Homes, each with one replica.
+pub const HOMES: usize = 2;
+/// Customers.
+pub const CUSTOMERS: usize = 3;
+/// Pieces of a whole answer.
+const PIECES: u64 = 4;
+/// Most actions of a home in a row.
+const MAX_ACTIONS: u32 = 10_000;
+/// Longest wait of an online request, in milliseconds.
+const START_WITHIN_MS: u64 = 500;
+/// Deadline of a request, in milliseconds.
+const END_WITHIN_MS: u64 = 8_000;
+
+/// A request as the caller's side sees it.
+struct Caller {
+    request: Request,
+    idempotent: bool,
+    attempts: Attempts,
+    home: usize,
+    text: Vec<u64>,
+    result: Option<Verdict>,
+    answered: bool,
+}
+
+/// An attempt at a home.
+#[derive(Clone, Copy)]
+struct Pending {
+    request: RequestId,
+    number: u32,
+    next: u64,
+    resumed: bool,
+    running: bool,
+}
+
+/// A frame on its way to the caller's side.
+#[derive(Clone, Copy)]
+struct Frame {
+    request: RequestId,
+    number: u32,
+    body: Body,
+}
+
+#[derive(Clone, Copy)]
+enum Body {
+    Piece(u64, u64),
+    End(u64),
+    Refused,
+    Failed,
+}
+
+struct Home {
+    queue: Queue,
+    pending: BTreeMap<RequestId, Pending>,
+    leaving: bool,
+    phase: Phase,
+    ended: bool,
+}
+
+pub struct RequestsWorld {
+    now: Time,
+    homes: Vec<Home>,
+    callers: BTreeMap<RequestId, Caller>,
+    frames: Vec<Frame>,
+    /// Times that the engine really ran a request.
+    runs: BTreeMap<RequestId, u64>,
+    budget: Budget,
+    next_id: u64,
+    counts: Counts,
+}
+
+fn request_id(number: u64) -> RequestId {
+    RequestId::of(&format!("request {number}"))
+}
+
+/// Piece `index` of the only right answer to a request.
+fn piece(request: RequestId, index: u64) -> u64 {
+    u64::from(request.0[0]) * 1000 + index
+}
+
+fn new_home() -> Home {
+    let cfg = Config {
+        max_running: 2,
+        tokens_per_sec: 20,
+        priorities: true,
+    };
+    Home {
+        queue: Queue::new(cfg),
+        pending: BTreeMap::new(),
+        leaving: false,
+        phase: Phase::default(),
+        ended: false,
+    }
+}
+
+impl World for RequestsWorld {
+    type Op = Op;
+
+    fn new() -> Self {
+        Self {
+            now: Time(10_000),
+            homes: (0..HOMES).map(|_| new_home()).collect(),
+            callers: BTreeMap::new(),
+            frames: Vec::new(),
+            runs: BTreeMap::new(),
+            budget: Budget::default(),
+            next_id: 0,
+            counts: Counts::new(),
+        }
+    }
+
+    fn step(&mut self, op: &Op) -> Result<(), String> {
+        match *op {
+            Op::Advance(ms) => {
+                self.now = self.now.plus(u64::from(ms));
+                for home in 0..HOMES {
+                    self.pump(home)?;
+                }
+            }
+            Op::Submit {
+                customer,
+                class,
+                idempotent,
+            } => {
+                self.submit(customer, class, idempotent)?;
+            }
+            Op::Token(home) => self.token(home)?,
+            Op::BreakStream(home) => self.break_stream(home)?,
+            Op::Deliver(index) => self.deliver(index, false)?,
+            Op::Double(index) => self.deliver(index, true)?,
+            Op::Drop(index) => self.drop_frame(index),
+            Op::Cross(index) => self.cross(index)?,
+            Op::LoseHome(home) => self.lose_home(home)?,
+            Op::Leave(home) => self.leave(home)?,
+            Op::Return(home) => {
+                self.homes[home].leaving = false;
+                self.homes[home].queue.set_leaving(false);
+            }
+            Op::Stop(home) => self.stop(home),
+            Op::Restart(home) => {
+                if self.homes[home].ended {
+                    self.homes[home] = new_home();
+                }
+            }
+        }
+        self.end_stopped()
+    }
+
+    fn counts(&self) -> &Counts {
+        &self.counts
+    }
+}
+
+impl RequestsWorld {
+    fn count(&mut self, name: &'static str) {
+        *self.counts.entry(name).or_insert(0) += 1;
+    }
+
+    fn submit(&mut self, customer: usize, class: Class, idempotent: bool) -> Result<(), String> {
+        self.next_id += 1;
+        let id = request_id(self.next_id);
+        let within = if class == Class::Online {
+            START_WITHIN_MS
+        } else {
+            END_WITHIN_MS
+        };
+        let request = Request {
+            id,
+            customer: CustomerId::of(&format!("c{customer}")),
+            class,
+            cost: PIECES,
+            start_by: self.now.plus(within),
+        };
+        let deadline = self.now.plus(END_WITHIN_MS);
+        let home = usize::from(id.0[0]) % HOMES;
+        let caller = Caller {
+            request,
+            idempotent,
+            attempts: Attempts::new(idempotent, deadline),
+            home,
+            text: Vec::new(),
+            result: None,
+            answered: false,
+        };
+        self.callers.insert(id, caller);
+        self.budget.note_request();
+        self.start_attempt(id)
+    }
+
+    fn start_attempt(&mut self, id: RequestId) -> Result<(), String> {
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return Ok(());
+        };
+        let number = caller.attempts.begin();
+        caller.home = (caller.home + 1) % HOMES;
+        let (home, request, from) = (caller.home, caller.request, caller.attempts.relayed());
+        if self.homes[home].ended {
+            caller.attempts.failed(Progress::NotSent);
+            return self.decide(id);
+        }
+        caller.attempts.sent();
+        let refuse = !self.homes[home].phase.is_given_out();
+        let result = if refuse {
+            Err(Refused::Leaving)
+        } else {
+            self.homes[home].queue.submit(self.now, request)
+        };
+        if result.is_err() {
+            self.count("refused at once");
+            self.frames.push(Frame {
+                request: id,
+                number,
+                body: Body::Refused,
+            });
+            return Ok(());
+        }
+        let pending = Pending {
+            request: id,
+            number,
+            next: from,
+            resumed: false,
+            running: false,
+        };
+        self.homes[home].pending.insert(id, pending);
+        self.pump(home)
+    }
+
+    fn pump(&mut self, home: usize) -> Result<(), String> {
+        let mut left = MAX_ACTIONS;
+        while let Some(action) = self.homes[home].queue.next(self.now) {
+            left -= 1;
+            if left == 0 {
+                return Err(format!("home {home} never comes to rest"));
+            }
+            match action {
+                Action::Start(request) => self.start(home, request)?,
+                Action::Preempt(id) => {
+                    self.count("preempted");
+                    if let Some(pending) = self.homes[home].pending.get_mut(&id) {
+                        pending.running = false;
+                        pending.resumed = true;
+                    }
+                    self.homes[home].queue.requeue(id);
+                }
+                Action::Expire(request) => {
+                    self.count("expired in queue");
+                    self.refuse(home, request.id);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// The home refuses a queued request, or fails one that has run in part.
+    fn refuse(&mut self, home: usize, id: RequestId) {
+        if let Some(pending) = self.homes[home].pending.remove(&id) {
+            let body = if pending.resumed {
+                Body::Failed
+            } else {
+                Body::Refused
+            };
+            self.frames.push(Frame {
+                request: id,
+                number: pending.number,
+                body,
+            });
+        }
+    }
+
+    fn start(&mut self, home: usize, request: Request) -> Result<(), String> {
+        let Some(pending) = self.homes[home].pending.get_mut(&request.id) else {
+            self.homes[home].queue.finished(request.id);
+            return Ok(());
+        };
+        pending.running = true;
+        let (id, resumed) = (pending.request, pending.resumed);
+        if self.homes[home].leaving {
+            return Err(format!("home {home} started work for a leaving endpoint"));
+        }
+        let submitted = &self.callers[&id].request;
+        if submitted.customer != request.customer {
+            return Err("a request ran for another customer".to_owned());
+        }
+        if request.class == Class::Batch && self.has_waiting_online(home) {
+            return Err("batch work started while online work waited".to_owned());
+        }
+        self.count(if request.class == Class::Online {
+            "started online"
+        } else {
+            "started batch"
+        });
+        if resumed {
+            self.count("resumed batch");
+            return Ok(());
+        }
+        let runs = self.runs.entry(id).or_insert(0);
+        *runs += 1;
+        if *runs > 1 && !self.callers[&id].idempotent {
+            return Err("a request that can't be repeated ran twice".to_owned());
+        }
+        Ok(())
+    }
+
+    fn has_waiting_online(&self, home: usize) -> bool {
+        self.homes[home].pending.values().any(|pending| {
+            !pending.running && self.callers[&pending.request].request.class == Class::Online
+        })
+    }
+
+    /// The engine makes one token for each running stream.
+    fn token(&mut self, home: usize) -> Result<(), String> {
+        let running: Vec<Pending> = self.homes[home]
+            .pending
+            .values()
+            .filter(|pending| pending.running)
+            .copied()
+            .collect();
+        for pending in running {
+            let id = pending.request;
+            let body = Body::Piece(pending.next, piece(id, pending.next));
+            self.frames.push(Frame {
+                request: id,
+                number: pending.number,
+                body,
+            });
+            let next = pending.next + 1;
+            if next >= PIECES {
+                let body = Body::End(PIECES);
+                self.frames.push(Frame {
+                    request: id,
+                    number: pending.number,
+                    body,
+                });
+                self.homes[home].pending.remove(&id);
+                self.homes[home].queue.finished(id);
+            } else if let Some(pending) = self.homes[home].pending.get_mut(&id) {
+                pending.next = next;
+            }
+            self.homes[home].queue.observe_step(10_000);
+        }
+        self.pump(home)
+    }
+
+    fn break_stream(&mut self, home: usize) -> Result<(), String> {
+        let running = self.homes[home]
+            .pending
+            .values()
+            .find(|pending| pending.running)
+            .copied();
+        if let Some(pending) = running {
+            self.count("stream broken");
+            self.homes[home].pending.remove(&pending.request);
+            self.homes[home].queue.finished(pending.request);
+            let frame = Frame {
+                request: pending.request,
+                number: pending.number,
+                body: Body::Failed,
+            };
+            self.frames.push(frame);
+        }
+        self.pump(home)
+    }
+
+    fn deliver(&mut self, index: usize, keep: bool) -> Result<(), String> {
+        if self.frames.is_empty() {
+            return Ok(());
+        }
+        let index = index % self.frames.len();
+        let frame = if keep {
+            self.count("frame doubled");
+            self.frames[index]
+        } else {
+            self.frames.remove(index)
+        };
+        self.take(frame)
+    }
+
+    fn drop_frame(&mut self, index: usize) {
+        if !self.frames.is_empty() {
+            let index = index % self.frames.len();
+            // A connection loses its end, never its middle: all later frames
+            // of the attempt go too.
+            let lost = self.frames[index];
+            self.frames
+                .retain(|frame| (frame.request, frame.number) != (lost.request, lost.number));
+            self.frames.push(Frame {
+                body: Body::Failed,
+                ..lost
+            });
+            self.count("frame dropped");
+        }
+    }
+
+    /// A frame reaches the caller of another request, under that one's number.
+    fn cross(&mut self, index: usize) -> Result<(), String> {
+        if self.frames.is_empty() {
+            return Ok(());
+        }
+        let frame = self.frames[index % self.frames.len()];
+        let other = self.callers.iter().find(|(id, caller)| {
+            **id != frame.request && caller.result.is_none() && !caller.answered
+        });
+        let Some((id, caller)) = other else {
+            return Ok(());
+        };
+        // Frames carry their request; what crosses is an earlier attempt's.
+        let number = caller.attempts.number().saturating_sub(1);
+        let body = match frame.body {
+            Body::Piece(index, _) => Body::Piece(index, 999_999),
+            other => other,
+        };
+        self.take(Frame {
+            request: *id,
+            number,
+            body,
+        })
+    }
+
+    fn take(&mut self, frame: Frame) -> Result<(), String> {
+        let Some(caller) = self.callers.get_mut(&frame.request) else {
+            return Ok(());
+        };
+        if caller.result.is_some() || caller.answered {
+            self.count("frame late");
+            return Ok(());
+        }
+        let current = caller.attempts.number();
+        match frame.body {
+            Body::Piece(index, value) => match caller.attempts.piece(frame.number, index) {
+                Relay::Pass => {
+                    caller.text.push(value);
+                    Ok(())
+                }
+                Relay::Drop => Ok(()),
+                Relay::Gap => self.fail(frame.request, Progress::MaybeRun),
+            },
+            Body::End(pieces) => {
+                if caller.attempts.end(frame.number, pieces) {
+                    return self.finish_answer(frame.request);
+                }
+                if frame.number == current {
+                    return self.fail(frame.request, Progress::MaybeRun);
+                }
+                Ok(())
+            }
+            // The link tells attempts apart by their number.
+            Body::Refused if frame.number == current => self.fail(frame.request, Progress::NotSent),
+            Body::Failed if frame.number == current => {
+                if caller.attempts.closed() {
+                    return self.finish_answer(frame.request);
+                }
+                self.fail(frame.request, Progress::MaybeRun)
+            }
+            Body::Refused | Body::Failed => Ok(()),
+        }
+    }
+
+    fn finish_answer(&mut self, id: RequestId) -> Result<(), String> {
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return Ok(());
+        };
+        caller.answered = true;
+        let expected: Vec<u64> = (0..PIECES).map(|index| piece(id, index)).collect();
+        if caller.text != expected {
+            return Err(format!(
+                "an answer is {:?}, must be {expected:?}",
+                caller.text
+            ));
+        }
+        let over_two = caller.attempts.number() > 1;
+        self.count("answered");
+        if over_two {
+            self.count("answered over two attempts");
+        }
+        Ok(())
+    }
+
+    fn fail(&mut self, id: RequestId, progress: Progress) -> Result<(), String> {
+        if let Some(caller) = self.callers.get_mut(&id) {
+            caller.attempts.failed(progress);
+        }
+        // What still runs of the attempt is cancelled at its home.
+        for home in 0..HOMES {
+            if self.homes[home].pending.remove(&id).is_some() {
+                self.homes[home].queue.finished(id);
+            }
+        }
+        self.decide(id)
+    }
+
+    fn decide(&mut self, id: RequestId) -> Result<(), String> {
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return Ok(());
+        };
+        let verdict = caller.attempts.verdict(self.now, &mut self.budget);
+        if verdict == Verdict::Retry {
+            return self.start_attempt(id);
+        }
+        caller.result = Some(verdict);
+        let runs = self.runs.get(&id).copied().unwrap_or(0);
+        if verdict == Verdict::NotRun {
+            self.count("said not run");
+            if runs > 0 {
+                return Err("a request that ran is said to have not run".to_owned());
+            }
+        } else {
+            self.count("said maybe run");
+        }
+        Ok(())
+    }
+
+    fn lose_home(&mut self, home: usize) -> Result<(), String> {
+        self.count("home lost");
+        let lost: Vec<RequestId> = self.homes[home].pending.keys().copied().collect();
+        self.homes[home] = new_home();
+        // What was on its way from it is gone with the connections.
+        self.frames.retain(|frame| !lost.contains(&frame.request));
+        for id in lost {
+            self.fail(id, Progress::MaybeRun)?;
+        }
+        Ok(())
+    }
+
+    fn leave(&mut self, home: usize) -> Result<(), String> {
+        self.count("leaving");
+        self.homes[home].leaving = true;
+        for request in self.homes[home].queue.set_leaving(true) {
+            self.refuse(home, request.id);
+        }
+        self.pump(home)
+    }
+
+    fn stop(&mut self, home: usize) {
+        self.count("stopping");
+        self.homes[home].phase = self.homes[home].phase.stop(self.now);
+    }
+
+    fn end_stopped(&mut self) -> Result<(), String> {
+        for home in 0..HOMES {
+            let running = self.homes[home].pending.len();
+            let state = &mut self.homes[home];
+            if !state.ended && state.phase.may_end(self.now, KEEP_ADDRESS_MS, running) {
+                if running > 0 {
+                    return Err(format!("home {home} ended with {running} requests"));
+                }
+                state.ended = true;
+                self.count("ended");
+            }
+        }
+        Ok(())
+    }
+}
--- a/cicadagate-policy/tests/support/mod.rs
+++ b/cicadagate-policy/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Runs generated sequences of operations and faults against a world, and
 //! shrinks a failing one.
 //!
+//! Each test binary uses its part of this module.
+//!
 //! `CICADAGATE_FUZZ_SEED`, `CICADAGATE_FUZZ_SEQUENCES` and
 //! `CICADAGATE_FUZZ_LENGTH` choose other sequences than the fixed ones of CI.
 
@@ -140,6 +142,7 @@
 
 /// Runs recorded sequences with and without a planted fault; returns in how
 /// many the oracle caught it.
+#[allow(dead_code, reason = "not every test binary has recorded sequences")]
 pub fn caught_in_recorded<W: World>(sequences: &[Vec<W::Op>], fault: Fault) -> usize {
     plant(None);
     for ops in sequences {
