--- a/cicadagate-batch/src/process/files.rs
+++ b/cicadagate-batch/src/process/files.rs
@@ -7,7 +7,7 @@
         Batch,
         calls::{error, log_down},
     },
-    crate::request::Line,
+    crate::{request::Line, version::DataStream},
     bytes::{Bytes, BytesMut},
     cicadagate_node::clock::epoch_secs,
     cicadagate_policy::{
@@ -19,6 +19,8 @@
     std::collections::BTreeMap,
 };
 
+/// Tries to append a chunk.
+const CHUNK_TRIES: u32 = 2;
 /// Longest line of a file, in bytes.
 const MAX_LINE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -73,7 +75,7 @@
                 seq,
                 body: part.to_vec(),
             };
-            chunks.push(stream.append(&data).await.map_err(drop)?);
+            chunks.push(append_again(&stream, &data).await?);
         }
         Ok(chunks)
     }
@@ -160,6 +162,17 @@
     }
 }
 
+/// Appends a chunk, more than once if the answer is lost: a chunk that no file
+/// names is only garbage until it expires.
+async fn append_again(stream: &DataStream, data: &Data) -> Result<Offset, ()> {
+    for _ in 1..CHUNK_TRIES {
+        if let Ok(offset) = stream.append(data).await {
+            return Ok(offset);
+        }
+    }
+    stream.append(data).await.map_err(drop)
+}
+
 fn show(file: &File) -> BatchReply {
     BatchReply::File {
         id: file.id,
--- a/cicadagate-dispatch/src/request/mod.rs
+++ b/cicadagate-dispatch/src/request/mod.rs
@@ -8,7 +8,10 @@
 
 use {
     crate::process::{Dispatcher, Pending},
-    awc::{Client, Connector, error::SendRequestError},
+    awc::{
+        Client, Connector,
+        error::{ConnectError, SendRequestError},
+    },
     cicadagate_node::{
         clock::epoch_ms,
         event,
@@ -205,14 +208,25 @@
 
 /// Turns a client's error into an outcome.
 ///
-/// Only an error while connecting proves that nothing was sent.
+/// Only a failure to make a connection proves that nothing was sent. The
+/// client's `Disconnected` is no such failure, although it is filed under
+/// connecting: it also stands for a connection that ended after the request
+/// went out.
 fn send_error(err: &SendRequestError) -> Outcome {
-    match err {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => {
-            Outcome::Refused(RefusedReason::Unreachable)
-        }
-        _ => failed_maybe_run(&err.to_string()),
+    let is_unsent = matches!(
+        err,
+        SendRequestError::Connect(
+            ConnectError::Timeout
+                | ConnectError::Io(_)
+                | ConnectError::Resolver(_)
+                | ConnectError::NoRecords
+                | ConnectError::Unresolved
+        )
+    );
+    if is_unsent {
+        return Outcome::Refused(RefusedReason::Unreachable);
     }
+    failed_maybe_run(&err.to_string())
 }
 
 fn failed_maybe_run(detail: &str) -> Outcome {
--- a/cicadagate-lab/src/lib.rs
+++ b/cicadagate-lab/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod demo;
 pub mod fleet;
 pub mod load;
+pub mod measure;
--- a/cicadagate-lab/src/main.rs
+++ b/cicadagate-lab/src/main.rs
@@ -2,9 +2,21 @@
 The lab's command line.
 */
 
-use {cicadagate_lab::demo, std::process::exit};
+use {
+    cicadagate_lab::{
+        demo,
+        measure::{self, Plan, Policy, Shape},
+    },
+    std::{
+        path::{Path, PathBuf},
+        process::exit,
+        time::Duration,
+    },
+};
 
 mod flags {
+    use std::path::PathBuf;
+
     xflags::xflags! {
         /// Fleets, load and experiments on loopback.
         cmd cicadagate-lab {
@@ -13,31 +25,92 @@
                 /// Stay up until interrupted.
                 optional --keep
             }
+            /// Measure policies on deployments' shapes.
+            cmd measure {
+                /// Shape file; more than one may be given. Default: lab/*.json.
+                repeated --shape shape: PathBuf
+                /// Policy; more than one may be given. Default: all.
+                repeated --policy policy: String
+                /// Rounds over all policies. Default: 2.
+                optional --rounds rounds: u32
+                /// Seconds of load in each run. Default: 15.
+                optional --seconds seconds: u64
+                /// Directory of the report. Default: target/measure.
+                optional --out out: PathBuf
+            }
         }
     }
 }
 
-async fn run(
-    flags: flags::CicadagateLab,
-) -> Result<Vec<String>, cicadagate_lab::fleet::FleetError> {
-    match flags.subcommand {
-        flags::CicadagateLabCmd::Demo(cmd) => demo::run(cmd.keep).await,
-    }
+/// Exit code for answers that were wrong.
+const EXIT_WRONG: i32 = 1;
+/// Exit code for a run that could not be held, or a wrong command line.
+const EXIT_FAILED: i32 = 2;
+
+fn fail(reason: impl std::fmt::Display) -> ! {
+    eprintln!("cicadagate-lab: {reason}");
+    exit(EXIT_FAILED);
 }
 
-fn main() {
-    let flags = flags::CicadagateLab::from_env_or_exit();
-    match actix_rt::System::new().block_on(run(flags)) {
+async fn demonstrate(keep: bool) {
+    match demo::run(keep).await {
         Ok(faults) if faults.is_empty() => println!("all answers were right"),
         Ok(faults) => {
             for fault in faults {
                 eprintln!("{fault}");
             }
-            exit(1);
-        }
-        Err(err) => {
-            eprintln!("cicadagate-lab: {err}");
-            exit(2);
+            exit(EXIT_WRONG);
         }
+        Err(err) => fail(err),
     }
 }
+
+fn plan(cmd: flags::Measure) -> Plan {
+    let shapes = if cmd.shape.is_empty() {
+        vec![
+            PathBuf::from("lab/qalaat.json"),
+            PathBuf::from("lab/lichtwerk.json"),
+        ]
+    } else {
+        cmd.shape
+    };
+    let shape = |path: &PathBuf| Shape::load(path).unwrap_or_else(|err| fail(err));
+    let policy = |name: &String| {
+        Policy::by_name(name).unwrap_or_else(|| {
+            let names = Policy::ALL.map(Policy::name).join(", ");
+            fail(format!("there is no policy '{name}'; there are {names}"))
+        })
+    };
+    let policies = if cmd.policy.is_empty() {
+        Policy::ALL.to_vec()
+    } else {
+        cmd.policy.iter().map(policy).collect()
+    };
+    Plan {
+        shapes: shapes.iter().map(shape).collect(),
+        policies,
+        rounds: cmd.rounds.unwrap_or(2).clamp(1, 10),
+        load: Duration::from_secs(cmd.seconds.unwrap_or(15).clamp(3, 300)),
+        out: cmd
+            .out
+            .unwrap_or_else(|| Path::new("target/measure").to_owned()),
+    }
+}
+
+async fn measure(cmd: flags::Measure) {
+    let plan = plan(cmd);
+    let all = measure::run_plan(&plan)
+        .await
+        .unwrap_or_else(|err| fail(err));
+    measure::write(&plan.out, &all).unwrap_or_else(|err| fail(err));
+}
+
+fn main() {
+    let flags = flags::CicadagateLab::from_env_or_exit();
+    actix_rt::System::new().block_on(async {
+        match flags.subcommand {
+            flags::CicadagateLabCmd::Demo(cmd) => demonstrate(cmd.keep).await,
+            flags::CicadagateLabCmd::Measure(cmd) => measure(cmd).await,
+        }
+    });
+}
--- /dev/null
+++ b/cicadagate-lab/src/measure/run.rs
@@ -0,0 +1,257 @@
+/*!
+One run: a fresh fleet, batch jobs, open-loop arrivals, faults in the middle.
+*/
+
+use {
+    super::{
+        FleetSnafu, LaggedSnafu, Result, WrongSnafu,
+        arrivals::{Arrival, arrivals},
+        outcome::{EngineTotals, Measured, Sample},
+        policy::Policy,
+        shape::Shape,
+    },
+    crate::{
+        demo::wait_for_tokens,
+        fleet::{Fleet, FleetError, FleetSpec},
+        load::{Caller, Outcome, caller::job_lines},
+    },
+    actix_rt::time::{Instant, sleep, sleep_until},
+    serde_json::Value,
+    snafu::{ResultExt, ensure},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+};
+
+/// Model of all runs.
+const MODEL: &str = "draft-1";
+/// Time for batch work to fill the fleet before the load.
+const WARM_UP: Duration = Duration::from_secs(3);
+/// Time for the customers' buckets to fill before the load.
+const FILL: Duration = Duration::from_secs(4);
+/// Longest lag of the generator that still gives figures.
+const MAX_LAG: Duration = Duration::from_millis(100);
+/// Longest wait for the last answers.
+const DRAIN: Duration = Duration::from_secs(30);
+
+/// Runs one policy on one shape.
+pub async fn run(shape: &Shape, policy: Policy, round: u32, load: Duration) -> Result<Measured> {
+    let mut fleet = Fleet::start(spec(shape, policy))
+        .await
+        .context(FleetSnafu)?;
+    let keys = publish(&fleet, shape).await.context(FleetSnafu)?;
+    if policy.has_batch() {
+        begin_jobs(&fleet, shape, &keys).await?;
+        sleep(WARM_UP).await;
+    }
+    let before = totals(&fleet, shape).await.context(FleetSnafu)?;
+    let start = Instant::now();
+    let samples = Rc::new(RefCell::new(Vec::new()));
+    let mut lag = Duration::ZERO;
+    let mut faults = policy.has_faults();
+    if policy.has_online() {
+        let entries = fleet.entries();
+        for arrival in arrivals(shape, u64::from(round), load) {
+            if faults && arrival.at > load / 2 {
+                faults = false;
+                fleet
+                    .kill(&format!("drafting-{}", shape.replicas))
+                    .context(FleetSnafu)?;
+                let last = format!("i{}", shape.instances);
+                fleet.kill_instance(&last).context(FleetSnafu)?;
+            }
+            let due = start + arrival.at;
+            sleep_until(due).await;
+            lag = lag.max(due.elapsed());
+            let caller = Caller::new(&keys[arrival.customer]);
+            let entry = entry_of(shape, &entries, &arrival);
+            let one = request(
+                caller,
+                entry,
+                arrival,
+                due,
+                shape.clone(),
+                Rc::clone(&samples),
+            );
+            actix_rt::spawn(one);
+        }
+    }
+    sleep_until(start + load).await;
+    let after = totals(&fleet, shape).await.context(FleetSnafu)?;
+    let window = start.elapsed();
+    ensure!(
+        lag <= MAX_LAG,
+        LaggedSnafu {
+            lag_ms: u64::try_from(lag.as_millis()).unwrap_or(0)
+        }
+    );
+    wait_for_answers(&samples).await;
+    let samples = samples.take();
+    let samples: Vec<Sample> = samples.into_iter().collect::<Result<_>>()?;
+    let totals = difference(after, before);
+    Ok(Measured::new(
+        shape, policy, round, &samples, totals, window, lag,
+    ))
+}
+
+fn spec(shape: &Shape, policy: Policy) -> FleetSpec {
+    let data_centres: Vec<&str> = shape.data_centres.iter().map(String::as_str).collect();
+    let (step, stream) = (shape.step_us.to_string(), shape.stream_us.to_string());
+    let prompt = shape.prompt_token_us.to_string();
+    let args = [
+        "--step-us",
+        &step,
+        "--stream-us",
+        &stream,
+        "--prompt-token-us",
+        &prompt,
+        "--cache-blocks",
+        "256",
+    ];
+    let run = format!("measure-{}-{}", shape.name, policy.name());
+    let mut spec = FleetSpec::new(&run, shape.instances, &data_centres).engines(
+        "drafting",
+        shape.replicas,
+        shape.streams_per_replica,
+        &args,
+    );
+    spec.entry = policy.entry();
+    spec.dispatch = policy.dispatch();
+    spec.keep_address_ms = 10_000;
+    spec
+}
+
+async fn publish(fleet: &Fleet, shape: &Shape) -> Result<Vec<String>, FleetError> {
+    let mut keys = Vec::new();
+    for customer in &shape.customers {
+        keys.push(fleet.add_customer(&customer.name, customer.rate, customer.burst)?);
+    }
+    fleet.ctl(
+        "i1",
+        &[
+            "put-route",
+            MODEL,
+            "--kind",
+            "model",
+            "--backend",
+            "drafting=1",
+        ],
+    )?;
+    fleet.wait_in_force()?;
+    wait_for_tokens(fleet, &keys).await?;
+    sleep(FILL).await;
+    Ok(keys)
+}
+
+async fn begin_jobs(fleet: &Fleet, shape: &Shape, keys: &[String]) -> Result<()> {
+    let entries = fleet.entries();
+    for job in 0..shape.jobs {
+        let caller = Caller::new(&keys[job % keys.len()]);
+        let entry = entries[job % entries.len()];
+        let prompts: Vec<String> = (0..shape.items)
+            .map(|item| {
+                let mark = if item % shape.poison_every == 1 {
+                    "poison"
+                } else {
+                    "summary"
+                };
+                format!("{mark} of application {item} of job {job}")
+            })
+            .collect();
+        let lines = job_lines(MODEL, &prompts, shape.item_tokens);
+        let failed = |detail: String| WrongSnafu { detail }.build();
+        let file = caller.upload(entry, &lines).await.map_err(failed)?;
+        caller
+            .create_job(entry, &file, "/v1/chat/completions", &file)
+            .await
+            .map_err(failed)?;
+    }
+    Ok(())
+}
+
+/// Callers keep few entries: a customer's load is skewed.
+fn entry_of(shape: &Shape, entries: &[SocketAddr], arrival: &Arrival) -> SocketAddr {
+    let kept = shape.customers[arrival.customer].entries.max(1);
+    let which = usize::try_from(arrival.number).unwrap_or(0) % kept;
+    // The last instance is the one that faults kill; nobody keeps it, so that
+    // what is measured is the fleet's share of the fault.
+    entries[(arrival.customer * 2 + which) % (entries.len() - 1)]
+}
+
+async fn request(
+    caller: Caller,
+    entry: SocketAddr,
+    arrival: Arrival,
+    due: Instant,
+    shape: Shape,
+    samples: Rc<RefCell<Vec<Result<Sample>>>>,
+) {
+    let index = {
+        let mut samples = samples.borrow_mut();
+        samples.push(
+            WrongSnafu {
+                detail: "no answer in time",
+            }
+            .fail(),
+        );
+        samples.len() - 1
+    };
+    sleep(Duration::from_millis(shape.client_ms)).await;
+    let sent = due.elapsed();
+    let answered = caller
+        .chat(entry, MODEL, &arrival.prompt, shape.tokens, true)
+        .await;
+    let sample = Sample {
+        customer: arrival.customer,
+        at: arrival.at,
+        first: answered.first.map(|first| sent + first),
+        gaps: answered.gaps,
+        refused: match &answered.outcome {
+            Outcome::Refused { status, .. } => Some(*status),
+            _ => None,
+        },
+        broken: matches!(answered.outcome, Outcome::Broken(_)),
+    };
+    samples.borrow_mut()[index] = match answered.outcome {
+        Outcome::Wrong(detail) => WrongSnafu { detail }.fail(),
+        _ => Ok(sample),
+    };
+}
+
+/// Waits until each begun request has its sample.
+async fn wait_for_answers(samples: &RefCell<Vec<Result<Sample>>>) {
+    let start = Instant::now();
+    while start.elapsed() < DRAIN {
+        let waiting = samples.borrow().iter().any(Result::is_err);
+        if !waiting {
+            return;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn totals(fleet: &Fleet, shape: &Shape) -> Result<EngineTotals, FleetError> {
+    let mut totals = EngineTotals::default();
+    for index in 1..=shape.replicas {
+        // A replica that died adds nothing more.
+        let name = format!("drafting-{index}");
+        let Ok(page) = fleet.page(&name, "listen", "/control/stats").await else {
+            continue;
+        };
+        let number = |field: &str| page[field].as_f64().unwrap_or(0.0);
+        totals.tokens += number("tokens");
+        totals.batch_tokens += number("batch_tokens");
+        totals.prompt_tokens += number("prompt_tokens");
+        totals.cached_tokens += number("cached_tokens");
+        let doubled = &page["leaked_keys"];
+        debug_assert!(doubled == &Value::from(0));
+    }
+    Ok(totals)
+}
+
+fn difference(after: EngineTotals, before: EngineTotals) -> EngineTotals {
+    EngineTotals {
+        tokens: after.tokens - before.tokens,
+        batch_tokens: after.batch_tokens - before.batch_tokens,
+        prompt_tokens: after.prompt_tokens - before.prompt_tokens,
+        cached_tokens: after.cached_tokens - before.cached_tokens,
+    }
+}
--- /dev/null
+++ b/cicadagate-lab/tests/jobs.rs
@@ -0,0 +1,245 @@
+//! Batch jobs under faults of processes and of the platform.
+
+#[path = "support/mod.rs"]
+mod support;
+
+use {
+    cicadagate_lab::load::caller::{check_output, job_lines},
+    serde_json::{Value, json},
+    std::{net::SocketAddr, time::Duration},
+    support::{
+        LIMIT, MODEL, Setup, engine_stat, id_of, prompts, run, small_spec, start, wait_for_job,
+    },
+};
+
+const CHAT: &str = "/v1/chat/completions";
+const ITEMS: usize = 120;
+const TOKENS: u64 = 20;
+
+async fn begin(setup: &Setup, entry: SocketAddr, prompts: &[String]) -> String {
+    let file = setup
+        .caller
+        .upload(entry, &job_lines(MODEL, prompts, TOKENS))
+        .await;
+    let file = file.expect("uploaded");
+    let job = setup
+        .caller
+        .create_job(entry, &file, CHAT, &file)
+        .await
+        .expect("accepted");
+    // A resend meets the same job.
+    let again = setup
+        .caller
+        .create_job(entry, &file, CHAT, &file)
+        .await
+        .expect("the same");
+    assert_eq!(job["id"], again["id"]);
+    id_of(&job)
+}
+
+async fn wait_for_work(setup: &Setup, tokens: u64) {
+    let before = engine_stat(&setup.fleet, 3, "batch_tokens").await;
+    setup
+        .fleet
+        .wait("the job is worked on", LIMIT, async || {
+            engine_stat(&setup.fleet, 3, "batch_tokens").await > before + tokens
+        })
+        .await
+        .expect("work began");
+}
+
+fn claimant(setup: &Setup) -> String {
+    let jobs = setup.fleet.ctl("i1", &["jobs"]).expect("jobs");
+    let open = jobs["jobs"].as_array().expect("a list").iter();
+    let open = open.filter(|job| job["state"] == "in_progress");
+    let names: Vec<&Value> = open.map(|job| &job["claimant"]).collect();
+    names
+        .first()
+        .and_then(|name| name.as_str())
+        .expect("a claimant")
+        .to_owned()
+}
+
+async fn check(setup: &Setup, entry: SocketAddr, job: &Value, prompts: &[String]) {
+    let output = job["output_file_id"].as_str().expect("an output");
+    let output = setup.caller.content(entry, output).await.expect("contents");
+    check_output(&output, prompts, TOKENS).expect("every item once and right");
+}
+
+/// The claimant is killed, and in another job frozen past its claim.
+#[test]
+fn jobs_outlive_their_claimants() {
+    run(async {
+        let mut setup = start(small_spec("claimant")).await;
+        let mut prompts = prompts(ITEMS);
+        prompts.push("poison".to_owned());
+        for fault in ["kill", "freeze"] {
+            let entry = setup.fleet.entries()[0];
+            prompts[0] = format!("first of {fault}");
+            let id = begin(&setup, entry, &prompts).await;
+            wait_for_work(&setup, 200).await;
+            let instance = claimant(&setup);
+            let name = format!("{instance}-batch");
+            if fault == "kill" {
+                setup.fleet.kill(&name).expect("killed");
+            } else {
+                setup.fleet.freeze(&name).expect("frozen");
+            }
+            let job = wait_for_job(&setup.caller, entry, &id).await;
+            assert_eq!(job["request_counts"]["failed"], 1, "{job}");
+            check(&setup, entry, &job, &prompts).await;
+            if fault == "kill" {
+                setup
+                    .fleet
+                    .restart(&instance, "batch")
+                    .await
+                    .expect("restarted");
+            } else {
+                setup.fleet.thaw(&name).expect("thawed");
+                // It wakes with a lost claim and must change nothing.
+                actix_rt::time::sleep(Duration::from_secs(3)).await;
+                check(&setup, entry, &job, &prompts).await;
+            }
+        }
+    });
+}
+
+/// A running job goes on in an outage of the log and loses nothing.
+#[test]
+fn jobs_outlive_an_outage_of_the_log() {
+    run(async {
+        let setup = start(small_spec("job-outage")).await;
+        let entry = setup.fleet.entries()[0];
+        let prompts = prompts(ITEMS);
+        setup
+            .fleet
+            .platform_faults(&json!({"lose_answers": 4}))
+            .await
+            .expect("ordered");
+        // The answers to the first appends are lost; sent again it meets the
+        // same file.
+        let lines = job_lines(MODEL, &prompts, TOKENS);
+        let mut file = setup.caller.upload(entry, &lines).await;
+        for _ in 0..4 {
+            if file.is_err() {
+                file = setup.caller.upload(entry, &lines).await;
+            }
+        }
+        let file = file.expect("uploaded");
+        setup
+            .fleet
+            .platform_faults(&json!({"lose_answers": 0}))
+            .await
+            .expect("ordered");
+        let job = setup
+            .caller
+            .create_job(entry, &file, CHAT, "outage")
+            .await
+            .expect("accepted");
+        wait_for_work(&setup, 200).await;
+        setup
+            .fleet
+            .platform_faults(&json!({"log_down": true}))
+            .await
+            .expect("down");
+        actix_rt::time::sleep(Duration::from_secs(6)).await;
+        setup
+            .fleet
+            .platform_faults(&json!({"log_down": false}))
+            .await
+            .expect("up");
+        let job = wait_for_job(&setup.caller, entry, &id_of(&job)).await;
+        check(&setup, entry, &job, &prompts).await;
+    });
+}
+
+/// A cancelled job stops: its streams are cancelled and nothing more is sent.
+#[test]
+fn cancelled_jobs_stop() {
+    run(async {
+        let setup = start(small_spec("cancel")).await;
+        let entry = setup.fleet.entries()[0];
+        let id = begin(&setup, entry, &prompts(2_000)).await;
+        wait_for_work(&setup, 100).await;
+        let job = setup
+            .caller
+            .cancel_job(setup.fleet.entries()[1], &id)
+            .await
+            .expect("cancelled");
+        assert_eq!(job["status"], "cancelled");
+        setup
+            .fleet
+            .wait("the engines are idle", LIMIT, async || {
+                engine_stat(&setup.fleet, 3, "running").await == 0
+            })
+            .await
+            .expect("idle");
+        let tokens = engine_stat(&setup.fleet, 3, "batch_tokens").await;
+        actix_rt::time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(engine_stat(&setup.fleet, 3, "batch_tokens").await, tokens);
+        let again = setup.caller.job(entry, &id).await.expect("shown");
+        assert_eq!(again["status"], "cancelled");
+    });
+}
+
+/// Items that can't be repeated run at most once, although the claimant dies.
+#[test]
+fn items_that_cannot_be_repeated_run_once() {
+    run(async {
+        let mut setup = start(small_spec("once")).await;
+        let entry = setup.fleet.entries()[0];
+        let lines: Vec<String> = (0..400)
+            .map(|index| {
+                let id = format!("permit-{index}");
+                json!({"custom_id": id, "method": "POST", "url": "/permits/new", "body": {}})
+                    .to_string()
+            })
+            .collect();
+        let file = setup
+            .caller
+            .upload(entry, &lines.join("\n"))
+            .await
+            .expect("uploaded");
+        let job = setup
+            .caller
+            .create_job(entry, &file, "/permits/new", &file)
+            .await;
+        let id = id_of(&job.expect("accepted"));
+        let calls = async || {
+            let page = setup
+                .fleet
+                .page("permits-1", "listen", "/control/calls")
+                .await;
+            page.expect("page")["calls"]
+                .as_object()
+                .expect("calls")
+                .clone()
+        };
+        setup
+            .fleet
+            .wait("calls are made", LIMIT, async || calls().await.len() > 20)
+            .await
+            .expect("work began");
+        let instance = claimant(&setup);
+        setup
+            .fleet
+            .kill(&format!("{instance}-batch"))
+            .expect("killed");
+        let entry = setup.fleet.entries()[0];
+        let job = wait_for_job(&setup.caller, entry, &id).await;
+        let calls = setup
+            .fleet
+            .page("permits-1", "listen", "/control/calls")
+            .await
+            .expect("page");
+        let calls = calls["calls"].as_object().expect("calls");
+        assert!(calls.values().all(|count| *count == 1), "{calls:?}");
+        let counts = &job["request_counts"];
+        let (completed, failed) = (
+            counts["completed"].as_u64().unwrap_or(0),
+            counts["failed"].as_u64().unwrap_or(0),
+        );
+        assert_eq!(completed + failed, 400, "{counts}");
+        assert!(calls.len() as u64 >= completed);
+    });
+}
--- /dev/null
+++ b/cicadagate-lab/tests/platform.rs
@@ -0,0 +1,255 @@
+//! Outages of the platform, withdrawn keys and operators' races.
+
+#[path = "support/mod.rs"]
+mod support;
+
+use {
+    cicadagate_lab::load::{Caller, Outcome, caller::job_lines},
+    serde_json::json,
+    std::time::{Duration, Instant},
+    support::{LIMIT, MODEL, assert_all_right, prompts, run, small_spec, start, streams},
+};
+
+/// A withdrawn key stops working everywhere within seconds, on connections
+/// that are open too.
+#[test]
+fn withdrawn_key_stops_on_open_connections() {
+    run(async {
+        let setup = start(small_spec("withdraw")).await;
+        let entries = setup.fleet.entries();
+        // One client: it keeps its connections.
+        for entry in &entries {
+            let answered = setup.caller.chat(*entry, MODEL, "before", 2, false).await;
+            assert_eq!(answered.outcome, Outcome::Right);
+        }
+        setup
+            .fleet
+            .ctl("i2", &["withdraw-key", "qalaat-key"])
+            .expect("withdrawn");
+        let start = Instant::now();
+        for entry in &entries {
+            let refused = setup
+                .fleet
+                .wait("the key is refused", Duration::from_secs(15), async || {
+                    let answered = setup.caller.chat(*entry, MODEL, "after", 2, false).await;
+                    matches!(answered.outcome, Outcome::Refused { status: 401, .. })
+                })
+                .await;
+            refused.expect("refused");
+        }
+        assert!(start.elapsed() < Duration::from_secs(15));
+        let (code, _, err) = setup
+            .fleet
+            .ctl_raw("i1", &["create-key", "qalaat", "--id", "qalaat-key"])
+            .expect("ran");
+        assert_ne!(code, 0, "a withdrawn key does not come back: {err}");
+    });
+}
+
+/// In an outage of the log online requests go on, jobs are refused truthfully,
+/// a key can still be withdrawn, and a restarted process serves.
+#[test]
+fn log_outage_stops_only_ordered_decisions() {
+    run(async {
+        let mut setup = start(small_spec("log-outage")).await;
+        let other = setup
+            .fleet
+            .ctl("i1", &["create-key", "qalaat", "--id", "second"]);
+        let other = other.expect("a key")["secret"]
+            .as_str()
+            .expect("a secret")
+            .to_owned();
+        setup.fleet.wait_in_force().expect("in force");
+        let entries = setup.fleet.entries();
+        let file = setup
+            .caller
+            .upload(entries[0], &job_lines(MODEL, &prompts(3), 2))
+            .await;
+        let file = file.expect("uploaded");
+        setup
+            .fleet
+            .platform_faults(&json!({"log_down": true}))
+            .await
+            .expect("down");
+        // Longer than contact by the log lasts.
+        let start = Instant::now();
+        while start.elapsed() < Duration::from_secs(8) {
+            assert_all_right(&streams(&setup.caller, &entries, 3, 3).await);
+        }
+        let job = setup
+            .caller
+            .create_job(entries[0], &file, "/v1/chat/completions", "k")
+            .await;
+        let refusal = job.expect_err("no job without the log");
+        assert!(refusal.contains("log_unavailable"), "{refusal}");
+        assert!(refusal.contains("\"not_run\":true"), "{refusal}");
+        // An operator withdraws the other key.
+        let answer = setup
+            .fleet
+            .ctl("i3", &["withdraw-key", "second"])
+            .expect("withdrawn");
+        assert_eq!(answer["log_pending"], true, "{answer}");
+        let withdrawn = Caller::new(&other);
+        for entry in &entries {
+            setup
+                .fleet
+                .wait("the key is refused", Duration::from_secs(15), async || {
+                    let answered = withdrawn.chat(*entry, MODEL, "after", 2, false).await;
+                    matches!(answered.outcome, Outcome::Refused { status: 401, .. })
+                })
+                .await
+                .expect("refused");
+        }
+        // A process that starts now takes the configuration from peers.
+        setup.fleet.kill("i1-entry").expect("killed");
+        setup.fleet.restart("i1", "entry").await.expect("restarted");
+        let fresh = setup
+            .fleet
+            .address("i1-entry", "listen")
+            .expect("an address");
+        setup
+            .fleet
+            .wait("the new entry serves", LIMIT, async || {
+                let answered = setup.caller.chat(fresh, MODEL, "fresh", 2, false).await;
+                answered.outcome == Outcome::Right
+            })
+            .await
+            .expect("served");
+        // The log comes back and takes the withdrawal.
+        setup
+            .fleet
+            .platform_faults(&json!({"log_down": false}))
+            .await
+            .expect("up");
+        setup
+            .fleet
+            .wait("the withdrawal is in the log", LIMIT, async || {
+                let list = setup.fleet.ctl("i2", &["list"]);
+                let keys = list
+                    .map(|list| list["keys"].to_string())
+                    .unwrap_or_default();
+                keys.contains("\"id\":\"second\",\"version\"")
+                    && keys.contains("\"withdrawn\":true")
+            })
+            .await
+            .expect("in the log");
+        let answered = setup.caller.chat(entries[1], MODEL, "end", 2, false).await;
+        assert_eq!(answered.outcome, Outcome::Right);
+    });
+}
+
+/// Changes whose answers are lost count once; a race is decided by the log.
+#[test]
+fn lost_answers_and_races_of_operators() {
+    run(async {
+        let setup = start(small_spec("operators")).await;
+        setup
+            .fleet
+            .platform_faults(&json!({"lose_answers": 3}))
+            .await
+            .expect("ordered");
+        let put =
+            |rate: &str| ["put-customer", "lost", "--rate", rate, "--burst", "5"].map(String::from);
+        let first = put("7");
+        let first: Vec<&str> = first.iter().map(String::as_str).collect();
+        let answer = setup
+            .fleet
+            .ctl("i1", &first)
+            .expect("decided in spite of the lost answer");
+        let version = answer["version"].as_u64().expect("a version");
+        setup
+            .fleet
+            .platform_faults(&json!({"lose_answers": 0}))
+            .await
+            .expect("ordered");
+        let history = setup.fleet.ctl("i1", &["history"]).expect("history");
+        let entries = history["entries"].as_array().expect("entries");
+        let about = entries
+            .iter()
+            .filter(|entry| entry["object"].to_string().contains("lost"));
+        assert_eq!(about.count(), 1, "{history}");
+        // Two operators change the same version.
+        let based_on = version.to_string();
+        let change = |rate: &'static str| {
+            let based_on = based_on.clone();
+            [
+                "put-customer",
+                "lost",
+                "--rate",
+                rate,
+                "--burst",
+                "5",
+                "--based-on",
+            ]
+            .into_iter()
+            .map(String::from)
+            .chain(std::iter::once(based_on))
+            .collect::<Vec<String>>()
+        };
+        let mut codes = Vec::new();
+        for (instance, rate) in [("i2", "8"), ("i3", "9")] {
+            let args = change(rate);
+            let args: Vec<&str> = args.iter().map(String::as_str).collect();
+            codes.push(setup.fleet.ctl_raw(instance, &args).expect("ran").0);
+        }
+        assert_eq!(codes, [0, 3], "the second one is told of the conflict");
+        setup.fleet.wait_in_force().expect("in force");
+        // A resend with the same id counts once.
+        let resend = [
+            "--request-id",
+            "op-1",
+            "put-customer",
+            "again",
+            "--rate",
+            "1",
+            "--burst",
+            "2",
+        ];
+        let one = setup.fleet.ctl("i1", &resend).expect("accepted");
+        let two = setup.fleet.ctl("i2", &resend).expect("the same");
+        assert_eq!(one["version"], two["version"]);
+    });
+}
+
+/// A process cut off from the log and all peers stops serving within seconds.
+#[test]
+fn cut_off_entry_refuses() {
+    run(async {
+        let mut setup = start(small_spec("cut-off")).await;
+        let entry = setup.fleet.entries()[0];
+        setup
+            .fleet
+            .platform_faults(&json!({"log_down": true}))
+            .await
+            .expect("down");
+        // A majority of the witnesses is frozen: to this entry they are cut.
+        setup.fleet.freeze("i2-dispatch").expect("frozen");
+        setup.fleet.freeze("i3-dispatch").expect("frozen");
+        setup
+            .fleet
+            .wait("the entry refuses", LIMIT, async || {
+                let answered = setup.caller.chat(entry, MODEL, "cut", 2, false).await;
+                matches!(
+                    answered.outcome,
+                    Outcome::Refused { status: 503, ref code, not_run: true, .. } if code == "no_contact"
+                )
+            })
+            .await
+            .expect("refused");
+        setup.fleet.thaw("i2-dispatch").expect("thawed");
+        setup.fleet.thaw("i3-dispatch").expect("thawed");
+        setup
+            .fleet
+            .platform_faults(&json!({"log_down": false}))
+            .await
+            .expect("up");
+        setup
+            .fleet
+            .wait("the entry serves again", LIMIT, async || {
+                let answered = setup.caller.chat(entry, MODEL, "back", 2, false).await;
+                answered.outcome == Outcome::Right
+            })
+            .await
+            .expect("served");
+    });
+}
--- /dev/null
+++ b/cicadagate-lab/tests/support/mod.rs
@@ -0,0 +1,153 @@
+//! Fleets and callers for process tests.
+//!
+//! Each test binary uses its part of this module.
+#![allow(dead_code, reason = "not every test binary uses every part")]
+
+use {
+    cicadagate_lab::{
+        demo::wait_for_tokens,
+        fleet::{Fleet, FleetSpec},
+        load::{Answered, Caller, Outcome},
+    },
+    futures_util::future::join_all,
+    serde_json::Value,
+    std::{
+        future::Future,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Generous limit for a condition.
+pub const LIMIT: Duration = Duration::from_mins(1);
+/// Model of all tests.
+pub const MODEL: &str = "draft-1";
+
+/// Runs a test on the process's own kind of runtime.
+pub fn run<F: Future<Output = ()>>(test: F) {
+    actix_rt::System::new().block_on(test);
+}
+
+/// A fleet with one customer and its key.
+pub struct Setup {
+    pub fleet: Fleet,
+    pub key: String,
+    pub caller: Caller,
+}
+
+/// Three instances in three data centres, three engines, one service.
+pub fn small_spec(run: &str) -> FleetSpec {
+    FleetSpec::new(run, 3, &["a", "b", "c"])
+        .engines("drafting", 3, 8, &["--step-us", "20000"])
+        .services("permits", 1)
+}
+
+/// Starts a fleet and publishes a customer, a model and a service.
+pub async fn start(spec: FleetSpec) -> Setup {
+    start_with_rate(spec, 200.0, 200).await
+}
+
+pub async fn start_with_rate(spec: FleetSpec, rate: f64, burst: u32) -> Setup {
+    let fleet = Fleet::start(spec).await.expect("the fleet starts");
+    let key = fleet
+        .add_customer("qalaat", rate, burst)
+        .expect("a customer");
+    fleet
+        .ctl(
+            "i1",
+            &[
+                "put-route",
+                MODEL,
+                "--kind",
+                "model",
+                "--backend",
+                "drafting=1",
+            ],
+        )
+        .expect("a model route");
+    let service = [
+        "put-route",
+        "/permits",
+        "--kind",
+        "service",
+        "--backend",
+        "permits=1",
+    ];
+    fleet
+        .ctl("i1", &[&service[..], &["--non-idempotent"]].concat())
+        .expect("a service route");
+    fleet.wait_in_force().expect("in force");
+    wait_for_tokens(&fleet, std::slice::from_ref(&key))
+        .await
+        .expect("tokens");
+    // The buckets start empty: lets them fill.
+    actix_rt::time::sleep(Duration::from_secs_f64(f64::from(burst) / rate + 0.5)).await;
+    let caller = Caller::new(&key);
+    Setup { fleet, key, caller }
+}
+
+/// Starts `count` streams over all entries at once.
+pub fn streams(
+    caller: &Caller,
+    entries: &[SocketAddr],
+    count: usize,
+    tokens: u64,
+) -> impl Future<Output = Vec<Answered>> + use<> {
+    let caller = caller.clone();
+    let entries = entries.to_vec();
+    let one = move |number: usize| {
+        let caller = caller.clone();
+        let entry = entries[number % entries.len()];
+        async move {
+            caller
+                .chat(entry, MODEL, &format!("stream {number}"), tokens, true)
+                .await
+        }
+    };
+    join_all((0..count).map(one))
+}
+
+/// Asserts that every request was answered right.
+pub fn assert_all_right(answered: &[Answered]) {
+    for (number, one) in answered.iter().enumerate() {
+        assert_eq!(one.outcome, Outcome::Right, "request {number}");
+    }
+}
+
+/// Waits until a job has ended; returns it.
+pub async fn wait_for_job(caller: &Caller, entry: SocketAddr, id: &str) -> Value {
+    let start = Instant::now();
+    loop {
+        if let Ok(job) = caller.job(entry, id).await
+            && (job["status"] == "completed" || job["status"] == "cancelled")
+        {
+            return job;
+        }
+        assert!(start.elapsed() < 2 * LIMIT, "job {id} ends");
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Prompts of a job.
+pub fn prompts(count: usize) -> Vec<String> {
+    (0..count)
+        .map(|index| format!("application {index}"))
+        .collect()
+}
+
+/// Returns the id of a job or file.
+pub fn id_of(value: &Value) -> String {
+    value["id"].as_str().expect("an id").to_owned()
+}
+
+/// Sum of a field of all engines' statistics.
+pub async fn engine_stat(fleet: &Fleet, engines: usize, field: &str) -> u64 {
+    let mut sum = 0;
+    for index in 1..=engines {
+        let page = fleet
+            .page(&format!("drafting-{index}"), "listen", "/control/stats")
+            .await;
+        sum += page.expect("statistics")[field].as_u64().expect("a number");
+    }
+    sum
+}
--- a/cicadagate-standin/src/service.rs
+++ b/cicadagate-standin/src/service.rs
@@ -112,12 +112,18 @@
 /// Tells whether a request carries any form of a caller's key.
 pub(crate) fn carries_key(req: &Request) -> bool {
     let headers = req.headers();
-    let names = ["authorization", "x-api-key", "api-key", "cookie"];
+    let names = ["authorization", "x-api-key", "api-key"];
+    let cookie = headers.get("cookie").and_then(|value| value.to_str().ok());
+    let in_cookie = cookie.is_some_and(|cookie| cookie.contains("key="));
     let in_query = req
         .uri()
         .query()
         .is_some_and(|query| query.contains("key="));
-    in_query || names.iter().any(|name| headers.contains_key(*name))
+    // Keys of the fleet begin so, whatever carries them.
+    let in_value = headers
+        .iter()
+        .any(|(_, value)| value.as_bytes().starts_with(b"cg-"));
+    in_query || in_cookie || in_value || names.iter().any(|name| headers.contains_key(*name))
 }
 
 /// A response that breaks off its connection.
--- /dev/null
+++ b/cicadagate-wire/tests/frames.rs
@@ -0,0 +1,197 @@
+//! Frames and datagrams: what was sent arrives; anything else is refused.
+
+use {
+    bytes::Bytes,
+    cicadagate_policy::{
+        ids::{CustomerId, EndpointId, MemberId, RequestId},
+        process::{
+            dispatch::Class,
+            membership::{Kind, Message},
+        },
+    },
+    cicadagate_wire::{
+        datagram::DatagramCodec,
+        key::FleetKey,
+        peer::{
+            FromServer, Hello, MAX_FRAME_BYTES, PROTOCOL, PeerCodec, Side, Submit, Target, ToServer,
+        },
+        seal::SealError,
+    },
+    quickcheck::{Gen, QuickCheck},
+};
+
+fn key(byte: &str) -> FleetKey {
+    FleetKey::from_hex(&byte.repeat(32)).expect("a key")
+}
+
+fn hello(nonce: u8) -> Hello {
+    Hello {
+        protocol: PROTOCOL,
+        nonce: [nonce; 16],
+        member: MemberId::of("m"),
+    }
+}
+
+/// Both sides of a connection after their hellos.
+fn connection() -> (PeerCodec<FromServer>, PeerCodec<ToServer>) {
+    let key = key("ab");
+    let (client, server) = (hello(1), hello(2));
+    let established = |side| PeerCodec::handshake(&key, side);
+    (
+        established(Side::Client).established(&key, Side::Client, &client, &server),
+        established(Side::Server).established(&key, Side::Server, &client, &server),
+    )
+}
+
+fn submit(body: &[u8]) -> ToServer {
+    ToServer::Submit(Box::new(Submit {
+        id: RequestId::of("r"),
+        attempt: 1,
+        class: Class::Online,
+        customer: CustomerId::of("c"),
+        endpoint: EndpointId::of("e"),
+        target: Target::Engine,
+        method: "POST".to_owned(),
+        path: "/v1/x".to_owned(),
+        headers: vec![("a".to_owned(), "b".to_owned())],
+        body: Bytes::copy_from_slice(body),
+        cost: 1,
+        start_within_ms: 2,
+        resume_from: 3,
+        force: false,
+        load_bound: 4,
+        traceparent: String::new(),
+    }))
+}
+
+/// A property of some bytes and a place in them.
+type Property = fn(Vec<u8>, usize) -> bool;
+
+fn check(sequences: u64, property: Property) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(300, 7))
+        .tests(sequences)
+        .quickcheck(property);
+}
+
+#[test]
+fn messages_arrive_in_any_pieces() {
+    fn property(body: Vec<u8>, cut: usize) -> bool {
+        let (mut client, mut server) = connection();
+        let mut out = Vec::new();
+        let sent = submit(&body);
+        drop(body);
+        client.encode(&sent, &mut out);
+        client.encode(&ToServer::FetchConfig { seq: 9 }, &mut out);
+        let (first, second) = out.split_at(cut % out.len());
+        let mut got = Vec::new();
+        for part in [first, second] {
+            server.feed(part);
+            while let Some(message) = server.next_message().expect("sound frames") {
+                got.push(message);
+            }
+        }
+        got == [sent, ToServer::FetchConfig { seq: 9 }]
+    }
+    check(300, property);
+}
+
+#[test]
+fn changed_bytes_are_refused() {
+    fn property(body: Vec<u8>, at: usize) -> bool {
+        let (mut client, mut server) = connection();
+        let mut out = Vec::new();
+        client.encode(&submit(&body), &mut out);
+        drop(body);
+        // Behind the length: a changed length is a longer wait or an error.
+        let at = 4 + at % (out.len() - 4);
+        out[at] ^= 1;
+        server.feed(&out);
+        matches!(server.next_message(), Err(SealError::WrongMac))
+    }
+    check(300, property);
+}
+
+#[test]
+fn repeated_frames_are_refused() {
+    let (mut client, mut server) = connection();
+    let mut out = Vec::new();
+    client.encode(&ToServer::FetchConfig { seq: 1 }, &mut out);
+    server.feed(&out);
+    assert!(matches!(server.next_message(), Ok(Some(_))));
+    server.feed(&out);
+    assert_eq!(server.next_message(), Err(SealError::WrongMac));
+}
+
+#[test]
+fn frames_of_another_connection_are_refused() {
+    let (mut client, _) = connection();
+    let key = key("ab");
+    let mut server: PeerCodec<ToServer> = PeerCodec::handshake(&key, Side::Server).established(
+        &key,
+        Side::Server,
+        &hello(1),
+        &hello(3),
+    );
+    let mut out = Vec::new();
+    client.encode(&ToServer::FetchConfig { seq: 1 }, &mut out);
+    server.feed(&out);
+    assert_eq!(server.next_message(), Err(SealError::WrongMac));
+}
+
+#[test]
+fn hello_without_the_key_is_refused() {
+    let mut client = PeerCodec::handshake(&key("ab"), Side::Client);
+    let mut server = PeerCodec::handshake(&key("cd"), Side::Server);
+    let mut out = Vec::new();
+    client.encode(&hello(1), &mut out);
+    server.feed(&out);
+    assert_eq!(server.next_message(), Err(SealError::WrongMac));
+}
+
+#[test]
+fn huge_frames_are_refused_by_their_length() {
+    let (_, mut server) = connection();
+    let bytes = u32::try_from(MAX_FRAME_BYTES + 1).expect("fits");
+    server.feed(&bytes.to_be_bytes());
+    assert!(matches!(
+        server.next_message(),
+        Err(SealError::TooLong { .. })
+    ));
+    let mut server = PeerCodec::handshake(&key("ab"), Side::Server);
+    server.feed(&100_000_u32.to_be_bytes());
+    assert!(matches!(
+        server.next_message(),
+        Err(SealError::TooLong { .. })
+    ));
+}
+
+#[test]
+fn any_bytes_are_no_datagram() {
+    fn property(bytes: Vec<u8>, _: usize) -> bool {
+        let refused = DatagramCodec::new(&key("ab")).decode(&bytes).is_err();
+        drop(bytes);
+        refused
+    }
+    check(500, property);
+}
+
+#[test]
+fn datagrams_arrive_under_the_key_only() {
+    let message = Message {
+        kind: Kind::Ping { seq: 1 },
+        updates: Vec::new(),
+        withdrawn: vec![[7; 32]],
+    };
+    let datagram = DatagramCodec::new(&key("ab")).encode(&message);
+    assert_eq!(
+        DatagramCodec::new(&key("ab")).decode(&datagram),
+        Ok(message)
+    );
+    assert_eq!(
+        DatagramCodec::new(&key("cd")).decode(&datagram),
+        Err(SealError::WrongMac)
+    );
+    let truncated = &datagram[..datagram.len() - 1];
+    assert!(DatagramCodec::new(&key("ab")).decode(truncated).is_err());
+}
