--- a/cicadagate-batch/src/process/worker.rs
+++ b/cicadagate-batch/src/process/worker.rs
@@ -36,6 +36,9 @@
 const IDLE_PAUSE: Duration = Duration::from_millis(50);
 /// Bytes of results that make a record.
 const RECORD_BYTES: usize = 128 * 1024;
+/// Appends a second that results of all jobs may take because of time; full
+/// records come on top.
+const RESULT_APPENDS_PER_SEC: u64 = 100;
 /// Bytes of unwritten results above which no item is begun.
 const MAX_UNWRITTEN_BYTES: usize = 8 * 1024 * 1024;
 /// Items that can't be repeated in one intent record.
@@ -208,20 +211,31 @@
         }
     }
 
+    /// Jobs that are worked on anywhere.
+    fn jobs_worked_on(&self) -> usize {
+        let state = self.batch.jobs.state.borrow();
+        let is_worked_on = |job: &&JobState| job.phase == Phase::Open && job.claim.is_some();
+        state.jobs().filter(is_worked_on).count().max(1)
+    }
+
     /// Items of this job that may run at once: its part of the replicas'
     /// streams among the jobs that are worked on anywhere.
     fn window(&self) -> usize {
-        let node = &self.batch.node;
-        let listing = node.listing.borrow();
+        let listing = self.batch.node.listing.borrow();
         let streams: usize = listing
             .endpoints
             .values()
             .map(|e| e.max_streams.max(1))
             .sum();
-        let state = self.batch.jobs.state.borrow();
-        let is_worked_on = |job: &&JobState| job.phase == Phase::Open && job.claim.is_some();
-        let jobs = state.jobs().filter(is_worked_on).count().max(1);
-        (streams * self.batch.settings.window_percent / 100 / jobs).max(MIN_WINDOW)
+        let share = streams * self.batch.settings.window_percent / 100 / self.jobs_worked_on();
+        share.max(MIN_WINDOW)
+    }
+
+    /// Longest wait of a result, so that all jobs' results together stay
+    /// within their share of the log's appends.
+    fn flush_interval(&self) -> Duration {
+        let shared = self.jobs_worked_on() as u64 * 1_000 / RESULT_APPENDS_PER_SEC;
+        Duration::from_millis(self.batch.settings.flush_ms.max(shared))
     }
 
     fn may_begin(&self) -> bool {
@@ -290,7 +304,7 @@
 
     async fn flush_if_due(&mut self, is_idle: bool) {
         let waited = self.unwritten_since.elapsed();
-        let is_due = waited >= Duration::from_millis(self.batch.settings.flush_ms) || is_idle;
+        let is_due = waited >= self.flush_interval() || is_idle;
         if self.unwritten.is_empty() || (!is_due && self.unwritten_bytes < RECORD_BYTES) {
             return;
         }
--- a/cicadagate-batch/src/request/run.rs
+++ b/cicadagate-batch/src/request/run.rs
@@ -55,8 +55,12 @@
             return Some(Outcome::Unknown);
         }
         match failure.kind {
-            FailureKind::Permanent => return Some(give_up(job.id, index, &failure)),
-            FailureKind::Busy | FailureKind::Unavailable => unavailable += 1,
+            FailureKind::Permanent | FailureKind::KeyWithdrawn => {
+                return Some(give_up(job.id, index, &failure));
+            }
+            FailureKind::Busy | FailureKind::Unavailable | FailureKind::LogUnavailable => {
+                unavailable += 1;
+            }
             FailureKind::Failed if failure.not_run => unavailable += 1,
             FailureKind::Failed | FailureKind::Deadline => tries += 1,
         }
@@ -115,6 +119,9 @@
         body: Bytes::from(body),
         cost: tokens,
         idempotent: !route.non_idempotent,
+        // Results and intents in the log do here what keys do for callers.
+        keyed: false,
+        key: None,
         start_within_ms: START_WITHIN_MS,
         end_within_ms: END_WITHIN_MS,
         context: Context::root(),
--- a/cicadagate-dispatch/src/process/mod.rs
+++ b/cicadagate-dispatch/src/process/mod.rs
@@ -2,11 +2,18 @@
 The dispatcher: replicas, what waits for them and what runs there.
 */
 
+mod intents;
+mod memory;
 mod orders;
 mod roster;
 mod shares;
 mod snapshots;
 
+pub(crate) use {
+    intents::{Claim, Intents},
+    memory::Recorded,
+};
+
 use {
     crate::{
         DispatchSettings,
@@ -25,6 +32,7 @@
         process::dispatch::{Action, Class, Config, Queue, Refused, Request},
     },
     cicadagate_wire::peer::{FromServer, RefusedReason, Submit, ToServer},
+    memory::Memory,
     shares::Shares,
     std::{
         cell::{Cell, RefCell},
@@ -36,7 +44,7 @@
 };
 
 /// How often queues are looked at without an event.
-const LOOK_EVERY: Duration = Duration::from_millis(20);
+const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// How long an endpoint that said so itself is taken to be leaving.
 const SAID_LEAVING_MS: u64 = 5_000;
 /// Longest time that batch work may wait in a queue, in milliseconds.
@@ -51,6 +59,8 @@
     pub pieces: Cell<u64>,
     pub stop: Cell<Option<Stop>>,
     pub stopped: Notify,
+    /// The answer so far, if a resend must meet it.
+    pub recorded: RefCell<Recorded>,
     pub queued_ms: u64,
     _guard: RunningGuard,
 }
@@ -65,6 +75,8 @@
     pub node: Rc<Node>,
     pub settings: DispatchSettings,
     pub clients: crate::request::Clients,
+    pub intents: Intents,
+    memory: RefCell<Memory>,
     shares: Shares,
     replicas: RefCell<HashMap<EndpointId, Replica>>,
     pending: RefCell<HashMap<RequestId, Rc<Pending>>>,
@@ -76,6 +88,8 @@
     pub fn start(node: Rc<Node>, settings: DispatchSettings) -> Rc<Self> {
         let dispatcher = Rc::new_cyclic(|me| Self {
             shares: Shares::start(&node),
+            intents: Intents::start(&node),
+            memory: RefCell::default(),
             clients: crate::request::Clients::new(),
             replicas: RefCell::default(),
             pending: RefCell::default(),
@@ -137,6 +151,14 @@
         if !self.node.phase().is_given_out() {
             return refuse(RefusedReason::Stopping, 0);
         }
+        if submit.keyed
+            && let Some(messages) = self.memory.borrow_mut().replay(self.node.now(), &submit)
+        {
+            for message in messages {
+                outbox.send(message);
+            }
+            return;
+        }
         let Some(endpoint) = self.endpoint(submit.endpoint) else {
             return refuse(RefusedReason::UnknownEndpoint, 0);
         };
@@ -152,6 +174,7 @@
                     endpoint: endpoint.id,
                     stop: Cell::new(None),
                     stopped: Notify::new(),
+                    recorded: RefCell::default(),
                     queued_ms: epoch_ms(),
                     _guard: self.node.count_running(),
                     submit,
@@ -297,11 +320,43 @@
             replica.queue.finished(pending.submit.id);
         }
         if let Some(message) = message {
+            self.remember(pending, &message);
             pending.outbox.send(message);
         }
         self.pump(pending.endpoint);
     }
 
+    /// Keeps a whole answer that a resend must meet.
+    fn remember(&self, pending: &Pending, message: &FromServer) {
+        let FromServer::End {
+            finish,
+            prompt_tokens,
+            ..
+        } = message
+        else {
+            return;
+        };
+        // An answer that was begun at another home is not whole here.
+        if !pending.submit.keyed || pending.submit.resume_from > 0 {
+            return;
+        }
+        let mut recorded = pending.recorded.take();
+        recorded.finish.clone_from(finish);
+        recorded.prompt_tokens = *prompt_tokens;
+        self.memory
+            .borrow_mut()
+            .keep(self.node.now(), pending.submit.id, recorded);
+    }
+
+    /// Tells whether the key that a request came with was withdrawn since.
+    pub fn is_key_withdrawn(&self, submit: &Submit) -> bool {
+        let Some(hash) = &submit.key else {
+            return false;
+        };
+        let is_spread = self.node.membership.borrow().is_withdrawn(hash);
+        is_spread || self.node.config.borrow().is_withdrawn(hash)
+    }
+
     /// Returns a replica's load, as callers of a class see it.
     pub fn load(&self, endpoint: EndpointId, class: Class) -> u64 {
         let replicas = self.replicas.borrow();
@@ -382,6 +437,8 @@
         RefusedReason::Unreachable => "unreachable",
         RefusedReason::Expired => "expired",
         RefusedReason::Stopping => "stopping",
+        RefusedReason::KeyWithdrawn => "key_withdrawn",
+        RefusedReason::LogUnavailable => "log_unavailable",
     }
 }
 
--- a/cicadagate-dispatch/src/request/mod.rs
+++ b/cicadagate-dispatch/src/request/mod.rs
@@ -7,7 +7,7 @@
 mod sse;
 
 use {
-    crate::process::{Dispatcher, Pending},
+    crate::process::{Claim, Dispatcher, Pending},
     awc::{
         Client, Connector,
         error::{ConnectError, SendRequestError},
@@ -145,7 +145,27 @@
         let Some(endpoint) = self.dispatcher.endpoint(self.pending.endpoint) else {
             return Outcome::Refused(RefusedReason::UnknownEndpoint);
         };
-        match self.pending.submit.target {
+        let submit = &self.pending.submit;
+        // It may have waited long enough for its key to be withdrawn.
+        if self.dispatcher.is_key_withdrawn(submit) {
+            return Outcome::Refused(RefusedReason::KeyWithdrawn);
+        }
+        if submit.keyed && !submit.idempotent {
+            let node = &self.dispatcher.node;
+            match self.dispatcher.intents.claim(node, submit.id).await {
+                Claim::Mine => {}
+                Claim::Unavailable => return Outcome::Refused(RefusedReason::LogUnavailable),
+                Claim::MaybeRun => {
+                    return Outcome::Failed {
+                        progress: Progress::MaybeRun,
+                        permanent: true,
+                        status: 409,
+                        detail: "it ran before, and its answer is not kept".to_owned(),
+                    };
+                }
+            }
+        }
+        match submit.target {
             Target::Engine => self.run_engine(endpoint.addr).await,
             Target::Service => self.run_service(endpoint.addr).await,
         }
@@ -155,6 +175,9 @@
     fn send_piece(&self, body: bytes::Bytes) {
         let submit = &self.pending.submit;
         let index = self.pending.pieces.get();
+        if submit.keyed {
+            self.pending.recorded.borrow_mut().pieces.push(body.clone());
+        }
         self.pending.pieces.set(index + 1);
         let piece = FromServer::Piece {
             id: submit.id,
--- a/cicadagate-dispatch/src/request/service.rs
+++ b/cicadagate-dispatch/src/request/service.rs
@@ -46,11 +46,14 @@
             Ok(res) => res,
             Err(err) => return send_error(&err),
         };
+        let (status, headers) = (res.status().as_u16(), relayed_headers(res.headers()));
+        self.pending.recorded.borrow_mut().head = Some((status, headers.clone()));
+        let (id, attempt) = (submit.id, submit.attempt);
         let head = FromServer::Head {
-            id: submit.id,
-            attempt: submit.attempt,
-            status: res.status().as_u16(),
-            headers: relayed_headers(res.headers()),
+            id,
+            attempt,
+            status,
+            headers,
         };
         // The first bytes decide whether the answer is whole enough to begin.
         let mut first = res.next().await;
--- a/cicadagate-entry/src/request/completion.rs
+++ b/cicadagate-entry/src/request/completion.rs
@@ -20,7 +20,9 @@
         request::{Answer, Failure, Plan, Step},
     },
     cicadagate_policy::{
-        ids::CustomerId, process::dispatch::Class, request::choice::prefix_hash,
+        ids::{CustomerId, hash64},
+        process::dispatch::Class,
+        request::choice::prefix_hash,
         version::config::choose_backend,
     },
     cicadagate_wire::peer::Target,
@@ -202,14 +204,24 @@
         headers: Vec::new(),
         body: Bytes::from(asked.body.to_string()),
         cost: asked.max_tokens + prompt_tokens / PROMPT_TOKENS_PER_COST,
-        prefix: prefix_hash(&call.customer.name, &asked.model, asked.prompt.as_bytes()),
+        prefix: prefix(call, asked),
         idempotent: true,
+        keyed: call.idempotency_key.is_some(),
+        key: call.key,
         start_within_ms: settings.start_within_ms,
         end_within_ms: settings.end_within_ms,
         context: call.context,
     }
 }
 
+/// A resend must come to the same home, so there the key decides.
+fn prefix(call: &Call, asked: &Asked) -> u64 {
+    match call.idempotency_key {
+        Some(_) => hash64(&[&call.id.0]),
+        None => prefix_hash(&call.customer.name, &asked.model, asked.prompt.as_bytes()),
+    }
+}
+
 /// Writes an answer in the shape of the inference protocol.
 struct Writer {
     kind: Kind,
--- a/cicadagate-entry/src/request/error.rs
+++ b/cicadagate-entry/src/request/error.rs
@@ -74,6 +74,8 @@
             FailureKind::Permanent => (failure.status, "endpoint_refused"),
             FailureKind::Failed => (502, "attempts_failed"),
             FailureKind::Deadline => (504, "deadline_exceeded"),
+            FailureKind::KeyWithdrawn => (401, "invalid_key"),
+            FailureKind::LogUnavailable => (503, "log_unavailable"),
         };
         Self {
             status,
--- a/cicadagate-entry/src/request/key.rs
+++ b/cicadagate-entry/src/request/key.rs
@@ -35,13 +35,24 @@
     "traceparent",
 ];
 
+/// A customer, and the hash of the key that spoke for it.
+pub(super) struct Caller {
+    pub customer: Customer,
+    pub key: Option<[u8; 32]>,
+}
+
 /// Finds the customer that a request's key speaks for.
-pub(super) fn customer(node: &Node, req: &Request) -> Result<Customer> {
+pub(super) fn caller(node: &Node, req: &Request) -> Result<Caller> {
     let Some(key) = secret(req) else {
         return Err(ApiError::invalid(401, "missing_key", "a key is needed"));
     };
-    node.customer_of_key(&key)
-        .ok_or_else(|| ApiError::invalid(401, "invalid_key", "the key is unknown or withdrawn"))
+    let customer = node
+        .customer_of_key(&key)
+        .ok_or_else(|| ApiError::invalid(401, "invalid_key", "the key is unknown or withdrawn"))?;
+    Ok(Caller {
+        customer,
+        key: Some(node.key.hash_caller_key(&key)),
+    })
 }
 
 /// Finds the key of a request: header, cookie or query.
--- a/cicadagate-entry/src/request/mod.rs
+++ b/cicadagate-entry/src/request/mod.rs
@@ -33,6 +33,7 @@
     pub id: RequestId,
     pub context: Context,
     pub customer: Customer,
+    pub key: Option<[u8; 32]>,
     pub idempotency_key: Option<String>,
 }
 
@@ -110,7 +111,7 @@
     if parts.first() != Some(&"v1") {
         return service::answer(entry, req, id, context).await;
     }
-    let customer = key::customer(&entry.node, &req)?;
+    let key::Caller { customer, key } = key::caller(&entry.node, &req)?;
     let header = |name: &str| {
         req.headers()
             .get(name)
@@ -126,6 +127,7 @@
         id,
         context,
         customer,
+        key,
         idempotency_key,
     };
     match (method, parts.as_slice()) {
--- a/cicadagate-entry/src/request/service.rs
+++ b/cicadagate-entry/src/request/service.rs
@@ -6,7 +6,7 @@
     super::{
         Call, admit, body,
         error::{ApiError, Result},
-        key::{customer, relayed_headers, relayed_path},
+        key::{Caller, caller, relayed_headers, relayed_path},
         relay::{Render, begin, body as relayed_body},
     },
     crate::process::Entry,
@@ -32,11 +32,14 @@
 const CALL_COST: u64 = 8;
 
 /// Customer of calls on routes that are open to all.
-fn nobody() -> Customer {
-    Customer {
-        name: String::new(),
-        rate_milli: 0,
-        burst: 0,
+fn nobody() -> Caller {
+    Caller {
+        customer: Customer {
+            name: String::new(),
+            rate_milli: 0,
+            burst: 0,
+        },
+        key: None,
     }
 }
 
@@ -59,10 +62,10 @@
             "no route leads there",
         ));
     };
-    let customer = if route.open {
+    let Caller { customer, key } = if route.open {
         nobody()
     } else {
-        customer(&entry.node, &req)?
+        caller(&entry.node, &req)?
     };
     let header = |name: &str| {
         req.headers()
@@ -79,6 +82,7 @@
         id,
         context,
         customer,
+        key,
         idempotency_key,
     };
     let body = body(&mut req, entry.settings.max_body_bytes).await?;
@@ -101,6 +105,8 @@
         cost: CALL_COST,
         prefix: hash64(&[&call.id.0]),
         idempotent: safe || !route.non_idempotent,
+        keyed: call.idempotency_key.is_some(),
+        key: call.key,
         start_within_ms: entry.settings.start_within_ms,
         end_within_ms: entry.settings.end_within_ms,
         context,
--- a/cicadagate-lab/src/fleet/mod.rs
+++ b/cicadagate-lab/src/fleet/mod.rs
@@ -262,6 +262,18 @@
         })
     }
 
+    /// Returns the id of a process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no such process.
+    pub fn pid(&self, name: &str) -> Result<u32> {
+        self.processes
+            .get(name)
+            .map(Process::id)
+            .context(UnknownSnafu { name })
+    }
+
     /// Address of the platform's stand-in.
     #[must_use]
     pub const fn platform(&self) -> SocketAddr {
--- a/cicadagate-lab/src/fleet/process.rs
+++ b/cicadagate-lab/src/fleet/process.rs
@@ -53,6 +53,10 @@
         let _ = kill_process(Pid::from_child(&self.child), signal);
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
     }
--- /dev/null
+++ b/cicadagate-lab/src/hops.rs
@@ -0,0 +1,181 @@
+/*!
+What the two hops add to calling an endpoint directly, and how batch work
+gives way to a burst.
+*/
+
+use {
+    crate::{
+        demo::wait_for_tokens,
+        fleet::{Fleet, FleetError, FleetSpec},
+        load::{Caller, Outcome, caller::job_lines},
+    },
+    actix_rt::time::sleep,
+    futures_util::future::join_all,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Model of the runs.
+const MODEL: &str = "draft-1";
+/// Requests of each kind.
+const REQUESTS: usize = 300;
+/// Online requests of a burst.
+const BURST: usize = 12;
+/// Bursts.
+const BURSTS: usize = 5;
+/// Streams of each of the two replicas.
+const STREAMS: usize = 8;
+/// Longest wait for batch work to be back.
+const BACK_LIMIT: Duration = Duration::from_secs(10);
+
+fn percentile(mut values: Vec<f64>, quantile: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "small counts"
+    )]
+    let at = ((values.len() as f64 - 1.0) * quantile) as usize;
+    values.get(at).copied().unwrap_or(f64::NAN)
+}
+
+async fn start(run: &str, step_us: &str) -> Result<(Fleet, Caller), FleetError> {
+    let spec = FleetSpec::new(run, 3, &["a", "b", "c"]).engines(
+        "drafting",
+        2,
+        STREAMS,
+        &["--step-us", step_us, "--stream-us", "150"],
+    );
+    let fleet = Fleet::start(spec).await?;
+    let key = fleet.add_customer("qalaat", 1_000.0, 1_000)?;
+    fleet.ctl(
+        "i1",
+        &[
+            "put-route",
+            MODEL,
+            "--kind",
+            "model",
+            "--backend",
+            "drafting=1",
+        ],
+    )?;
+    fleet.wait_in_force()?;
+    wait_for_tokens(&fleet, std::slice::from_ref(&key)).await?;
+    sleep(Duration::from_secs(1)).await;
+    Ok((fleet, Caller::new(&key)))
+}
+
+/// Measures both and prints them.
+///
+/// # Errors
+///
+/// Returns an error if a fleet can't be started.
+pub async fn run() -> Result<(), FleetError> {
+    hops().await?;
+    bursts().await
+}
+
+/// Calls an engine directly and through the fleet, in turn.
+async fn hops() -> Result<(), FleetError> {
+    // A step of 1 ms: what the hops add shows beside it.
+    let (fleet, caller) = start("hops", "1000").await?;
+    let (entry, engine) = (fleet.entries()[0], fleet.address("drafting-1", "listen")?);
+    let (mut direct, mut through) = (Vec::new(), Vec::new());
+    for number in 0..REQUESTS {
+        direct.push(first_token_ms(&caller, engine, number).await?);
+        through.push(first_token_ms(&caller, entry, number).await?);
+    }
+    for (name, quantile) in [("median", 0.5), ("99th percentile", 0.99)] {
+        let (direct, through) = (
+            percentile(direct.clone(), quantile),
+            percentile(through.clone(), quantile),
+        );
+        println!(
+            "first token, {name}: {direct:.2} ms directly, {through:.2} ms through two hops, \
+             {:.2} ms added",
+            through - direct
+        );
+    }
+    Ok(())
+}
+
+async fn first_token_ms(
+    caller: &Caller,
+    addr: SocketAddr,
+    number: usize,
+) -> Result<f64, FleetError> {
+    let answered = caller
+        .chat(addr, MODEL, &format!("hop {number}"), 2, true)
+        .await;
+    match (answered.outcome, answered.first) {
+        (Outcome::Right, Some(first)) => Ok(first.as_secs_f64() * 1000.0),
+        (outcome, _) => Err(FleetError::Call {
+            what: addr.to_string(),
+            reason: format!("{outcome:?}"),
+        }),
+    }
+}
+
+/// Fills the replicas with batch work and sends bursts of online requests.
+async fn bursts() -> Result<(), FleetError> {
+    let (fleet, caller) = start("bursts", "20000").await?;
+    let entry = fleet.entries()[0];
+    let prompts: Vec<String> = (0..20_000).map(|item| format!("summary {item}")).collect();
+    let failed = |reason| FleetError::Call {
+        what: "batch job".to_owned(),
+        reason,
+    };
+    let file = caller
+        .upload(entry, &job_lines(MODEL, &prompts, 200))
+        .await
+        .map_err(failed)?;
+    caller
+        .create_job(entry, &file, "/v1/chat/completions", &file)
+        .await
+        .map_err(failed)?;
+    let (mut firsts, mut backs) = (Vec::new(), Vec::new());
+    for burst in 0..BURSTS {
+        wait_full(&fleet).await?;
+        let asked = (0..BURST).map(|number| {
+            let prompt = format!("burst {burst} {number}");
+            let caller = caller.clone();
+            async move { caller.chat(entry, MODEL, &prompt, 10, true).await }
+        });
+        for answered in join_all(asked).await {
+            firsts.extend(answered.first.map(|first| first.as_secs_f64() * 1000.0));
+        }
+        let start = Instant::now();
+        wait_full(&fleet).await?;
+        backs.push(start.elapsed().as_secs_f64() * 1000.0);
+    }
+    println!(
+        "burst of {BURST} onto 2 replicas full of batch work: first token median {:.1} ms, \
+         greatest {:.1} ms, with a step of 20 ms",
+        percentile(firsts.clone(), 0.5),
+        percentile(firsts, 1.0),
+    );
+    println!(
+        "batch back to all but the reserved streams after the last answer: median {:.0} ms, \
+         greatest {:.0} ms",
+        percentile(backs.clone(), 0.5),
+        percentile(backs, 1.0),
+    );
+    Ok(())
+}
+
+/// Waits until batch work has all streams but one of each replica.
+async fn wait_full(fleet: &Fleet) -> Result<(), FleetError> {
+    fleet
+        .wait("batch work fills the replicas", BACK_LIMIT, async || {
+            let mut running = 0;
+            for name in ["drafting-1", "drafting-2"] {
+                let page = fleet.page(name, "listen", "/control/stats").await;
+                running += page.map_or(0, |page| page["running"].as_u64().unwrap_or(0));
+            }
+            running >= 2 * (STREAMS as u64 - 1)
+        })
+        .await
+}
--- a/cicadagate-lab/src/lib.rs
+++ b/cicadagate-lab/src/lib.rs
@@ -8,5 +8,7 @@
 
 pub mod demo;
 pub mod fleet;
+pub mod hops;
 pub mod load;
 pub mod measure;
+pub mod slopes;
--- a/cicadagate-lab/src/load/caller.rs
+++ b/cicadagate-lab/src/load/caller.rs
@@ -152,6 +152,28 @@
         Ok((status, serde_json::from_slice(&body).unwrap_or_default()))
     }
 
+    /// Calls a plain service with an idempotency key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails.
+    pub async fn keyed_service(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+        key: &str,
+    ) -> Result<(u16, Value), String> {
+        let request = self.post(entry, path).insert_header(("x-call-id", key));
+        let request = request.insert_header(("idempotency-key", key));
+        let mut res = request
+            .send_body("hello")
+            .await
+            .map_err(|err| err.to_string())?;
+        let status = res.status().as_u16();
+        let body = res.body().await.map_err(|err| err.to_string())?;
+        Ok((status, serde_json::from_slice(&body).unwrap_or_default()))
+    }
+
     /// Uploads a batch file; returns its id.
     ///
     /// # Errors
--- a/cicadagate-lab/src/main.rs
+++ b/cicadagate-lab/src/main.rs
@@ -4,8 +4,9 @@
 
 use {
     cicadagate_lab::{
-        demo,
+        demo, hops,
         measure::{self, Plan, Policy, Shape},
+        slopes,
     },
     std::{
         path::{Path, PathBuf},
@@ -38,6 +39,13 @@
                 /// Directory of the report. Default: target/measure.
                 optional --out out: PathBuf
             }
+            /// Measure what the hops add, and how batch work gives way.
+            cmd hops { }
+            /// Measure the slopes of docs/CAPACITY.md.
+            cmd slopes {
+                /// Print JSON.
+                optional --json
+            }
         }
     }
 }
@@ -111,6 +119,12 @@
         match flags.subcommand {
             flags::CicadagateLabCmd::Demo(cmd) => demonstrate(cmd.keep).await,
             flags::CicadagateLabCmd::Measure(cmd) => measure(cmd).await,
+            flags::CicadagateLabCmd::Hops(_) => {
+                hops::run().await.unwrap_or_else(|err| fail(err));
+            }
+            flags::CicadagateLabCmd::Slopes(cmd) => {
+                slopes::run(cmd.json).await.unwrap_or_else(|err| fail(err));
+            }
         }
     });
 }
--- /dev/null
+++ b/cicadagate-lab/src/slopes.rs
@@ -0,0 +1,630 @@
+/*!
+Slopes for docs/CAPACITY.md.
+
+Each figure is measured over several sizes and fitted by a line; the fit's
+straightness is printed with it, so that a figure at the letter's size can be
+worked out or mistrusted. The deciding functions run alone here, at the
+letter's size; what a whole idle process spends is measured on small fleets.
+*/
+
+use {
+    crate::fleet::{Fleet, FleetError, FleetSpec},
+    cicadagate_policy::{
+        ids::{CustomerId, EndpointId, FileId, JobId, MemberId, Offset, RequestId, hash64},
+        process::{
+            dispatch::{Class, Config, Queue, Request},
+            holder::Holder,
+            homes::{Place, home},
+            membership::{Health, Info, Kind, Membership, Message, Role, Update},
+        },
+        request::choice::{Chooser, Rule},
+        time::Time,
+        version::{
+            config::{Change, Customer, Key, Record, Roster, Seat, State},
+            jobs,
+        },
+    },
+    cicadagate_wire::{datagram::DatagramCodec, key::FleetKey},
+    serde_json::{Value, json},
+    std::{
+        fs,
+        hint::black_box,
+        time::{Duration, Instant},
+    },
+};
+
+/// A fitted line.
+#[derive(Clone, Debug)]
+pub struct Slope {
+    /// What was measured.
+    pub name: &'static str,
+    /// Unit of the values.
+    pub unit: &'static str,
+    /// What the sizes count.
+    pub per: &'static str,
+    /// Sizes and values.
+    pub points: Vec<(f64, f64)>,
+}
+
+impl Slope {
+    /// Returns intercept, slope and the share of variance that the line
+    /// explains.
+    #[must_use]
+    pub fn fit(&self) -> (f64, f64, f64) {
+        #[expect(clippy::cast_precision_loss, reason = "few points")]
+        let n = self.points.len() as f64;
+        let mean = |of: fn(&(f64, f64)) -> f64| self.points.iter().map(of).sum::<f64>() / n;
+        let (mx, my) = (mean(|point| point.0), mean(|point| point.1));
+        let sum = |of: &dyn Fn(f64, f64) -> f64| {
+            self.points
+                .iter()
+                .map(|(x, y)| of(x - mx, y - my))
+                .sum::<f64>()
+        };
+        let (xx, xy, yy) = (sum(&|x, _| x * x), sum(&|x, y| x * y), sum(&|_, y| y * y));
+        let slope = if xx > 0.0 { xy / xx } else { 0.0 };
+        let straight = if yy > 0.0 { xy * xy / (xx * yy) } else { 1.0 };
+        (my - slope * mx, slope, straight)
+    }
+
+    fn line(&self) -> String {
+        let (base, slope, straight) = self.fit();
+        let points: Vec<String> = self
+            .points
+            .iter()
+            .map(|(x, y)| format!("{x:.0}: {y:.2}"))
+            .collect();
+        format!(
+            "{}: {base:.2} + {slope:.5} {} per {}; R2 {straight:.3}; {}",
+            self.name,
+            self.unit,
+            self.per,
+            points.join(", "),
+        )
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "small counts")]
+fn float(count: usize) -> f64 {
+    count as f64
+}
+
+/// Mean microseconds of an action over `times` runs.
+fn micros(times: u32, mut act: impl FnMut()) -> f64 {
+    act();
+    let start = Instant::now();
+    for _ in 0..times {
+        act();
+    }
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(times)
+}
+
+fn info(index: usize) -> Info {
+    Info {
+        id: MemberId::of(&format!("i{index}/entry#1")),
+        instance: format!("instance-{index}"),
+        data_centre: format!("dc-{}", index % 7),
+        role: Role::Dispatch,
+        udp: ([10, 0, 0, 1], u16::try_from(index % 60_000).unwrap_or(0)).into(),
+        tcp: ([10, 0, 0, 1], u16::try_from(index % 60_000).unwrap_or(0)).into(),
+        started: 1_700_000_000_000,
+        version: Offset(100_000),
+        leaving: false,
+    }
+}
+
+fn membership(members: usize) -> Membership {
+    let mut membership = Membership::new(info(0), 1);
+    for index in 1..=members {
+        let update = Update {
+            info: info(index),
+            incarnation: 1,
+            health: Health::Alive,
+        };
+        let message = Message {
+            kind: Kind::Ack {
+                seq: 0,
+                from: MemberId::default(),
+            },
+            updates: vec![update],
+            withdrawn: Vec::new(),
+        };
+        membership.handle(Time(1), ([10, 0, 0, 1], 1).into(), message);
+    }
+    membership
+}
+
+/// CPU of a probe period and of a received message; bytes of a message.
+fn membership_slopes() -> Vec<Slope> {
+    let sizes = [50, 100, 400, 800, 1_640];
+    let key = FleetKey::from_hex(&"ab".repeat(32)).ok();
+    let codec = key.map(|key| DatagramCodec::new(&key));
+    let (mut cpu, mut bytes) = (Vec::new(), Vec::new());
+    for members in sizes {
+        let mut membership = membership(members);
+        let mut now = Time(10);
+        let mut sent = 0;
+        let mut messages = 0;
+        let us = micros(400, || {
+            now = now.plus(500);
+            let out = membership.tick(now);
+            for (to, message) in out {
+                if let Some(codec) = &codec {
+                    sent += codec.encode(&message).len();
+                    messages += 1;
+                }
+                // The answer, which clears the probe.
+                if let Kind::Ping { seq } = message.kind {
+                    let ack = Message {
+                        kind: Kind::Ack {
+                            seq,
+                            from: MemberId::default(),
+                        },
+                        ..message
+                    };
+                    black_box(membership.handle(now, to, ack));
+                }
+            }
+        });
+        cpu.push((float(members), us));
+        bytes.push((float(members), float(sent) / float(messages)));
+    }
+    vec![
+        Slope {
+            name: "probe period, CPU",
+            unit: "us",
+            per: "member",
+            points: cpu,
+        },
+        Slope {
+            name: "datagram",
+            unit: "bytes",
+            per: "member",
+            points: bytes,
+        },
+    ]
+}
+
+fn customer(index: usize) -> Customer {
+    Customer {
+        name: format!("customer-{index}"),
+        rate_milli: 3_000,
+        burst: 20,
+    }
+}
+
+fn fold(state: &mut State, change: Change) {
+    let offset = state.version().next();
+    let id = RequestId::of(&format!("{offset}"));
+    state.fold(
+        offset,
+        &Record {
+            id,
+            based_on: Offset::NONE,
+            change,
+        },
+    );
+}
+
+fn config(customers: usize) -> State {
+    let mut state = State::default();
+    for index in 0..customers {
+        fold(&mut state, Change::PutCustomer(customer(index)));
+        for key in 0..3 {
+            let hash = hash_of(index * 3 + key);
+            let id = format!("key-{index}-{key}");
+            fold(
+                &mut state,
+                Change::PutKey(Key {
+                    id,
+                    customer: customer(index).name,
+                    hash,
+                }),
+            );
+        }
+    }
+    state
+}
+
+fn hash_of(index: usize) -> [u8; 32] {
+    let mut hash = [0; 32];
+    hash[..8].copy_from_slice(&hash64(&[&index.to_le_bytes()]).to_le_bytes());
+    hash
+}
+
+fn seats(count: usize) -> Vec<Seat> {
+    let seat = |index: usize| Seat {
+        member: info(index).id,
+        process: index as u64,
+        data_centre: (index % 7) as u64,
+    };
+    let mut seats: Vec<Seat> = (0..count).map(seat).collect();
+    seats.sort_unstable();
+    seats
+}
+
+/// The configuration's size and fold, and the holder's work at a new roster.
+fn config_slopes() -> Vec<Slope> {
+    let (mut bytes, mut folds, mut rosters) = (Vec::new(), Vec::new(), Vec::new());
+    for customers in [50, 100, 210, 420] {
+        let state = config(customers);
+        let encoded = postcard::to_stdvec(&state).unwrap_or_default();
+        bytes.push((float(customers), float(encoded.len())));
+        let mut next = state.clone();
+        let us = micros(200, || {
+            let name = customer(customers / 2).name;
+            fold(&mut next, Change::RemoveCustomer(name));
+        });
+        folds.push((float(customers), us));
+        let members = seats(410);
+        let us = micros(3, || {
+            let mut state = state.clone();
+            let mut holder = Holder::new(members[0].member);
+            let roster = Roster {
+                witnesses: members[..15].to_vec(),
+                members: members.clone(),
+            };
+            fold(&mut state, Change::PutRoster(roster));
+            holder.update(Time(1), &state);
+            black_box(holder.customers().count());
+        });
+        rosters.push((float(customers), us));
+    }
+    vec![
+        Slope {
+            name: "configuration",
+            unit: "bytes",
+            per: "customer with 3 keys",
+            points: bytes,
+        },
+        Slope {
+            name: "fold of a change, CPU",
+            unit: "us",
+            per: "customer",
+            points: folds,
+        },
+        Slope {
+            name: "new roster of 410 at a holder, CPU",
+            unit: "us",
+            per: "customer",
+            points: rosters,
+        },
+    ]
+}
+
+/// Choosing a replica and finding its home, for one request.
+fn routing_slopes() -> Vec<Slope> {
+    let (mut orders, mut homes) = (Vec::new(), Vec::new());
+    for endpoints in [50, 185, 370, 740] {
+        let ids: Vec<EndpointId> = (0..endpoints)
+            .map(|i| EndpointId::of(&format!("e{i}")))
+            .collect();
+        let mut chooser = Chooser::new(Rule::Affinity);
+        for id in &ids {
+            chooser.note_load(Time(1), *id, id.raw() % 8);
+        }
+        let mut prefix = 0;
+        let us = micros(200, || {
+            prefix += 1;
+            black_box(chooser.order(Time(2), prefix, prefix, &ids));
+        });
+        orders.push((float(endpoints), us));
+    }
+    for members in [50, 100, 205, 410] {
+        let places: Vec<Place> = seats(members)
+            .iter()
+            .map(|seat| Place {
+                member: seat.member,
+                data_centre: seat.data_centre,
+            })
+            .collect();
+        let mut key = 0;
+        let us = micros(500, || {
+            key += 1;
+            black_box(home(key, 3, &places));
+        });
+        homes.push((float(members), us));
+    }
+    vec![
+        Slope {
+            name: "order of replicas, CPU",
+            unit: "us",
+            per: "replica",
+            points: orders,
+        },
+        Slope {
+            name: "home of a replica, CPU",
+            unit: "us",
+            per: "member",
+            points: homes,
+        },
+    ]
+}
+
+/// One request through a replica's queue.
+fn queue_slopes() -> Vec<Slope> {
+    let mut points = Vec::new();
+    for queued in [10, 50, 100, 200] {
+        let mut queue = Queue::new(Config::default());
+        let mut number = 0_u64;
+        let mut submit = |queue: &mut Queue| {
+            number += 1;
+            let id = RequestId::of(&number.to_string());
+            let customer = CustomerId::from_raw(number % 16);
+            let class = Class::Batch;
+            let start_by = Time(u64::MAX);
+            let request = Request {
+                id,
+                customer,
+                class,
+                cost: 20,
+                start_by,
+            };
+            black_box(queue.submit(Time(1), request)).is_ok()
+        };
+        for _ in 0..queued + 16 {
+            submit(&mut queue);
+        }
+        let mut running = Vec::new();
+        let us = micros(500, || {
+            submit(&mut queue);
+            while let Some(action) = queue.next(Time(1)) {
+                if let cicadagate_policy::process::dispatch::Action::Start(request) = action {
+                    running.push(request.id);
+                }
+            }
+            if let Some(id) = running.pop() {
+                queue.finished(id);
+            }
+        });
+        points.push((float(queued), us));
+    }
+    vec![Slope {
+        name: "request through a queue, CPU",
+        unit: "us",
+        per: "queued request",
+        points,
+    }]
+}
+
+/// The jobs' fold: memory and CPU of a job from acceptance to its end.
+fn job_slopes() -> Vec<Slope> {
+    let (mut memory, mut encoded, mut cpu) = (Vec::new(), Vec::new(), Vec::new());
+    let mut kept = Vec::new();
+    for count in [5_000, 10_000, 20_000, 40_000] {
+        let before = process_kib(std::process::id());
+        let start = Instant::now();
+        let mut state = jobs::State::default();
+        for index in 0..count {
+            fold_job(&mut state, index as u64 + 1);
+        }
+        let seconds = start.elapsed().as_secs_f64();
+        memory.push((float(count), process_kib(std::process::id()) - before));
+        encoded.push((
+            float(count),
+            float(postcard::to_stdvec(&state).unwrap_or_default().len()),
+        ));
+        cpu.push((float(count), seconds * 1e6));
+        // Kept, so that the next one gets fresh memory.
+        kept.push(state);
+    }
+    black_box(kept);
+    vec![
+        Slope {
+            name: "jobs' fold, memory",
+            unit: "KiB",
+            per: "job",
+            points: memory,
+        },
+        Slope {
+            name: "jobs' fold, encoded",
+            unit: "bytes",
+            per: "job",
+            points: encoded,
+        },
+        Slope {
+            name: "jobs' fold, CPU",
+            unit: "us",
+            per: "job",
+            points: cpu,
+        },
+    ]
+}
+
+fn fold_job(state: &mut jobs::State, number: u64) {
+    let (id, file) = (JobId::from_raw(number), FileId::from_raw(number));
+    let customer = format!("customer-{}", number % 420);
+    // The letter's mean job: 14000 items, so about 10 chunks of 1 MiB in and
+    // 8 records of results out.
+    let chunks = vec![Offset(number); 10];
+    let records = [
+        jobs::Record::File(jobs::File {
+            id: file,
+            customer: customer.clone(),
+            name: "in.jsonl".to_owned(),
+            bytes: 10 << 20,
+            lines: 14_000,
+            chunks,
+            created: 1,
+        }),
+        jobs::Record::Accept(jobs::Job {
+            id,
+            customer,
+            file,
+            endpoint: "/v1/chat/completions".to_owned(),
+            items: 14_000,
+            data_from: Offset(number),
+            created: 1,
+            keep_until: 2,
+        }),
+        jobs::Record::Claim {
+            job: id,
+            claimant: MemberId::of("m"),
+            incarnation: 1,
+            after: Offset::NONE,
+        },
+    ];
+    for record in records {
+        state.fold(state.version().next(), &record);
+    }
+    let fence = state.version();
+    let results = vec![Offset(number); 8];
+    let close = jobs::Record::Close {
+        job: id,
+        fence,
+        completed: 14_000,
+        failed: 0,
+        results,
+    };
+    state.fold(state.version().next(), &close);
+}
+
+/// Bytes of a record of results, by items.
+fn result_slopes() -> Vec<Slope> {
+    let body = "x".repeat(400).into_bytes();
+    let mut points = Vec::new();
+    for items in [64, 256, 1_024, 4_096] {
+        let results = (0..items)
+            .map(|item| (item, jobs::Outcome::Completed(body.clone())))
+            .collect();
+        let data = jobs::Data::Results {
+            job: JobId::from_raw(1),
+            fence: Offset(1),
+            results,
+        };
+        let bytes = postcard::to_stdvec(&data).unwrap_or_default().len();
+        points.push((f64::from(items), float(bytes)));
+    }
+    vec![Slope {
+        name: "record of results of 400 bytes",
+        unit: "bytes",
+        per: "item",
+        points,
+    }]
+}
+
+/// CPU, memory and control bytes of idle processes in small fleets.
+///
+/// # Errors
+///
+/// Returns an error if a fleet can't be started.
+async fn fleet_slopes() -> Result<Vec<Slope>, FleetError> {
+    let roles = ["entry", "dispatch", "batch", "operator"];
+    let mut cpu: Vec<Vec<(f64, f64)>> = vec![Vec::new(); roles.len()];
+    let mut memory = cpu.clone();
+    let mut bytes = cpu.clone();
+    for instances in [3, 6, 12] {
+        let fleet = Fleet::start(FleetSpec::new("slopes", instances, &["a", "b", "c"])).await?;
+        actix_rt::time::sleep(Duration::from_secs(10)).await;
+        for (index, role) in roles.iter().enumerate() {
+            let name = format!("i2-{role}");
+            let pid = fleet.pid(&name)?;
+            let before = (cpu_ms(pid), control_bytes(&fleet, &name).await?);
+            let start = Instant::now();
+            actix_rt::time::sleep(Duration::from_secs(10)).await;
+            let after = (cpu_ms(pid), control_bytes(&fleet, &name).await?);
+            let seconds = start.elapsed().as_secs_f64();
+            let members = float(instances * roles.len());
+            cpu[index].push((members, (after.0 - before.0) / seconds / 10.0));
+            bytes[index].push((members, (after.1 - before.1) / seconds));
+            memory[index].push((members, process_kib(pid) / 1024.0));
+        }
+    }
+    let mut slopes = Vec::new();
+    let names = [
+        [
+            "idle entry, CPU",
+            "idle dispatch, CPU",
+            "idle batch, CPU",
+            "idle operator, CPU",
+        ],
+        [
+            "idle entry, memory",
+            "idle dispatch, memory",
+            "idle batch, memory",
+            "idle operator, memory",
+        ],
+        [
+            "idle entry, control sent",
+            "idle dispatch, control sent",
+            "idle batch, control sent",
+            "idle operator, control sent",
+        ],
+    ];
+    for (kind, (values, unit)) in [(cpu, "% of a core"), (memory, "MiB"), (bytes, "bytes/s")]
+        .into_iter()
+        .enumerate()
+    {
+        for (index, points) in values.into_iter().enumerate() {
+            slopes.push(Slope {
+                name: names[kind][index],
+                unit,
+                per: "member",
+                points,
+            });
+        }
+    }
+    Ok(slopes)
+}
+
+/// Milliseconds that a process has spent on a core.
+fn cpu_ms(pid: u32) -> f64 {
+    let stat = fs::read_to_string(format!("/proc/{pid}/schedstat")).unwrap_or_default();
+    let nanos = stat
+        .split_whitespace()
+        .next()
+        .and_then(|field| field.parse::<f64>().ok());
+    nanos.unwrap_or(0.0) / 1e6
+}
+
+fn process_kib(pid: u32) -> f64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1));
+    kib.and_then(|kib| kib.parse().ok()).unwrap_or(0.0)
+}
+
+/// Bytes that a process has sent to others by datagram and peer connection.
+async fn control_bytes(fleet: &Fleet, name: &str) -> Result<f64, FleetError> {
+    let page = fleet.page(name, "operations", "/metrics").await?;
+    let text = page.as_str().unwrap_or_default();
+    let sent = text
+        .lines()
+        .filter(|line| line.contains("direction=\"sent\""));
+    Ok(sent
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum())
+}
+
+/// Measures all slopes and prints them; with `json`, as one JSON value.
+///
+/// # Errors
+///
+/// Returns an error if a fleet can't be started.
+pub async fn run(json: bool) -> Result<(), FleetError> {
+    let mut slopes = membership_slopes();
+    slopes.extend(config_slopes());
+    slopes.extend(routing_slopes());
+    slopes.extend(queue_slopes());
+    slopes.extend(job_slopes());
+    slopes.extend(result_slopes());
+    slopes.extend(fleet_slopes().await?);
+    if json {
+        let all: Vec<Value> = slopes
+            .iter()
+            .map(|slope| {
+                let (base, per, straight) = slope.fit();
+                json!({
+                    "name": slope.name, "unit": slope.unit, "per": slope.per,
+                    "base": base, "slope": per, "r2": straight, "points": slope.points,
+                })
+            })
+            .collect();
+        println!("{}", Value::Array(all));
+    } else {
+        for slope in &slopes {
+            println!("{}", slope.line());
+        }
+    }
+    Ok(())
+}
--- a/cicadagate-lab/tests/online.rs
+++ b/cicadagate-lab/tests/online.rs
@@ -333,3 +333,84 @@
         }
     });
 }
+
+/// A resend with the same idempotency key meets its first run, at any entry;
+/// where the answer is lost for good it is not run again.
+#[test]
+fn resends_with_a_key_meet_their_first_run() {
+    run(async {
+        let mut setup = start(small_spec("resend")).await;
+        let entries = setup.fleet.entries();
+        let path = "/permits/new";
+        for entry in &entries {
+            let (status, body) = setup
+                .caller
+                .keyed_service(*entry, path, "permit-a")
+                .await
+                .expect("an answer");
+            assert_eq!((status, &body["count"]), (200, &json!(1)), "{body}");
+        }
+        // The service acts and its answer is lost.
+        setup
+            .fleet
+            .endpoint_faults("permits-1", &json!({"lose_answers": 1}))
+            .await
+            .expect("ordered");
+        for (entry, expected) in [(entries[0], 502), (entries[1], 409), (entries[2], 409)] {
+            let (status, body) = setup
+                .caller
+                .keyed_service(entry, path, "permit-b")
+                .await
+                .expect("an answer");
+            assert_eq!(status, expected, "{body}");
+            assert_eq!(body["error"]["not_run"], false);
+        }
+        // The home that ran the first call is lost: another knows the intent.
+        for instance in ["i1", "i2", "i3"] {
+            setup
+                .fleet
+                .kill(&format!("{instance}-dispatch"))
+                .expect("killed");
+            setup
+                .fleet
+                .restart(instance, "dispatch")
+                .await
+                .expect("restarted");
+        }
+        setup
+            .fleet
+            .wait("the new homes answer", LIMIT, async || {
+                let answer = setup
+                    .caller
+                    .keyed_service(entries[0], path, "permit-a")
+                    .await;
+                answer.is_ok_and(|(status, _)| status == 409)
+            })
+            .await
+            .expect("answered");
+        // Without the log nobody could tell: refused, and truly not run.
+        setup
+            .fleet
+            .platform_faults(&json!({"log_down": true}))
+            .await
+            .expect("down");
+        let (status, body) = setup
+            .caller
+            .keyed_service(entries[0], path, "permit-c")
+            .await
+            .expect("an answer");
+        assert_eq!(
+            (status, &body["error"]["not_run"]),
+            (503, &json!(true)),
+            "{body}"
+        );
+        let page = setup
+            .fleet
+            .page("permits-1", "listen", "/control/calls")
+            .await
+            .expect("page");
+        let calls = page["calls"].as_object().expect("calls");
+        assert!(calls.values().all(|count| *count == 1), "{calls:?}");
+        assert!(!calls.contains_key("permit-c"), "{calls:?}");
+    });
+}
--- a/cicadagate-node/src/process/follower.rs
+++ b/cicadagate-node/src/process/follower.rs
@@ -47,6 +47,11 @@
     /// Returns the offset up to which a snapshot record covers the stream.
     fn covers(&self, record: &Self::Record) -> Option<Offset>;
 
+    /// Tells whether records that expired before they were read may be missed.
+    fn tolerates_gap(&self) -> bool {
+        false
+    }
+
     /// Folds a record.
     fn fold(&self, offset: Offset, record: &Self::Record);
 
@@ -123,6 +128,13 @@
         event!(RECORD_SKIPPED, stream, offset: = offset, reason: = err);
     }
     let record = record.ok();
+    if fold.tolerates_gap() {
+        match record {
+            Some(record) => fold.fold(offset, &record),
+            None => fold.skip(offset),
+        }
+        return;
+    }
     let covers = record.as_ref().and_then(|record| fold.covers(record));
     if let Step::Fold(records) = start.push(offset, record, covers) {
         for (offset, record) in records {
--- a/cicadagate-node/src/process/gossip.rs
+++ b/cicadagate-node/src/process/gossip.rs
@@ -12,13 +12,18 @@
     },
     cicadagate_wire::datagram::{DatagramCodec, MAX_DATAGRAM_BYTES},
     std::{collections::BTreeMap, rc::Rc, time::Duration},
+    tokio::sync::mpsc,
 };
 
 /// How often the members are compared with those known before.
-const WATCH_EVERY: Duration = Duration::from_millis(100);
+const WATCH_EVERY: Duration = Duration::from_millis(200);
 
 /// Receives and sends datagrams for as long as the process lives.
-pub(super) async fn run(node: Rc<Node>, socket: UdpSocket) {
+pub(super) async fn run(
+    node: Rc<Node>,
+    socket: UdpSocket,
+    mut to_send: mpsc::UnboundedReceiver<Outgoing>,
+) {
     let codec = DatagramCodec::new(&node.key);
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
@@ -43,6 +48,9 @@
                 let out = node.membership.borrow_mut().tick(node.now());
                 send(&node, &codec, &socket, out).await;
             }
+            Some(datagram) = to_send.recv() => {
+                send(&node, &codec, &socket, vec![datagram]).await;
+            }
             () = node.leaving() => {
                 let out = node.membership.borrow_mut().leave();
                 send(&node, &codec, &socket, out).await;
@@ -70,19 +78,20 @@
     let mut known: BTreeMap<MemberId, Health> = BTreeMap::new();
     loop {
         sleep(WATCH_EVERY).await;
-        let members: Vec<(Info, Health)> = node
+        let changed: Vec<(Info, Health)> = node
             .membership
             .borrow()
             .members()
+            .filter(|(info, health)| known.get(&info.id) != Some(health))
             .map(|(info, health)| (info.clone(), health))
             .collect();
-        for (info, health) in &members {
-            if known.insert(info.id, *health) != Some(*health) {
-                note_change(&node, info, *health);
-            }
+        for (info, health) in changed {
+            known.insert(info.id, health);
+            note_change(&node, &info, health);
         }
-        known.retain(|id, _| members.iter().any(|(info, _)| info.id == *id));
-        node.metrics.set_state("members", members.len());
+        let membership = node.membership.borrow();
+        known.retain(|id, _| membership.member(*id).is_some());
+        node.metrics.set_state("members", known.len());
     }
 }
 
--- a/cicadagate-node/src/process/mod.rs
+++ b/cicadagate-node/src/process/mod.rs
@@ -33,7 +33,7 @@
         process::{
             contact::Contact,
             homes::Place,
-            membership::{Health, Info, Membership, Role},
+            membership::{Health, Info, Membership, Outgoing, Role},
             shutdown::Phase,
         },
         time::Time,
@@ -50,7 +50,7 @@
         net::SocketAddr,
         rc::Rc,
     },
-    tokio::sync::{Notify, watch},
+    tokio::sync::{Notify, mpsc, watch},
 };
 
 /// A result of this module.
@@ -131,6 +131,7 @@
     has_folded: Cell<bool>,
     running: Cell<usize>,
     has_ended: Notify,
+    datagrams: mpsc::UnboundedSender<Outgoing>,
     changed: watch::Sender<Offset>,
     hooks: RefCell<Vec<ConfigHook>>,
 }
@@ -182,6 +183,7 @@
             member: info.id,
         });
         let seed = info.id.raw();
+        let (datagrams, to_send) = mpsc::unbounded_channel();
         let node = Rc::new(Self {
             clock: Clock::start(),
             key,
@@ -199,16 +201,22 @@
             has_folded: Cell::new(false),
             running: Cell::new(0),
             has_ended: Notify::new(),
+            datagrams,
             changed: watch::channel(Offset::NONE).0,
             hooks: RefCell::default(),
             settings,
         });
-        node.spawn_tasks(socket, operations);
+        node.spawn_tasks(socket, to_send, operations);
         Ok(Started { node, listener })
     }
 
-    fn spawn_tasks(self: &Rc<Self>, socket: UdpSocket, operations: TcpListener) {
-        actix_rt::spawn(gossip::run(Rc::clone(self), socket));
+    fn spawn_tasks(
+        self: &Rc<Self>,
+        socket: UdpSocket,
+        to_send: mpsc::UnboundedReceiver<Outgoing>,
+        operations: TcpListener,
+    ) {
+        actix_rt::spawn(gossip::run(Rc::clone(self), socket, to_send));
         actix_rt::spawn(gossip::watch_members(Rc::clone(self)));
         actix_rt::spawn(follower::follow_config(Rc::clone(self)));
         actix_rt::spawn(follower::follow_list(Rc::clone(self)));
@@ -300,30 +308,33 @@
     /// Returns the live processes of a role, this one included if it has it.
     #[must_use]
     pub fn live(&self, role: Role) -> Vec<Info> {
-        let membership = self.membership.borrow();
-        let me = std::iter::once(membership.me()).filter(|_| self.phase.get().is_given_out());
-        let others = membership.alive().filter(|info| !info.leaving);
-        me.chain(others)
-            .filter(|info| info.role == role)
-            .cloned()
-            .collect()
+        self.map_live(role, Info::clone)
     }
 
     /// Returns the places that replicas may be homed on.
     #[must_use]
     pub fn places(&self, role: Role) -> Vec<Place> {
-        self.live(role).iter().map(place).collect()
+        self.map_live(role, place)
     }
 
     /// Returns the seats that a roster of the live processes would have.
     #[must_use]
     pub fn seats(&self, role: Role) -> Vec<Seat> {
-        let seat = |info: &Info| Seat {
+        self.map_live(role, |info| Seat {
             member: info.id,
             process: info.process(),
             data_centre: place(info).data_centre,
-        };
-        self.live(role).iter().map(seat).collect()
+        })
+    }
+
+    fn map_live<T>(&self, role: Role, of: impl Fn(&Info) -> T) -> Vec<T> {
+        let membership = self.membership.borrow();
+        let me = std::iter::once(membership.me()).filter(|_| self.phase.get().is_given_out());
+        let others = membership.alive().filter(|info| !info.leaving);
+        me.chain(others)
+            .filter(|info| info.role == role)
+            .map(of)
+            .collect()
     }
 
     /// Returns the address of a member's main interface.
@@ -344,6 +355,15 @@
             .is_some_and(|(_, health)| health <= Health::Suspect)
     }
 
+    /// Asks members directly what they tell about themselves; the membership
+    /// takes the answers.
+    pub fn ask_members(&self, members: &[MemberId]) {
+        for datagram in self.membership.borrow_mut().ask(members) {
+            // The task that sends ends only with the process.
+            let _ = self.datagrams.send(datagram);
+        }
+    }
+
     /// Answers the messages that every serving process answers alike.
     #[must_use]
     pub fn answer_common(&self, message: &ToServer) -> Option<FromServer> {
--- a/cicadagate-node/src/request/answer.rs
+++ b/cicadagate-node/src/request/answer.rs
@@ -60,6 +60,10 @@
     pub prefix: u64,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Whether resends of the same id must meet its first run.
+    pub keyed: bool,
+    /// Hash of the key that it came with, if any.
+    pub key: Option<[u8; 32]>,
     /// Milliseconds within which it must have started.
     pub start_within_ms: u64,
     /// Milliseconds within which it must have ended.
@@ -97,6 +101,10 @@
     Failed,
     /// It did not end in time.
     Deadline,
+    /// Its key was withdrawn while it waited.
+    KeyWithdrawn,
+    /// The log, which must tell whether it ran before, does not answer.
+    LogUnavailable,
 }
 
 /// A request that ended without its answer.
@@ -193,9 +201,12 @@
     async fn start(&mut self, now: Time) -> Result<(), Failure> {
         let number = self.attempts.begin();
         let seed = attempt_seed(&self.plan.id.0, number);
-        let candidates = self
-            .router
-            .candidates(&self.plan.deployment, self.plan.prefix, seed);
+        let candidates = self.router.candidates(
+            &self.plan.deployment,
+            self.plan.prefix,
+            seed,
+            self.plan.keyed,
+        );
         let untried = candidates
             .endpoints
             .iter()
@@ -258,6 +269,9 @@
             resume_from: self.attempts.relayed(),
             force: self.over_bound >= BOUND_TRIES,
             load_bound: bound,
+            key: plan.key,
+            keyed: plan.keyed,
+            idempotent: plan.idempotent,
             traceparent: span.header(),
         }
     }
@@ -358,6 +372,24 @@
                     return Err(self.fail(FailureKind::Busy, "every replica would take too long"));
                 }
             }
+            RefusedReason::KeyWithdrawn => {
+                self.attempts.failed(Progress::NotSent);
+                let failure = self.fail(FailureKind::KeyWithdrawn, "the key was withdrawn");
+                return Err(Failure {
+                    retry_ms: None,
+                    ..failure
+                });
+            }
+            RefusedReason::LogUnavailable => {
+                self.attempts.failed(Progress::NotSent);
+                let detail = "the log can't tell whether it ran before";
+                return Err(self.fail(FailureKind::LogUnavailable, detail));
+            }
+            RefusedReason::Duplicate if self.plan.keyed => {
+                // Its first run is under way: it will be there to be met.
+                self.attempts.failed(Progress::NotSent);
+                return Err(self.fail(FailureKind::Busy, "the same request is running"));
+            }
             RefusedReason::Expired => {
                 self.attempts.failed(Progress::NotSent);
                 return Err(self.fail(FailureKind::Busy, "waited too long in the queue"));
--- a/cicadagate-node/src/request/router.rs
+++ b/cicadagate-node/src/request/router.rs
@@ -76,7 +76,13 @@
     }
 
     /// Orders the replicas of a deployment that may get new work.
-    pub(super) fn candidates(&self, deployment: &str, prefix: u64, seed: u64) -> Candidates {
+    pub(super) fn candidates(
+        &self,
+        deployment: &str,
+        prefix: u64,
+        seed: u64,
+        keyed: bool,
+    ) -> Candidates {
         self.refresh_drained();
         let listing = self.node.listing.borrow();
         let drained = self.drained.borrow();
@@ -88,6 +94,13 @@
         let now = self.node.now();
         let mut chooser = self.chooser.borrow_mut();
         chooser.retain(|endpoint| listing.endpoints.contains_key(&endpoint));
+        if keyed {
+            let endpoints = chooser.order_by_key(now, prefix, &usable);
+            return Candidates {
+                endpoints,
+                bound: u64::MAX,
+            };
+        }
         let bound = chooser.bound(now, &usable);
         Candidates {
             endpoints: chooser.order(now, prefix, seed, &usable),
--- a/cicadagate-operator/src/request/queries.rs
+++ b/cicadagate-operator/src/request/queries.rs
@@ -21,6 +21,8 @@
 
 /// How often versions are compared while waiting.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// Processes that are asked for their version in one look.
+const ASKED_AT_ONCE: usize = 32;
 /// Longest wait, in milliseconds.
 const MAX_WAIT_MS: u32 = 120_000;
 
@@ -103,6 +105,7 @@
                 if versions.in_force_everywhere >= req.version {
                     return versions;
                 }
+                self.ask_behind(req.version);
                 sleep(LOOK_EVERY).await;
             }
         };
@@ -122,6 +125,26 @@
             .map_err(late)
     }
 
+    /// Asks some of the processes that are not known to have a version.
+    fn ask_behind(&self, version: u64) {
+        let behind: Vec<_> = {
+            let membership = self.node.membership.borrow();
+            let is_behind = |info: &&Info| info.version.0 < version;
+            let mut behind: Vec<_> = membership
+                .alive()
+                .filter(is_behind)
+                .map(|info| info.id)
+                .collect();
+            // Those asked least lately are spread by rotating the list.
+            let shift = usize::try_from(self.node.now().0).unwrap_or(0);
+            let len = behind.len().max(1);
+            behind.rotate_left(shift % len);
+            behind
+        };
+        self.node
+            .ask_members(&behind[..behind.len().min(ASKED_AT_ONCE)]);
+    }
+
     pub(super) fn list_history(&self) -> HistoryResponse {
         let entries = self
             .history
--- a/cicadagate-policy/src/ids.rs
+++ b/cicadagate-policy/src/ids.rs
@@ -27,6 +27,23 @@
     u64::from_le_bytes(out)
 }
 
+/// Mixes two values that are hashes already into a third.
+///
+/// Rendezvous hashing scores every member for every key; a cryptographic hash
+/// there is most of what a choice costs and buys nothing, since its inputs are
+/// spread evenly already.
+#[must_use]
+pub const fn mix64(a: u64, b: u64) -> u64 {
+    // The finaliser of a common 64-bit generator, over the sum.
+    let mut z = a
+        .wrapping_add(b.rotate_left(32))
+        .wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z ^= b;
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
 macro_rules! name_id {
     ($(#[$doc:meta])* $name:ident, $space:literal) => {
         $(#[$doc])*
--- a/cicadagate-policy/src/process/contact.rs
+++ b/cicadagate-policy/src/process/contact.rs
@@ -47,6 +47,10 @@
 
 /// How long contact stays fresh, in milliseconds.
 pub const FRESH_MS: u64 = 4_000;
+/// Age of the last read of the log from which witnesses are asked, in
+/// milliseconds. A read counts from its sending and may wait for a record, so
+/// in good times it is up to that wait old.
+pub const ASK_AFTER_MS: u64 = 2_500;
 /// How often witnesses are asked while the log is out of reach, in milliseconds.
 pub const ASK_EVERY_MS: u64 = 1_000;
 
@@ -98,7 +102,7 @@
     pub fn to_ask(&mut self, now: Time) -> Vec<MemberId> {
         let log_is_fresh = self
             .log_read
-            .is_some_and(|read| now.since(read) < ASK_EVERY_MS);
+            .is_some_and(|read| now.since(read) < ASK_AFTER_MS);
         let asked_lately = self
             .last_asked
             .is_some_and(|asked| now.since(asked) < ASK_EVERY_MS);
--- a/cicadagate-policy/src/process/homes.rs
+++ b/cicadagate-policy/src/process/homes.rs
@@ -8,7 +8,7 @@
 own keys, spread over all others.
 */
 
-use crate::ids::{MemberId, hash64};
+use crate::ids::{MemberId, hash64, mix64};
 
 /// A member that keys may be placed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -26,7 +26,7 @@
 }
 
 fn score(key: u64, member: MemberId) -> u64 {
-    hash64(&[&key.to_le_bytes(), &member.raw().to_le_bytes()])
+    mix64(key, member.raw())
 }
 
 /// Returns the member that a key is placed on, in `data_centre` if it has any.
--- a/cicadagate-policy/src/process/membership.rs
+++ b/cicadagate-policy/src/process/membership.rs
@@ -14,8 +14,14 @@
 refutes by a higher incarnation. News travel on the probes themselves, each
 repeated a number of times that grows with the logarithm of the fleet.
 
-A restarted process is another member, since it has lost its memory. A
-process that stops says so and is remembered as left.
+A restarted process is another member, since it has lost its memory; news of
+it is the death of the one before, whose address it may have. A process that
+stops says so and is remembered as left.
+
+The configuration version of a process is no news: with 430 changes a day at
+1640 processes it would be eight pieces a second, more than the probes can
+carry. It travels only on a process's own messages; whoever wants to know it
+of all asks them, see [`Membership::ask`].
 
 # Cost
 
@@ -150,6 +156,8 @@
     Ack {
         /// Number of the probe.
         seq: u64,
+        /// Who answers: at the target's address there may be a later process.
+        from: MemberId,
     },
     /// Asks to probe a target on one's behalf.
     PingReq {
@@ -232,13 +240,31 @@
 
     /// Changes what this process tells about itself.
     pub fn set_me(&mut self, version: Offset, leaving: bool) {
-        if (self.me.info.version, self.me.info.leaving) != (version, leaving) {
+        if self.me.info.version != version {
             self.me.info.version = version;
+            self.me.incarnation += 1;
+        }
+        if self.me.info.leaving != leaving {
             self.me.info.leaving = leaving;
             self.announce();
         }
     }
 
+    /// Asks members directly what they tell about themselves.
+    pub fn ask(&mut self, members: &[MemberId]) -> Vec<Outgoing> {
+        let addresses: Vec<SocketAddr> = members
+            .iter()
+            .filter_map(|id| self.members.get(id).map(|entry| entry.update.info.udp))
+            .collect();
+        addresses
+            .into_iter()
+            .map(|to| {
+                let seq = self.next_seq();
+                (to, self.message(Kind::Ping { seq }))
+            })
+            .collect()
+    }
+
     /// Says that this process stops; returns what to send.
     pub fn leave(&mut self) -> Vec<Outgoing> {
         self.me.health = Health::Left;
@@ -426,7 +452,6 @@
         let pick = usize::try_from(self.random() % unknown.len() as u64).unwrap_or(0);
         let seq = self.next_seq();
         let mut message = self.message(Kind::Ping { seq });
-        message.updates.insert(0, self.me.clone());
         // Whoever is taken for dead at that address must hear of it to refute.
         let dead = |entry: &&Entry| {
             entry.update.info.udp == unknown[pick] && entry.update.health == Health::Dead
@@ -470,8 +495,11 @@
             self.spread_withdrawn(hash);
         }
         match message.kind {
-            Kind::Ping { seq } => vec![(from, self.message(Kind::Ack { seq }))],
-            Kind::Ack { seq } => self.handle_ack(seq),
+            Kind::Ping { seq } => {
+                let me = self.me.info.id;
+                vec![(from, self.message(Kind::Ack { seq, from: me }))]
+            }
+            Kind::Ack { seq, from } => self.handle_ack(seq, from),
             Kind::PingReq { seq, target } => {
                 let own = self.next_seq();
                 self.relayed.insert(own, (from, seq, now));
@@ -480,12 +508,15 @@
         }
     }
 
-    fn handle_ack(&mut self, seq: u64) -> Vec<Outgoing> {
-        if self.probe.is_some_and(|probe| probe.seq == seq) {
+    fn handle_ack(&mut self, seq: u64, from: MemberId) -> Vec<Outgoing> {
+        let answers = |probe: Probe| probe.seq == seq && probe.target == from;
+        if self.probe.is_some_and(answers) {
             self.probe = None;
         }
         match self.relayed.remove(&seq) {
-            Some((asker, theirs, _)) => vec![(asker, self.message(Kind::Ack { seq: theirs }))],
+            Some((asker, theirs, _)) => {
+                vec![(asker, self.message(Kind::Ack { seq: theirs, from }))]
+            }
             None => Vec::new(),
         }
     }
@@ -495,6 +526,9 @@
             self.refute(&update);
             return;
         }
+        if update.health <= Health::Suspect && self.supersede(now, &update.info) {
+            return;
+        }
         let newer = match self.members.get(&update.info.id) {
             None => update.health <= Health::Suspect,
             Some(entry) => {
@@ -510,7 +544,10 @@
             }
         };
         if newer {
-            let sends_left = self.sends();
+            let sends_left = match self.members.get(&update.info.id) {
+                Some(old) if is_same_news(&old.update, &update) => old.sends_left,
+                _ => self.sends(),
+            };
             let entry = Entry {
                 since: now,
                 sends_left,
@@ -520,6 +557,35 @@
         }
     }
 
+    /// Declares earlier incarnations of the same process dead; returns whether
+    /// `info` is itself one.
+    fn supersede(&mut self, now: Time, info: &Info) -> bool {
+        let same = |entry: &&Entry| {
+            let other = &entry.update.info;
+            entry.update.health <= Health::Suspect
+                && (other.role, &other.instance) == (info.role, &info.instance)
+                && other.id != info.id
+        };
+        let others: Vec<Update> = self
+            .members
+            .values()
+            .filter(same)
+            .map(|entry| entry.update.clone())
+            .collect();
+        for other in &others {
+            if other.info.started < info.started {
+                self.take_update(
+                    now,
+                    Update {
+                        health: Health::Dead,
+                        ..other.clone()
+                    },
+                );
+            }
+        }
+        others.iter().any(|other| other.info.started > info.started)
+    }
+
     fn refute(&mut self, update: &Update) {
         let wrong = update.health != self.me.health && self.me.health == Health::Alive;
         if wrong && update.incarnation >= self.me.incarnation {
@@ -535,11 +601,8 @@
 
     /// Makes a message with the news that were sent least.
     fn message(&mut self, kind: Kind) -> Message {
-        let mut updates = Vec::new();
-        if self.my_sends_left > 0 {
-            self.my_sends_left -= 1;
-            updates.push(self.me.clone());
-        }
+        self.my_sends_left = self.my_sends_left.saturating_sub(1);
+        let mut updates = vec![self.me.clone()];
         let mut fresh: Vec<&mut Entry> = self
             .members
             .values_mut()
@@ -560,7 +623,6 @@
                     .nth(pick)
                     .map(|entry| entry.update.clone()),
             );
-            updates.push(self.me.clone());
         }
         let withdrawn = self.pick_withdrawn();
         Message {
@@ -599,3 +661,8 @@
         self.seed
     }
 }
+
+/// Tells whether two updates differ in nothing that others must hear of.
+fn is_same_news(old: &Update, new: &Update) -> bool {
+    old.health == new.health && old.info.leaving == new.info.leaving
+}
--- a/cicadagate-policy/src/process/roster.rs
+++ b/cicadagate-policy/src/process/roster.rs
@@ -15,7 +15,7 @@
 use {
     super::homes::{Place, spread},
     crate::{
-        ids::{MemberId, Offset, hash64},
+        ids::{MemberId, Offset, mix64},
         time::Time,
         version::config::{Epoch, MAX_WITNESSES, Roster, Seat},
     },
@@ -68,7 +68,7 @@
 /// Position of a member in the order of proposers for an epoch.
 #[must_use]
 pub fn turn(me: MemberId, version: Offset, live: &[Seat]) -> usize {
-    let rank = |member: MemberId| hash64(&[&version.0.to_le_bytes(), &member.raw().to_le_bytes()]);
+    let rank = |member: MemberId| mix64(version.0, member.raw());
     let mine = rank(me);
     live.iter()
         .filter(|seat| rank(seat.member) > mine)
--- a/cicadagate-policy/src/request/choice.rs
+++ b/cicadagate-policy/src/request/choice.rs
@@ -23,7 +23,7 @@
 
 use {
     crate::{
-        ids::{EndpointId, hash64},
+        ids::{EndpointId, hash64, mix64},
         time::Time,
     },
     std::collections::BTreeMap,
@@ -128,6 +128,24 @@
         }
     }
 
+    /// Orders the replicas by a key alone, so that a resend comes to the same
+    /// one whatever the loads are; avoided ones come last.
+    #[must_use]
+    pub fn order_by_key(&self, now: Time, key: u64, endpoints: &[EndpointId]) -> Vec<EndpointId> {
+        let mut ranked: Vec<(bool, u64, EndpointId)> = endpoints
+            .iter()
+            .map(|endpoint| {
+                let rank = u64::MAX - score(key, *endpoint);
+                (self.is_avoided(now, *endpoint), rank, *endpoint)
+            })
+            .collect();
+        ranked.sort_unstable();
+        ranked
+            .into_iter()
+            .map(|(_, _, endpoint)| endpoint)
+            .collect()
+    }
+
     /// Returns the load above which a replica of these gets no more.
     #[must_use]
     pub fn bound(&self, now: Time, endpoints: &[EndpointId]) -> u64 {
@@ -179,8 +197,8 @@
     }
 }
 
-fn score(key: u64, endpoint: EndpointId) -> u64 {
-    hash64(&[&key.to_le_bytes(), &endpoint.raw().to_le_bytes()])
+const fn score(key: u64, endpoint: EndpointId) -> u64 {
+    mix64(key, endpoint.raw())
 }
 
 /// Hash of a request that varies by attempt.
--- a/cicadagate-policy/src/version/config.rs
+++ b/cicadagate-policy/src/version/config.rs
@@ -487,6 +487,14 @@
         }
     }
 
+    /// Tells whether a key's hash belongs to a withdrawn key.
+    #[must_use]
+    pub fn is_withdrawn(&self, hash: &[u8; 32]) -> bool {
+        let id = self.by_hash.get(hash);
+        let value = id.and_then(|id| self.value(&ObjectKey::Key(id.clone())));
+        matches!(value, Some(Object::WithdrawnKey(_)))
+    }
+
     /// Finds the route of a model.
     #[must_use]
     pub fn model_route(&self, model: &str) -> Option<&Route> {
--- a/cicadagate-policy/src/version/mod.rs
+++ b/cicadagate-policy/src/version/mod.rs
@@ -7,5 +7,6 @@
 */
 
 pub mod config;
+pub mod intents;
 pub mod jobs;
 pub mod reader;
--- /dev/null
+++ b/cicadagate-policy/tests/membership/mod.rs
@@ -0,0 +1,313 @@
+//! The world of the membership's tests.
+
+use {
+    super::support::{Counts, World},
+    cicadagate_policy::{
+        ids::{MemberId, Offset},
+        process::membership::{HELPERS, Health, Info, Membership, Message, PERIOD_MS, Role},
+        time::Time,
+    },
+    quickcheck::{Arbitrary, Gen},
+    std::{collections::BTreeSet, net::SocketAddr},
+};
+
+/// Processes.
+const NODES: usize = 6;
+/// Step of time, in milliseconds.
+const STEP_MS: u64 = 25;
+/// Quiet time after which all views must agree, in milliseconds.
+const QUIET_MS: u64 = 60_000;
+/// Messages that a process may send in a period of its own accord: a probe,
+/// requests to helpers, one to join.
+const OWN_MESSAGES: usize = 2 + HELPERS;
+
+#[derive(Clone, Copy, Debug)]
+pub enum Op {
+    Advance(u16),
+    Lose(u8),
+    Delay,
+    Double,
+    Kill(usize),
+    Restart(usize),
+    Pause(usize),
+    Resume(usize),
+    Cut(usize, usize),
+    Heal,
+    Leave(usize),
+}
+
+impl Arbitrary for Op {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let node = usize::arbitrary(g) % NODES;
+        match u32::arbitrary(g) % 100 {
+            0..=39 => Self::Advance(*g.choose(&[100, 500, 1_500, 4_000]).unwrap_or(&100)),
+            40..=47 => Self::Lose(*g.choose(&[0, 10, 50]).unwrap_or(&0)),
+            48..=53 => Self::Delay,
+            54..=59 => Self::Double,
+            60..=64 => Self::Kill(node),
+            65..=74 => Self::Restart(node),
+            75..=79 => Self::Pause(node),
+            80..=86 => Self::Resume(node),
+            87..=92 => Self::Cut(node, usize::arbitrary(g) % NODES),
+            93..=97 => Self::Heal,
+            _ => Self::Leave(node),
+        }
+    }
+}
+
+struct Node {
+    membership: Membership,
+    alive: bool,
+    paused: bool,
+    starts: u64,
+    sent_in_period: usize,
+}
+
+struct Datagram {
+    from: usize,
+    to: SocketAddr,
+    message: Message,
+    due: Time,
+}
+
+pub struct MembershipWorld {
+    now: Time,
+    nodes: Vec<Node>,
+    network: Vec<Datagram>,
+    lose_percent: u64,
+    cut: BTreeSet<(usize, usize)>,
+    dice: u64,
+    was_dead: BTreeSet<(usize, MemberId)>,
+    counts: Counts,
+}
+
+fn addr(node: usize) -> SocketAddr {
+    ([10, 0, 0, 1], u16::try_from(node + 1).unwrap_or(0)).into()
+}
+
+fn node(index: usize, starts: u64) -> Node {
+    let info = Info {
+        id: MemberId::of(&format!("n{index}#{starts}")),
+        instance: format!("n{index}"),
+        data_centre: "a".to_owned(),
+        role: Role::Dispatch,
+        udp: addr(index),
+        tcp: addr(index),
+        started: starts,
+        version: Offset::NONE,
+        leaving: false,
+    };
+    let mut membership = Membership::new(info, index as u64 * 1_000 + starts);
+    membership.set_candidates((0..NODES).map(addr).collect());
+    Node {
+        membership,
+        alive: true,
+        paused: false,
+        starts,
+        sent_in_period: 0,
+    }
+}
+
+impl World for MembershipWorld {
+    type Op = Op;
+
+    fn new() -> Self {
+        let mut world = Self {
+            now: Time(1_000),
+            nodes: (0..NODES).map(|index| node(index, 0)).collect(),
+            network: Vec::new(),
+            lose_percent: 0,
+            cut: BTreeSet::new(),
+            dice: 7,
+            was_dead: BTreeSet::new(),
+            counts: Counts::new(),
+        };
+        world.pass(10_000).expect("a quiet start");
+        world
+    }
+
+    fn step(&mut self, op: &Op) -> Result<(), String> {
+        match *op {
+            Op::Advance(ms) => self.pass(u64::from(ms))?,
+            Op::Lose(percent) => self.lose_percent = u64::from(percent),
+            Op::Delay => {
+                for datagram in &mut self.network {
+                    datagram.due = datagram.due.plus(700);
+                }
+                self.count("delayed");
+            }
+            Op::Double => {
+                let copies: Vec<Datagram> = self
+                    .network
+                    .iter()
+                    .map(|datagram| Datagram {
+                        from: datagram.from,
+                        to: datagram.to,
+                        message: datagram.message.clone(),
+                        due: datagram.due.plus(300),
+                    })
+                    .collect();
+                self.network.extend(copies);
+                self.count("doubled");
+            }
+            Op::Kill(node) => {
+                self.nodes[node].alive = false;
+                self.count("killed");
+            }
+            Op::Restart(index) => {
+                if !self.nodes[index].alive {
+                    self.nodes[index] = node(index, self.nodes[index].starts + 1);
+                    self.count("restarted");
+                }
+            }
+            Op::Pause(node) => {
+                self.nodes[node].paused = true;
+                self.count("paused");
+            }
+            Op::Resume(node) => self.nodes[node].paused = false,
+            Op::Cut(a, b) => {
+                self.cut.insert((a.min(b), a.max(b)));
+                self.count("cut");
+            }
+            Op::Heal => self.cut.clear(),
+            Op::Leave(node) => self.leave(node),
+        }
+        Ok(())
+    }
+
+    /// After a quiet time everyone who lives sees just those who live.
+    fn finish(&mut self) -> Result<(), String> {
+        self.cut.clear();
+        self.lose_percent = 0;
+        for node in &mut self.nodes {
+            node.paused = false;
+        }
+        self.pass(QUIET_MS)?;
+        let live: BTreeSet<MemberId> = self
+            .nodes
+            .iter()
+            .filter(|node| node.alive)
+            .map(|n| n.membership.me().id)
+            .collect();
+        for (index, node) in self.nodes.iter().enumerate().filter(|(_, node)| node.alive) {
+            let mut seen: BTreeSet<MemberId> =
+                node.membership.alive().map(|info| info.id).collect();
+            seen.insert(node.membership.me().id);
+            if seen != live {
+                return Err(format!("node {index} sees {seen:?}, live are {live:?}"));
+            }
+        }
+        Ok(())
+    }
+
+    fn counts(&self) -> &Counts {
+        &self.counts
+    }
+}
+
+impl MembershipWorld {
+    fn count(&mut self, name: &'static str) {
+        *self.counts.entry(name).or_insert(0) += 1;
+    }
+
+    fn roll(&mut self) -> u64 {
+        self.dice = self
+            .dice
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        self.dice >> 33
+    }
+
+    fn is_up(&self, node: usize) -> bool {
+        self.nodes[node].alive && !self.nodes[node].paused
+    }
+
+    fn leave(&mut self, node: usize) {
+        if self.is_up(node) {
+            let out = self.nodes[node].membership.leave();
+            self.send(node, out);
+            self.nodes[node].alive = false;
+            self.count("left");
+        }
+    }
+
+    fn send(&mut self, from: usize, out: Vec<(SocketAddr, Message)>) {
+        for (to, message) in out {
+            if self.roll() % 100 < self.lose_percent {
+                self.count("lost");
+                continue;
+            }
+            let due = self.now.plus(STEP_MS);
+            self.network.push(Datagram {
+                from,
+                to,
+                message,
+                due,
+            });
+        }
+    }
+
+    fn pass(&mut self, ms: u64) -> Result<(), String> {
+        for _ in 0..ms / STEP_MS {
+            self.now = self.now.plus(STEP_MS);
+            if self.now.0.is_multiple_of(PERIOD_MS) {
+                self.nodes
+                    .iter_mut()
+                    .for_each(|node| node.sent_in_period = 0);
+            }
+            self.deliver();
+            for node in 0..NODES {
+                if self.is_up(node) && self.nodes[node].membership.next_tick() <= self.now {
+                    let out = self.nodes[node].membership.tick(self.now);
+                    self.nodes[node].sent_in_period += out.len();
+                    // Two ticks may fall into one of the world's periods.
+                    if self.nodes[node].sent_in_period > 2 * OWN_MESSAGES {
+                        return Err(format!("node {node} sends without bound"));
+                    }
+                    self.send(node, out);
+                }
+            }
+            self.watch();
+        }
+        Ok(())
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.network)
+            .into_iter()
+            .partition(|datagram| datagram.due <= now);
+        self.network = later;
+        let due: Vec<Datagram> = due;
+        for datagram in due {
+            let to = usize::from(datagram.to.port()) - 1;
+            let pair = (datagram.from.min(to), datagram.from.max(to));
+            if !self.is_up(to) || self.cut.contains(&pair) {
+                continue;
+            }
+            let from = addr(datagram.from);
+            let out = self.nodes[to]
+                .membership
+                .handle(now, from, datagram.message);
+            self.send(to, out);
+        }
+    }
+
+    /// Counts who was declared dead and who came back from it.
+    fn watch(&mut self) {
+        let mut seen = Vec::new();
+        for (index, node) in self.nodes.iter().enumerate().filter(|(_, node)| node.alive) {
+            for (info, health) in node.membership.members() {
+                seen.push((index, info.id, health));
+            }
+        }
+        for (index, id, health) in seen {
+            if health == Health::Dead && self.was_dead.insert((index, id)) {
+                self.count("declared dead");
+            }
+            if health == Health::Alive && self.was_dead.remove(&(index, id)) {
+                self.count("refuted");
+            }
+        }
+    }
+}
--- a/cicadagate-policy/tests/support/mod.rs
+++ b/cicadagate-policy/tests/support/mod.rs
@@ -127,6 +127,7 @@
 
 /// Runs a plan with a planted fault; returns in how many sequences the oracle
 /// caught it.
+#[allow(dead_code, reason = "not every test binary plants faults")]
 pub fn caught<W: World>(plan: Plan, fault: Fault) -> u64 {
     plant(Some(fault));
     let caught = (0..plan.sequences)
--- a/cicadagate-wire/src/peer.rs
+++ b/cicadagate-wire/src/peer.rs
@@ -89,6 +89,12 @@
     pub force: bool,
     /// Load above which the home should refuse.
     pub load_bound: u64,
+    /// Hash of the key that the request came with, if any.
+    pub key: Option<[u8; 32]>,
+    /// Resends of the same id must meet its first run.
+    pub keyed: bool,
+    /// It may run more than once.
+    pub idempotent: bool,
     /// W3C trace context.
     pub traceparent: String,
 }
@@ -114,6 +120,10 @@
     Expired,
     /// The home is stopping.
     Stopping,
+    /// Its key was withdrawn while it waited.
+    KeyWithdrawn,
+    /// The log, which must tell whether it ran before, does not answer.
+    LogUnavailable,
 }
 
 /// A call to a batch process.
--- a/cicadagate-wire/tests/frames.rs
+++ b/cicadagate-wire/tests/frames.rs
@@ -60,6 +60,9 @@
         resume_from: 3,
         force: false,
         load_bound: 4,
+        key: None,
+        keyed: false,
+        idempotent: true,
         traceparent: String::new(),
     }))
 }
