--- a/cicadactl/src/apply.rs
+++ b/cicadactl/src/apply.rs
@@ -23,7 +23,8 @@
 };
 
 /// A settings file of the fleet.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 struct Fleet {
     customers: Vec<FileCustomer>,
@@ -32,7 +33,8 @@
     remove_others: bool,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct FileCustomer {
     name: String,
@@ -40,7 +42,8 @@
     burst: u32,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct FileRoute {
     name: String,
@@ -52,21 +55,24 @@
     non_idempotent: bool,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum FileRouteKind {
     Model,
     Service,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct FileBackend {
     deployment: String,
     weight: u32,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct FileModelVersion {
     deployment: String,
--- a/cicadactl/src/error.rs
+++ b/cicadactl/src/error.rs
@@ -8,7 +8,8 @@
 pub(crate) type Result<T, E = CtlError> = std::result::Result<T, E>;
 
 /// Why a command failed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub(crate) enum CtlError {
     #[snafu(display("{reason}"))]
--- a/cicadagate-batch/src/request/line.rs
+++ b/cicadagate-batch/src/request/line.rs
@@ -5,7 +5,8 @@
 use {serde::Deserialize, serde_json::Value};
 
 /// A line, as the inference protocol defines it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 pub(crate) struct Line {
     pub custom_id: String,
     pub method: String,
--- a/cicadagate-dispatch/src/main.rs
+++ b/cicadagate-dispatch/src/main.rs
@@ -25,7 +25,8 @@
 };
 
 /// Settings of the process.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Settings {
     node: NodeSettings,
@@ -34,7 +35,8 @@
 }
 
 /// Settings of the role.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 struct DispatchSettings {
     /// Streams at a replica whose limit the platform does not tell.
--- a/cicadagate-entry/src/main.rs
+++ b/cicadagate-entry/src/main.rs
@@ -24,7 +24,8 @@
 };
 
 /// Settings of the process.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Settings {
     node: NodeSettings,
@@ -33,7 +34,8 @@
 }
 
 /// How replicas are chosen.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Routing {
     /// Prefix affinity with bounded load.
@@ -46,7 +48,8 @@
 }
 
 /// How rate and burst are counted.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Limiting {
     /// Shares at holders, grants drawn by entries.
@@ -57,7 +60,8 @@
 }
 
 /// Settings of the role.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 struct EntrySettings {
     /// Longest body of a request, in bytes.
--- a/cicadagate-lab/src/fleet/mod.rs
+++ b/cicadagate-lab/src/fleet/mod.rs
@@ -30,7 +30,8 @@
 pub type Result<T, E = FleetError> = std::result::Result<T, E>;
 
 /// Why a fleet could not do what it should.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum FleetError {
     /// A process could not be started or announced nothing.
--- a/cicadagate-lab/src/measure/mod.rs
+++ b/cicadagate-lab/src/measure/mod.rs
@@ -26,7 +26,8 @@
 pub type Result<T, E = MeasureError> = std::result::Result<T, E>;
 
 /// Why a measurement gives no figure.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum MeasureError {
     /// The shape's file is wrong.
--- a/cicadagate-lab/src/measure/outcome.rs
+++ b/cicadagate-lab/src/measure/outcome.rs
@@ -28,7 +28,8 @@
 }
 
 /// Figures of one customer.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct CustomerFigures {
     /// Name.
     pub name: String,
@@ -48,7 +49,8 @@
 }
 
 /// Figures of one run.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Measured {
     /// Shape.
     pub shape: String,
--- a/cicadagate-lab/src/measure/shape.rs
+++ b/cicadagate-lab/src/measure/shape.rs
@@ -11,7 +11,8 @@
 };
 
 /// A customer and what its callers offer.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CustomerShape {
     /// Name.
@@ -27,7 +28,8 @@
 }
 
 /// A deployment's shape.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Shape {
     /// Name.
--- a/cicadagate-lab/src/slopes.rs
+++ b/cicadagate-lab/src/slopes/decisions.rs
@@ -1,18 +1,13 @@
 /*!
-Slopes for docs/CAPACITY.md.
-
-Each figure is measured over several sizes and fitted by a line; the fit's
-straightness is printed with it, so that a figure at the letter's size can be
-worked out or mistrusted. The deciding functions run alone here, at the
-letter's size; what a whole idle process spends is measured on small fleets.
+Slopes of the deciding functions, run alone at the letter's size.
 */
 
 use {
-    crate::fleet::{Fleet, FleetError, FleetSpec},
+    super::{Slope, float, processes::process_kib},
     cicadagate_policy::{
         ids::{CustomerId, EndpointId, FileId, JobId, MemberId, Offset, RequestId, hash64},
         process::{
-            dispatch::{Class, Config, Queue, Request},
+            dispatch::{Action, Class, Config, Queue, Request},
             holder::Holder,
             homes::{Place, home},
             membership::{Health, Info, Kind, Membership, Message, Role, Update},
@@ -25,68 +20,18 @@
         },
     },
     cicadagate_wire::{datagram::DatagramCodec, key::FleetKey},
-    serde_json::{Value, json},
-    std::{
-        fs,
-        hint::black_box,
-        time::{Duration, Instant},
-    },
+    std::{hint::black_box, time::Instant},
 };
 
-/// A fitted line.
-#[derive(Clone, Debug)]
-pub struct Slope {
-    /// What was measured.
-    pub name: &'static str,
-    /// Unit of the values.
-    pub unit: &'static str,
-    /// What the sizes count.
-    pub per: &'static str,
-    /// Sizes and values.
-    pub points: Vec<(f64, f64)>,
-}
-
-impl Slope {
-    /// Returns intercept, slope and the share of variance that the line
-    /// explains.
-    #[must_use]
-    pub fn fit(&self) -> (f64, f64, f64) {
-        #[expect(clippy::cast_precision_loss, reason = "few points")]
-        let n = self.points.len() as f64;
-        let mean = |of: fn(&(f64, f64)) -> f64| self.points.iter().map(of).sum::<f64>() / n;
-        let (mx, my) = (mean(|point| point.0), mean(|point| point.1));
-        let sum = |of: &dyn Fn(f64, f64) -> f64| {
-            self.points
-                .iter()
-                .map(|(x, y)| of(x - mx, y - my))
-                .sum::<f64>()
-        };
-        let (xx, xy, yy) = (sum(&|x, _| x * x), sum(&|x, y| x * y), sum(&|_, y| y * y));
-        let slope = if xx > 0.0 { xy / xx } else { 0.0 };
-        let straight = if yy > 0.0 { xy * xy / (xx * yy) } else { 1.0 };
-        (my - slope * mx, slope, straight)
-    }
-
-    fn line(&self) -> String {
-        let (base, slope, straight) = self.fit();
-        let points: Vec<String> = self
-            .points
-            .iter()
-            .map(|(x, y)| format!("{x:.0}: {y:.2}"))
-            .collect();
-        format!(
-            "{}: {base:.2} + {slope:.5} {} per {}; R2 {straight:.3}; {}",
-            self.name,
-            self.unit,
-            self.per,
-            points.join(", "),
-        )
-    }
-}
-
-#[expect(clippy::cast_precision_loss, reason = "small counts")]
-fn float(count: usize) -> f64 {
-    count as f64
+/// Measures all of them.
+pub(super) fn measure() -> Vec<Slope> {
+    let mut slopes = membership_slopes();
+    slopes.extend(config_slopes());
+    slopes.extend(routing_slopes());
+    slopes.extend(queue_slopes());
+    slopes.extend(job_slopes());
+    slopes.extend(result_slopes());
+    slopes
 }
 
 /// Mean microseconds of an action over `times` runs.
@@ -369,7 +314,7 @@
         let us = micros(500, || {
             submit(&mut queue);
             while let Some(action) = queue.next(Time(1)) {
-                if let cicadagate_policy::process::dispatch::Action::Start(request) = action {
+                if let Action::Start(request) = action {
                     running.push(request.id);
                 }
             }
@@ -502,129 +447,3 @@
         points,
     }]
 }
-
-/// CPU, memory and control bytes of idle processes in small fleets.
-///
-/// # Errors
-///
-/// Returns an error if a fleet can't be started.
-async fn fleet_slopes() -> Result<Vec<Slope>, FleetError> {
-    let roles = ["entry", "dispatch", "batch", "operator"];
-    let mut cpu: Vec<Vec<(f64, f64)>> = vec![Vec::new(); roles.len()];
-    let mut memory = cpu.clone();
-    let mut bytes = cpu.clone();
-    for instances in [3, 6, 12] {
-        let fleet = Fleet::start(FleetSpec::new("slopes", instances, &["a", "b", "c"])).await?;
-        actix_rt::time::sleep(Duration::from_secs(10)).await;
-        for (index, role) in roles.iter().enumerate() {
-            let name = format!("i2-{role}");
-            let pid = fleet.pid(&name)?;
-            let before = (cpu_ms(pid), control_bytes(&fleet, &name).await?);
-            let start = Instant::now();
-            actix_rt::time::sleep(Duration::from_secs(10)).await;
-            let after = (cpu_ms(pid), control_bytes(&fleet, &name).await?);
-            let seconds = start.elapsed().as_secs_f64();
-            let members = float(instances * roles.len());
-            cpu[index].push((members, (after.0 - before.0) / seconds / 10.0));
-            bytes[index].push((members, (after.1 - before.1) / seconds));
-            memory[index].push((members, process_kib(pid) / 1024.0));
-        }
-    }
-    let mut slopes = Vec::new();
-    let names = [
-        [
-            "idle entry, CPU",
-            "idle dispatch, CPU",
-            "idle batch, CPU",
-            "idle operator, CPU",
-        ],
-        [
-            "idle entry, memory",
-            "idle dispatch, memory",
-            "idle batch, memory",
-            "idle operator, memory",
-        ],
-        [
-            "idle entry, control sent",
-            "idle dispatch, control sent",
-            "idle batch, control sent",
-            "idle operator, control sent",
-        ],
-    ];
-    for (kind, (values, unit)) in [(cpu, "% of a core"), (memory, "MiB"), (bytes, "bytes/s")]
-        .into_iter()
-        .enumerate()
-    {
-        for (index, points) in values.into_iter().enumerate() {
-            slopes.push(Slope {
-                name: names[kind][index],
-                unit,
-                per: "member",
-                points,
-            });
-        }
-    }
-    Ok(slopes)
-}
-
-/// Milliseconds that a process has spent on a core.
-fn cpu_ms(pid: u32) -> f64 {
-    let stat = fs::read_to_string(format!("/proc/{pid}/schedstat")).unwrap_or_default();
-    let nanos = stat
-        .split_whitespace()
-        .next()
-        .and_then(|field| field.parse::<f64>().ok());
-    nanos.unwrap_or(0.0) / 1e6
-}
-
-fn process_kib(pid: u32) -> f64 {
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let kib = line.and_then(|line| line.split_whitespace().nth(1));
-    kib.and_then(|kib| kib.parse().ok()).unwrap_or(0.0)
-}
-
-/// Bytes that a process has sent to others by datagram and peer connection.
-async fn control_bytes(fleet: &Fleet, name: &str) -> Result<f64, FleetError> {
-    let page = fleet.page(name, "operations", "/metrics").await?;
-    let text = page.as_str().unwrap_or_default();
-    let sent = text
-        .lines()
-        .filter(|line| line.contains("direction=\"sent\""));
-    Ok(sent
-        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
-        .sum())
-}
-
-/// Measures all slopes and prints them; with `json`, as one JSON value.
-///
-/// # Errors
-///
-/// Returns an error if a fleet can't be started.
-pub async fn run(json: bool) -> Result<(), FleetError> {
-    let mut slopes = membership_slopes();
-    slopes.extend(config_slopes());
-    slopes.extend(routing_slopes());
-    slopes.extend(queue_slopes());
-    slopes.extend(job_slopes());
-    slopes.extend(result_slopes());
-    slopes.extend(fleet_slopes().await?);
-    if json {
-        let all: Vec<Value> = slopes
-            .iter()
-            .map(|slope| {
-                let (base, per, straight) = slope.fit();
-                json!({
-                    "name": slope.name, "unit": slope.unit, "per": slope.per,
-                    "base": base, "slope": per, "r2": straight, "points": slope.points,
-                })
-            })
-            .collect();
-        println!("{}", Value::Array(all));
-    } else {
-        for slope in &slopes {
-            println!("{}", slope.line());
-        }
-    }
-    Ok(())
-}
--- /dev/null
+++ b/cicadagate-lab/src/slopes/mod.rs
@@ -0,0 +1,100 @@
+/*!
+Slopes for docs/CAPACITY.md.
+
+Each figure is measured over several sizes and fitted by a line; the fit's
+straightness is printed with it, so that a figure at the letter's size can be
+worked out or mistrusted. The deciding functions run alone here, at the
+letter's size; what a whole idle process spends is measured on small fleets.
+*/
+
+mod decisions;
+mod processes;
+
+use {
+    crate::fleet::FleetError,
+    serde_json::{Value, json},
+};
+
+/// A fitted line.
+#[derive(Clone, Debug)]
+pub struct Slope {
+    /// What was measured.
+    pub name: &'static str,
+    /// Unit of the values.
+    pub unit: &'static str,
+    /// What the sizes count.
+    pub per: &'static str,
+    /// Sizes and values.
+    pub points: Vec<(f64, f64)>,
+}
+
+impl Slope {
+    /// Returns intercept, slope and the share of variance that the line
+    /// explains.
+    #[must_use]
+    pub fn fit(&self) -> (f64, f64, f64) {
+        #[expect(clippy::cast_precision_loss, reason = "few points")]
+        let n = self.points.len() as f64;
+        let mean = |of: fn(&(f64, f64)) -> f64| self.points.iter().map(of).sum::<f64>() / n;
+        let (mx, my) = (mean(|point| point.0), mean(|point| point.1));
+        let sum = |of: &dyn Fn(f64, f64) -> f64| {
+            self.points
+                .iter()
+                .map(|(x, y)| of(x - mx, y - my))
+                .sum::<f64>()
+        };
+        let (xx, xy, yy) = (sum(&|x, _| x * x), sum(&|x, y| x * y), sum(&|_, y| y * y));
+        let slope = if xx > 0.0 { xy / xx } else { 0.0 };
+        let straight = if yy > 0.0 { xy * xy / (xx * yy) } else { 1.0 };
+        (my - slope * mx, slope, straight)
+    }
+
+    fn line(&self) -> String {
+        let (base, slope, straight) = self.fit();
+        let points: Vec<String> = self
+            .points
+            .iter()
+            .map(|(x, y)| format!("{x:.0}: {y:.2}"))
+            .collect();
+        format!(
+            "{}: {base:.2} + {slope:.5} {} per {}; R2 {straight:.3}; {}",
+            self.name,
+            self.unit,
+            self.per,
+            points.join(", "),
+        )
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "small counts")]
+fn float(count: usize) -> f64 {
+    count as f64
+}
+
+/// Measures all slopes and prints them; with `json`, as one JSON value.
+///
+/// # Errors
+///
+/// Returns an error if a fleet can't be started.
+pub async fn run(json: bool) -> Result<(), FleetError> {
+    let mut slopes = decisions::measure();
+    slopes.extend(processes::measure().await?);
+    if json {
+        let all: Vec<Value> = slopes
+            .iter()
+            .map(|slope| {
+                let (base, per, straight) = slope.fit();
+                json!({
+                    "name": slope.name, "unit": slope.unit, "per": slope.per,
+                    "base": base, "slope": per, "r2": straight, "points": slope.points,
+                })
+            })
+            .collect();
+        println!("{}", Value::Array(all));
+    } else {
+        for slope in &slopes {
+            println!("{}", slope.line());
+        }
+    }
+    Ok(())
+}
--- a/cicadagate-node/src/connection/link.rs
+++ b/cicadagate-node/src/connection/link.rs
@@ -40,7 +40,8 @@
 const READ_BYTES: usize = 64 * 1024;
 
 /// Why a call to a peer failed.
-#[derive(Clone, Debug, Snafu)]
+#[derive(Clone, Debug)]
+#[derive(Snafu)]
 pub enum LinkError {
     /// No connection could be made; nothing was sent.
     #[snafu(display("can't connect"))]
--- a/cicadagate-node/src/platform/list.rs
+++ b/cicadagate-node/src/platform/list.rs
@@ -16,7 +16,8 @@
 };
 
 /// What kind of instance is listed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// One of ours.
@@ -28,7 +29,8 @@
 }
 
 /// State of an instance, by the platform's lagging account.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     /// Runs.
@@ -38,7 +40,8 @@
 }
 
 /// A listed instance.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Instance {
     /// Name.
     pub id: String,
--- a/cicadagate-node/src/platform/mod.rs
+++ b/cicadagate-node/src/platform/mod.rs
@@ -17,7 +17,8 @@
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Why a call failed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum PlatformError {
     /// No answer, or not in time. An action may have taken effect.
     #[snafu(display("no answer: {detail}"))]
--- a/cicadagate-node/src/process/mod.rs
+++ b/cicadagate-node/src/process/mod.rs
@@ -57,7 +57,8 @@
 pub type Result<T, E = StartError> = std::result::Result<T, E>;
 
 /// Why a process could not start.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum StartError {
     /// An address can't be bound.
     #[snafu(display("can't bind {addr}: {source}"))]
--- a/cicadagate-node/src/settings.rs
+++ b/cicadagate-node/src/settings.rs
@@ -18,7 +18,8 @@
 pub type Result<T, E = SettingsError> = std::result::Result<T, E>;
 
 /// Why settings were refused.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum SettingsError {
     /// The file can't be read.
     #[snafu(display("can't read {path}: {source}"))]
@@ -70,7 +71,8 @@
 }
 
 /// Settings that every process has.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
     /// Name of the instance.
--- a/cicadagate-node/tests/settings.rs
+++ b/cicadagate-node/tests/settings.rs
@@ -5,7 +5,8 @@
     serde::Deserialize,
 };
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Settings {
     node: NodeSettings,
--- a/cicadagate-operator/src/main.rs
+++ b/cicadagate-operator/src/main.rs
@@ -28,7 +28,8 @@
 };
 
 /// Settings of the process.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Settings {
     node: NodeSettings,
--- a/cicadagate-policy/src/ids.rs
+++ b/cicadagate-policy/src/ids.rs
@@ -101,9 +101,8 @@
 );
 
 /// A request id that is unique over the fleet; resends carry the same one.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestId(pub [u8; 16]);
 
 impl RequestId {
@@ -123,9 +122,8 @@
 }
 
 /// A position in a stream of the log. Offsets start at 1; 0 is "none".
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Offset(pub u64);
 
 impl Offset {
--- a/cicadagate-policy/src/process/dispatch.rs
+++ b/cicadagate-policy/src/process/dispatch.rs
@@ -50,9 +50,8 @@
 const FULL_RETRY_MS: u64 = 1_000;
 
 /// Class of work.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Class {
     /// A caller waits.
     Online,
--- a/cicadagate-policy/src/process/holder.rs
+++ b/cicadagate-policy/src/process/holder.rs
@@ -249,7 +249,8 @@
 }
 
 /// A holder's answer to a draw.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Draw {
     /// So many requests may be run within the grant's life.
     Granted(u32),
--- a/cicadagate-policy/src/process/membership.rs
+++ b/cicadagate-policy/src/process/membership/mod.rs
@@ -30,12 +30,15 @@
 keeps its homes and shares until it is dead.
 */
 
+mod message;
+
+pub use message::{Health, Info, Kind, Message, Role, Update};
+
 use {
     crate::{
         ids::{MemberId, Offset, hash64},
         time::Time,
     },
-    serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
@@ -52,122 +55,6 @@
 /// How long a dead or left member is remembered, in milliseconds.
 pub const FORGET_MS: u64 = 60_000;
 
-/// What a process does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Role {
-    /// The callers' side.
-    Entry,
-    /// The endpoints' side.
-    Dispatch,
-    /// Batch jobs.
-    Batch,
-    /// The operators' RPC.
-    Operator,
-}
-
-impl Role {
-    /// Returns the role's name.
-    #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Entry => "entry",
-            Self::Dispatch => "dispatch",
-            Self::Batch => "batch",
-            Self::Operator => "operator",
-        }
-    }
-}
-
-/// What a member tells about itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Info {
-    /// Id; a restarted process has another one.
-    pub id: MemberId,
-    /// Instance that it runs on.
-    pub instance: String,
-    /// Data centre of the instance.
-    pub data_centre: String,
-    /// What it does.
-    pub role: Role,
-    /// Address for datagrams.
-    pub udp: SocketAddr,
-    /// Address for its main connections.
-    pub tcp: SocketAddr,
-    /// Milliseconds since the epoch at its start, to order restarts.
-    pub started: u64,
-    /// Configuration version in force.
-    pub version: Offset,
-    /// It is no longer given out to callers.
-    pub leaving: bool,
-}
-
-impl Info {
-    /// Hash of the process's name, which a restart keeps.
-    #[must_use]
-    pub fn process(&self) -> u64 {
-        hash64(&[self.instance.as_bytes(), self.role.name().as_bytes()])
-    }
-}
-
-/// How a member fares.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Health {
-    /// Answers.
-    Alive,
-    /// Did not answer lately.
-    Suspect,
-    /// Did not refute a suspicion.
-    Dead,
-    /// Said that it stops.
-    Left,
-}
-
-/// News of one member.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Update {
-    /// What the member tells about itself.
-    pub info: Info,
-    /// Rises with each refutation and each change of `info`.
-    pub incarnation: u64,
-    /// How it fares.
-    pub health: Health,
-}
-
-/// A datagram between processes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Message {
-    /// Kind and its arguments.
-    pub kind: Kind,
-    /// News that travel along.
-    pub updates: Vec<Update>,
-    /// Withdrawn keys that travel along.
-    pub withdrawn: Vec<[u8; 32]>,
-}
-
-/// Kind of a datagram.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Kind {
-    /// Asks for an acknowledgement.
-    Ping {
-        /// Number of the probe at its sender.
-        seq: u64,
-    },
-    /// Answers a ping.
-    Ack {
-        /// Number of the probe.
-        seq: u64,
-        /// Who answers: at the target's address there may be a later process.
-        from: MemberId,
-    },
-    /// Asks to probe a target on one's behalf.
-    PingReq {
-        /// Number of the probe.
-        seq: u64,
-        /// Address of the target.
-        target: SocketAddr,
-    },
-}
-
 /// A message to send.
 pub type Outgoing = (SocketAddr, Message);
 
@@ -370,7 +257,7 @@
             .map(|info| info.udp)
             .collect();
         for _ in 0..HELPERS.min(others.len()) {
-            let pick = usize::try_from(self.random() % others.len() as u64).unwrap_or(0);
+            let pick = usize::try_from(self.roll() % others.len() as u64).unwrap_or(0);
             let kind = Kind::PingReq {
                 seq: probe.seq,
                 target,
@@ -449,7 +336,7 @@
         if unknown.is_empty() {
             return;
         }
-        let pick = usize::try_from(self.random() % unknown.len() as u64).unwrap_or(0);
+        let pick = usize::try_from(self.roll() % unknown.len() as u64).unwrap_or(0);
         let seq = self.next_seq();
         let mut message = self.message(Kind::Ping { seq });
         // Whoever is taken for dead at that address must hear of it to refute.
@@ -481,7 +368,7 @@
 
     fn shuffle_round(&mut self) {
         for i in (1..self.round.len()).rev() {
-            let j = usize::try_from(self.random() % (i as u64 + 1)).unwrap_or(0);
+            let j = usize::try_from(self.roll() % (i as u64 + 1)).unwrap_or(0);
             self.round.swap(i, j);
         }
     }
@@ -616,7 +503,7 @@
         // A little of everything else, so that a lost piece of news is
         // repaired in time.
         if updates.len() < MAX_UPDATES && !self.members.is_empty() {
-            let pick = usize::try_from(self.random() % self.members.len() as u64).unwrap_or(0);
+            let pick = usize::try_from(self.roll() % self.members.len() as u64).unwrap_or(0);
             updates.extend(
                 self.members
                     .values()
@@ -641,7 +528,7 @@
             }
         }
         if picked.is_empty() && !self.withdrawn.is_empty() {
-            let pick = usize::try_from(self.random() % self.withdrawn.len() as u64).unwrap_or(0);
+            let pick = usize::try_from(self.roll() % self.withdrawn.len() as u64).unwrap_or(0);
             picked.extend(self.withdrawn.keys().nth(pick).copied());
         }
         picked
@@ -656,7 +543,7 @@
         self.seq
     }
 
-    fn random(&mut self) -> u64 {
+    fn roll(&mut self) -> u64 {
         self.seed = hash64(&[&self.seed.to_le_bytes()]);
         self.seed
     }
--- a/cicadagate-policy/src/request/attempt.rs
+++ b/cicadagate-policy/src/request/attempt.rs
@@ -37,9 +37,8 @@
 pub const BUDGET_RESERVE: u64 = 10;
 
 /// How far an attempt got.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Progress {
     /// No byte of it can have reached the endpoint.
     NotSent,
--- a/cicadagate-policy/src/version/config.rs
+++ b/cicadagate-policy/src/version/config/mod.rs
@@ -25,237 +25,31 @@
 At 430 changes a day that is a few kilobytes a day, which snapshots carry.
 */
 
+mod record;
+mod validate;
+
+pub use {
+    record::{
+        Backend, Change, Customer, Epoch, Key, MAX_BURST, MAX_NAME_BYTES, MAX_RATE_MILLI,
+        MAX_ROSTER, MAX_WITNESSES, ModelVersion, Object, ObjectKey, REMEMBERED_IDS, Record,
+        Rejection, Roster, Route, RouteKind, Seat, Verdict, Versioned,
+    },
+    validate::object_key,
+};
+
 use {
     crate::{
-        ids::{CustomerId, EndpointId, MemberId, Offset, RequestId, hash64},
+        ids::{CustomerId, EndpointId, Offset, RequestId, hash64},
         planted::{Fault, is_planted},
     },
     serde::{Deserialize, Serialize},
     std::collections::{BTreeMap, BTreeSet, VecDeque},
+    validate::{has_prefix, invalid, validate},
 };
 
-/// How many request ids are remembered to recognise a resend.
-pub const REMEMBERED_IDS: usize = 4096;
-/// Longest name of an object, in bytes.
-pub const MAX_NAME_BYTES: usize = 128;
-/// Most members in a roster.
-pub const MAX_ROSTER: usize = 4096;
-/// Most witnesses of a roster.
-pub const MAX_WITNESSES: usize = 15;
-/// Highest rate of a customer, in thousandths of a request a second.
-pub const MAX_RATE_MILLI: u64 = 1_000_000_000;
-/// Highest burst of a customer, in requests.
-pub const MAX_BURST: u32 = 1_000_000;
-
-/// A customer and its limits over the whole fleet.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Customer {
-    /// Name, unique.
-    pub name: String,
-    /// Thousandths of a request a second.
-    pub rate_milli: u64,
-    /// Requests that may come at once after idleness.
-    pub burst: u32,
-}
-
-/// A caller's key, as a keyed hash.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Key {
-    /// Public id of the key.
-    pub id: String,
-    /// The customer that it speaks for.
-    pub customer: String,
-    /// Keyed hash of the secret.
-    pub hash: [u8; 32],
-}
-
-/// What a route leads to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum RouteKind {
-    /// A model, by name.
-    Model,
-    /// A plain service, by path prefix.
-    Service,
-}
-
-/// One of a route's deployments and its share of the traffic.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Backend {
-    /// Deployment whose endpoints serve the route.
-    pub deployment: String,
-    /// Share of the traffic, relative to the other weights.
-    pub weight: u32,
-}
-
-/// A route from a model name or path prefix to deployments.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Route {
-    /// Model name or path prefix, unique.
-    pub name: String,
-    /// What it leads to.
-    pub kind: RouteKind,
-    /// Where it leads.
-    pub backends: Vec<Backend>,
-    /// No key is asked for.
-    pub open: bool,
-    /// Calls may not be repeated.
-    pub non_idempotent: bool,
-}
-
-/// A model version that a deployment should serve.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ModelVersion {
-    /// Deployment.
-    pub deployment: String,
-    /// Version of the model's weights.
-    pub version: String,
-}
-
-/// A member's place in a roster.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Seat {
-    /// Member; a restarted process is another one.
-    pub member: MemberId,
-    /// Hash of the process's name, which a restart keeps.
-    pub process: u64,
-    /// Hash of its data centre's name.
-    pub data_centre: u64,
-}
-
-/// The members that hold shares of rate and burst, for one epoch.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Roster {
-    /// Members that may hold shares, in ascending order.
-    pub members: Vec<Seat>,
-    /// Members whose majority confirms that no later roster is known.
-    pub witnesses: Vec<Seat>,
-}
-
-/// A roster as folded.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Epoch {
-    /// The roster.
-    pub roster: Roster,
-    /// Offset of the settling record.
-    pub settled: Option<Offset>,
-    /// Witnesses of the roster before.
-    pub previous: Vec<Seat>,
-}
-
-/// A change of one object.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Change {
-    /// Creates or replaces a customer.
-    PutCustomer(Customer),
-    /// Removes a customer.
-    RemoveCustomer(String),
-    /// Creates a key.
-    PutKey(Key),
-    /// Withdraws a key, by id, for good.
-    WithdrawKey(String),
-    /// Creates or replaces a route.
-    PutRoute(Route),
-    /// Removes a route.
-    RemoveRoute(String),
-    /// Sets the model version of a deployment.
-    PutModelVersion(ModelVersion),
-    /// Stops new work for an endpoint, by name.
-    Drain(String),
-    /// Lets an endpoint have new work again, by name.
-    Undrain(String),
-    /// Proposes the next roster.
-    PutRoster(Roster),
-    /// States that a majority of the previous witnesses knows the roster.
-    SettleRoster,
-    /// Carries the whole state, so that earlier records may expire.
-    Snapshot(Box<State>),
-}
-
-/// A record of the configuration stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Record {
-    /// Unique id of the change.
-    pub id: RequestId,
-    /// Version of the object that the change was based on.
-    pub based_on: Offset,
-    /// The change.
-    pub change: Change,
-}
-
-/// Names an object of the configuration.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum ObjectKey {
-    /// A customer, by name.
-    Customer(String),
-    /// A key, by id.
-    Key(String),
-    /// A route, by name.
-    Route(String),
-    /// The model version of a deployment.
-    ModelVersion(String),
-    /// The drain of an endpoint.
-    Drain(String),
-    /// The roster.
-    Roster,
-}
-
-/// The value of an object.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Object {
-    /// A customer.
-    Customer(Customer),
-    /// A key in use.
-    Key(Key),
-    /// A key that was withdrawn.
-    WithdrawnKey(Key),
-    /// A route.
-    Route(Route),
-    /// A model version.
-    ModelVersion(ModelVersion),
-    /// A drained endpoint.
-    Drained,
-    /// A roster; `settled` once old holders can't be missing it.
-    Roster(Epoch),
-    /// A removed object.
-    Removed,
-}
-
-/// An object with its version.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Versioned {
-    /// Offset of the record that last changed the object.
-    pub version: Offset,
-    /// Its value.
-    pub value: Object,
-}
-
-/// Why a record was rejected.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Rejection {
-    /// Based on another version than the one in force.
-    Conflict {
-        /// Version in force.
-        now_at: Offset,
-    },
-    /// The object does not exist.
-    Missing,
-    /// The change is not valid by itself.
-    Invalid(String),
-}
-
-/// What a reader made of a record.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Verdict {
-    /// In force from this offset on.
-    Accepted(Offset),
-    /// The same request id was decided earlier.
-    Repeated(Box<Verdict>),
-    /// Without effect.
-    Rejected(Rejection),
-}
-
 /// The state after folding the stream up to a version.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct State {
     version: Offset,
     objects: BTreeMap<ObjectKey, Versioned>,
@@ -557,96 +351,6 @@
     }
 }
 
-fn has_prefix(path: &str, prefix: &str) -> bool {
-    let rest = path.strip_prefix(prefix.trim_end_matches('/'));
-    rest.is_some_and(|rest| rest.is_empty() || rest.starts_with(['/', '?']))
-}
-
-fn invalid(reason: &str) -> Rejection {
-    Rejection::Invalid(reason.to_owned())
-}
-
-/// Names the object that a change is about.
-#[must_use]
-pub fn object_key(change: &Change) -> Option<ObjectKey> {
-    Some(match change {
-        Change::PutCustomer(customer) => ObjectKey::Customer(customer.name.clone()),
-        Change::RemoveCustomer(name) => ObjectKey::Customer(name.clone()),
-        Change::PutKey(key) => ObjectKey::Key(key.id.clone()),
-        Change::WithdrawKey(id) => ObjectKey::Key(id.clone()),
-        Change::PutRoute(route) => ObjectKey::Route(route.name.clone()),
-        Change::RemoveRoute(name) => ObjectKey::Route(name.clone()),
-        Change::PutModelVersion(version) => ObjectKey::ModelVersion(version.deployment.clone()),
-        Change::Drain(name) | Change::Undrain(name) => ObjectKey::Drain(name.clone()),
-        Change::PutRoster(_) | Change::SettleRoster => ObjectKey::Roster,
-        Change::Snapshot(_) => return None,
-    })
-}
-
-fn validate(change: &Change) -> Result<(), Rejection> {
-    let name = match object_key(change) {
-        Some(
-            ObjectKey::Customer(name)
-            | ObjectKey::Key(name)
-            | ObjectKey::Route(name)
-            | ObjectKey::ModelVersion(name)
-            | ObjectKey::Drain(name),
-        ) => name,
-        Some(ObjectKey::Roster) | None => return validate_roster(change),
-    };
-    if name.is_empty() || name.len() > MAX_NAME_BYTES || name.contains(char::is_control) {
-        return Err(invalid(
-            "a name has 1 to 128 bytes and no control characters",
-        ));
-    }
-    match change {
-        Change::PutCustomer(customer) => validate_customer(customer),
-        Change::PutRoute(route) => validate_route(route),
-        _ => Ok(()),
-    }
-}
-
-fn validate_customer(customer: &Customer) -> Result<(), Rejection> {
-    if !(1..=MAX_RATE_MILLI).contains(&customer.rate_milli) {
-        return Err(invalid("a rate is from 0.001 to 1000000 requests a second"));
-    }
-    if !(1..=MAX_BURST).contains(&customer.burst) {
-        return Err(invalid("a burst is from 1 to 1000000 requests"));
-    }
-    Ok(())
-}
-
-fn validate_route(route: &Route) -> Result<(), Rejection> {
-    if route.backends.iter().all(|backend| backend.weight == 0) {
-        return Err(invalid("a route needs a deployment with a weight above 0"));
-    }
-    if route.backends.len() > 64 {
-        return Err(invalid("a route has at most 64 deployments"));
-    }
-    if route.kind == RouteKind::Service && !route.name.starts_with('/') {
-        return Err(invalid(
-            "a service route's name is a path that starts with '/'",
-        ));
-    }
-    if route.kind == RouteKind::Service && (route.name == "/" || has_prefix(&route.name, "/v1")) {
-        return Err(invalid("'/' and '/v1' are taken by the system itself"));
-    }
-    Ok(())
-}
-
-fn validate_roster(change: &Change) -> Result<(), Rejection> {
-    let Change::PutRoster(roster) = change else {
-        return Ok(());
-    };
-    let too_many = roster.members.len() > MAX_ROSTER || roster.witnesses.len() > MAX_WITNESSES;
-    if roster.members.is_empty() || roster.witnesses.is_empty() || too_many {
-        return Err(invalid(
-            "a roster has 1 to 4096 members and 1 to 15 witnesses",
-        ));
-    }
-    Ok(())
-}
-
 /// Chooses a route's deployment for one request, by weight.
 #[must_use]
 pub fn choose_backend(route: &Route, request: RequestId) -> Option<&Backend> {
--- a/cicadagate-policy/src/version/intents.rs
+++ b/cicadagate-policy/src/version/intents.rs
@@ -23,7 +23,8 @@
 pub const REMEMBERED: usize = 100_000;
 
 /// A record of the stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Intent {
     /// Request.
     pub id: RequestId,
--- a/cicadagate-policy/src/version/jobs.rs
+++ b/cicadagate-policy/src/version/jobs.rs
@@ -43,7 +43,8 @@
 pub const MAX_ITEMS: u32 = 60_000;
 
 /// A file whose chunks are all in its data stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct File {
     /// Id, derived from customer and content or chosen by the client.
     pub id: FileId,
@@ -62,7 +63,8 @@
 }
 
 /// An accepted job.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Job {
     /// Id, derived from customer and the client's idempotency key or file.
     pub id: JobId,
@@ -83,7 +85,8 @@
 }
 
 /// A record of the jobs stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Record {
     /// A file is whole.
     File(File),
@@ -138,7 +141,8 @@
 }
 
 /// A claim on a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Claim {
     /// Offset of the claim; the fencing number.
     pub fence: Offset,
@@ -149,7 +153,8 @@
 }
 
 /// Where a job stands.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Phase {
     /// Items remain.
     Open,
@@ -167,7 +172,8 @@
 }
 
 /// A job as folded.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct JobState {
     /// The job.
     pub job: Job,
@@ -178,7 +184,8 @@
 }
 
 /// The state after folding the jobs stream up to a version.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct State {
     version: Offset,
     files: BTreeMap<FileId, File>,
@@ -371,7 +378,8 @@
 }
 
 /// How one item ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Outcome {
     /// Answered; the body of the answer.
     Completed(Vec<u8>),
@@ -382,7 +390,8 @@
 }
 
 /// A record of a data stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Data {
     /// Part of a file.
     Chunk {
--- /dev/null
+++ b/cicadagate-policy/tests/choice.rs
@@ -0,0 +1,112 @@
+//! Choice of replicas: affinity, bounded load, movement when one is lost.
+
+use {
+    cicadagate_policy::{
+        ids::{EndpointId, MemberId},
+        process::homes::{Place, home, spread},
+        request::choice::{AVOID_MS, Chooser, Rule},
+        time::Time,
+    },
+    std::collections::BTreeMap,
+};
+
+const NOW: Time = Time(1_000);
+
+fn endpoints(count: usize) -> Vec<EndpointId> {
+    (0..count)
+        .map(|index| EndpointId::of(&format!("replica {index}")))
+        .collect()
+}
+
+fn places(count: usize, data_centres: usize) -> Vec<Place> {
+    (0..count)
+        .map(|index| Place {
+            member: MemberId::of(&format!("member {index}")),
+            data_centre: (index % data_centres) as u64,
+        })
+        .collect()
+}
+
+#[test]
+fn a_prefix_keeps_its_replica_until_that_is_loaded() {
+    let mut chooser = Chooser::new(Rule::Affinity);
+    let replicas = endpoints(5);
+    let first = chooser.order(NOW, 42, 0, &replicas)[0];
+    for seed in 0..20 {
+        assert_eq!(chooser.order(NOW, 42, seed, &replicas)[0], first);
+    }
+    for replica in &replicas {
+        chooser.note_load(NOW, *replica, if *replica == first { 30 } else { 5 });
+    }
+    let order = chooser.order(NOW, 42, 0, &replicas);
+    assert_ne!(order[0], first);
+    assert_eq!(order[4], first, "the loaded one comes last");
+}
+
+#[test]
+fn a_failed_replica_is_avoided_for_a_while() {
+    let mut chooser = Chooser::new(Rule::Affinity);
+    let replicas = endpoints(3);
+    let first = chooser.order(NOW, 7, 0, &replicas)[0];
+    chooser.note_failure(NOW, first);
+    assert_eq!(chooser.order(NOW, 7, 0, &replicas)[2], first);
+    assert_eq!(chooser.order(NOW.plus(AVOID_MS), 7, 0, &replicas)[0], first);
+    // A key alone decides for resends, but for failures.
+    assert_eq!(chooser.order_by_key(NOW, 7, &replicas)[2], first);
+}
+
+#[test]
+fn prefixes_spread_over_replicas() {
+    let chooser = Chooser::new(Rule::Affinity);
+    let replicas = endpoints(8);
+    let mut counts: BTreeMap<EndpointId, u32> = BTreeMap::new();
+    for prefix in 0..8_000_u64 {
+        let key = cicadagate_policy::ids::hash64(&[&prefix.to_le_bytes()]);
+        *counts
+            .entry(chooser.order(NOW, key, 0, &replicas)[0])
+            .or_insert(0) += 1;
+    }
+    assert!(
+        counts.values().all(|count| (850..1_150).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn a_lost_member_moves_only_its_own_keys() {
+    let before = places(12, 3);
+    let (lost, after) = (before[4].member, [&before[..4], &before[5..]].concat());
+    let mut moved = 0;
+    for number in 0..2_000_u64 {
+        let key = cicadagate_policy::ids::hash64(&[&number.to_le_bytes()]);
+        let (old, new) = (home(key, 1, &before), home(key, 1, &after));
+        if old == Some(lost) {
+            moved += 1;
+        } else {
+            assert_eq!(old, new);
+        }
+    }
+    // A quarter of the keys of its data centre, which has four members.
+    assert!((400..600).contains(&moved), "{moved}");
+}
+
+#[test]
+fn homes_and_holders_prefer_and_spread_data_centres() {
+    let places = places(12, 3);
+    let centre = |member: MemberId| {
+        places
+            .iter()
+            .find(|place| place.member == member)
+            .map(|place| place.data_centre)
+    };
+    for number in 0..200_u64 {
+        let key = cicadagate_policy::ids::hash64(&[&number.to_le_bytes()]);
+        assert_eq!(home(key, 2, &places).and_then(centre), Some(2));
+        let mut centres: Vec<_> = spread(key, 3, &places)
+            .into_iter()
+            .filter_map(centre)
+            .collect();
+        centres.sort_unstable();
+        assert_eq!(centres, [0, 1, 2]);
+    }
+}
--- /dev/null
+++ b/cicadagate-policy/tests/fleet/contact.rs
@@ -0,0 +1,105 @@
+//! Contact: witnesses asked, answers late, configurations taken from peers.
+
+use {
+    super::{Confirm, FleetWorld},
+    cicadagate_policy::ids::{MemberId, Offset},
+    std::collections::BTreeSet,
+};
+
+impl FleetWorld {
+    pub(super) fn ask(&mut self, node: usize, is_slow: bool) {
+        if !self.is_up(node) {
+            return;
+        }
+        let now = self.clock(node);
+        let witnesses = self.nodes[node].contact.to_ask(now);
+        for witness in witnesses {
+            let Some(other) = self.nodes.iter().position(|other| other.id == witness) else {
+                continue;
+            };
+            if !self.is_up(other) || !self.reaches(node, other) {
+                continue;
+            }
+            let withdrawn = self.nodes[node].withdrawn.clone();
+            self.nodes[other].withdrawn.extend(withdrawn);
+            let confirm = Confirm {
+                asker: node,
+                incarnation: self.nodes[node].incarnation,
+                witness,
+                epoch: self.nodes[other].confirms(),
+                version: self.nodes[other].state.version(),
+                mine: self.nodes[node].state.version(),
+                withdrawn: self.nodes[other].withdrawn.clone(),
+                sent: now,
+            };
+            if is_slow {
+                self.confirms.push(confirm);
+            } else {
+                self.take_confirm(confirm);
+            }
+        }
+    }
+
+    pub(super) fn take_confirm(&mut self, confirm: Confirm) {
+        let node = &mut self.nodes[confirm.asker];
+        if node.incarnation != confirm.incarnation || !node.alive || node.paused {
+            return;
+        }
+        node.withdrawn.extend(confirm.withdrawn);
+        if let Some(epoch) = confirm.epoch {
+            let (version, mine) = (confirm.version, confirm.mine);
+            node.contact
+                .confirmed(confirm.witness, epoch, version, mine, confirm.sent);
+        }
+        let asker = confirm.asker;
+        if confirm.version > self.nodes[asker].state.version() {
+            self.fetch_config(asker, confirm.witness);
+        }
+    }
+
+    pub(super) fn fetch_config(&mut self, node: usize, witness: MemberId) {
+        let other = self.nodes.iter().position(|other| other.id == witness);
+        let Some(other) = other.filter(|other| self.is_up(*other) && self.reaches(node, *other))
+        else {
+            return;
+        };
+        let state = self.nodes[other].state.clone();
+        let now = self.clock(node);
+        self.nodes[node].adopt(now, state);
+        self.count("configuration from witness");
+    }
+
+    /// Has a node learn how much its roster's witnesses have read.
+    pub(super) fn learn_witnessed(&mut self, node: usize) {
+        if !self.is_up(node) {
+            return;
+        }
+        let Some((epoch, state)) = self.nodes[node].state.epoch() else {
+            return;
+        };
+        let witnesses = state.roster.witnesses.clone();
+        let mut versions: Vec<Offset> = witnesses
+            .iter()
+            .filter_map(|seat| self.nodes.iter().position(|other| other.id == seat.member))
+            .filter(|other| self.is_up(*other) && self.reaches(node, *other))
+            .map(|other| self.nodes[other].state.version())
+            .collect();
+        versions.sort_unstable_by(|a, b| b.cmp(a));
+        if let Some(version) = versions.get(witnesses.len() / 2) {
+            let now = self.clock(node);
+            self.nodes[node].witnessed(now, epoch, *version);
+        }
+    }
+
+    pub(super) fn gossip(&mut self, a: usize, b: usize) {
+        if self.is_up(a) && self.is_up(b) && self.reaches(a, b) {
+            let union: BTreeSet<[u8; 32]> = self.nodes[a]
+                .withdrawn
+                .union(&self.nodes[b].withdrawn)
+                .copied()
+                .collect();
+            self.nodes[a].withdrawn.clone_from(&union);
+            self.nodes[b].withdrawn = union;
+        }
+    }
+}
--- /dev/null
+++ b/cicadagate-policy/tests/fleet/limits.rs
@@ -0,0 +1,123 @@
+//! Rate and burst: entries draw from holders, the oracle counts.
+
+use {
+    super::{FleetWorld, Grant, ROUND, customer},
+    cicadagate_policy::{
+        ids::{CustomerId, MemberId},
+        process::holder::{Draw, holders},
+        request::limit::Step,
+    },
+};
+
+impl FleetWorld {
+    pub(super) fn serve_round(
+        &mut self,
+        node: usize,
+        customer: usize,
+        is_slow: bool,
+    ) -> Result<(), String> {
+        for _ in 0..ROUND {
+            let admitted = self.serve(node, customer, is_slow)?;
+            if !admitted && !is_slow {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    /// Has an entry admit one request; returns whether it was admitted.
+    pub(super) fn serve(
+        &mut self,
+        entry: usize,
+        index: usize,
+        is_slow: bool,
+    ) -> Result<bool, String> {
+        if !self.is_up(entry) {
+            return Ok(false);
+        }
+        let now = self.clock(entry);
+        if !self.nodes[entry].contact.is_fresh(now) {
+            self.count("refused without contact");
+            return Ok(false);
+        }
+        let Some(known) = self.nodes[entry]
+            .state
+            .customer(&customer(index).name)
+            .cloned()
+        else {
+            return Ok(false);
+        };
+        let Some(epoch) = self.nodes[entry]
+            .state
+            .epoch()
+            .map(|(_, epoch)| epoch.clone())
+        else {
+            return Ok(false);
+        };
+        if !self.nodes[entry].contact_is_by_log(now) {
+            self.count("served by witnesses");
+        }
+        let id = CustomerId::of(&known.name);
+        let holders = holders(&known, &epoch.roster);
+        let mut search = self.nodes[entry].limiter.begin(id, holders);
+        loop {
+            match self.nodes[entry].limiter.step(now, &search) {
+                Step::Admit => {
+                    self.admit(index)?;
+                    return Ok(true);
+                }
+                Step::Refuse { .. } => {
+                    self.count("refused");
+                    return Ok(false);
+                }
+                Step::Ask(holder, want) => {
+                    let draw = self.draw(entry, holder, id, want);
+                    if is_slow && let Some(draw @ Draw::Granted(_)) = draw {
+                        let incarnation = self.nodes[entry].incarnation;
+                        let grant = Grant {
+                            entry,
+                            incarnation,
+                            customer: index,
+                            search,
+                            sent: now,
+                            draw,
+                        };
+                        self.grants.push(grant);
+                        return Ok(false);
+                    }
+                    self.nodes[entry]
+                        .limiter
+                        .answered(now, &mut search, now, draw);
+                }
+            }
+        }
+    }
+
+    pub(super) fn draw(
+        &mut self,
+        entry: usize,
+        holder: MemberId,
+        id: CustomerId,
+        want: u32,
+    ) -> Option<Draw> {
+        let index = self.nodes.iter().position(|node| node.id == holder)?;
+        if !self.is_up(index) || !self.reaches(entry, index) {
+            return None;
+        }
+        let now = self.clock(index);
+        let draw = self.nodes[index].draw(now, id, want);
+        let moved = index > 2 || self.nodes[index].incarnation > 0;
+        if moved && matches!(draw, Draw::Granted(_)) {
+            self.count("drew after handover");
+        }
+        Some(draw)
+    }
+
+    pub(super) fn admit(&mut self, index: usize) -> Result<(), String> {
+        self.count("admitted");
+        if self.buckets[index].take(self.now_us) {
+            return Ok(());
+        }
+        Err(format!("customer {index} got more than its rate and burst"))
+    }
+}
--- a/cicadagate-policy/tests/fleet/mod.rs
+++ b/cicadagate-policy/tests/fleet/mod.rs
@@ -1,23 +1,23 @@
 //! The world of the fleet's tests.
 
+mod contact;
+mod limits;
 mod node;
 mod op;
+mod operators;
 mod oracle;
+mod rosters;
 
 pub use op::Op;
 
 use {
     super::support::{Counts, World},
     cicadagate_policy::{
-        ids::{CustomerId, MemberId, Offset, RequestId},
-        process::{
-            contact::FRESH_MS,
-            holder::{Draw, holders},
-            roster::may_settle,
-        },
+        ids::{MemberId, Offset, RequestId},
+        process::{contact::FRESH_MS, holder::Draw},
         request::limit::{Search, Step},
         time::{Time, with_drift},
-        version::config::{Change, Customer, Key, Object, ObjectKey, Record, Roster, Seat},
+        version::config::{Change, Customer, Key, Record, Roster, Seat},
     },
     node::{Log, Node},
     oracle::{Reference, TrueBucket},
@@ -343,104 +343,6 @@
         }
     }
 
-    // Contact
-
-    fn ask(&mut self, node: usize, is_slow: bool) {
-        if !self.is_up(node) {
-            return;
-        }
-        let now = self.clock(node);
-        let witnesses = self.nodes[node].contact.to_ask(now);
-        for witness in witnesses {
-            let Some(other) = self.nodes.iter().position(|other| other.id == witness) else {
-                continue;
-            };
-            if !self.is_up(other) || !self.reaches(node, other) {
-                continue;
-            }
-            let withdrawn = self.nodes[node].withdrawn.clone();
-            self.nodes[other].withdrawn.extend(withdrawn);
-            let confirm = Confirm {
-                asker: node,
-                incarnation: self.nodes[node].incarnation,
-                witness,
-                epoch: self.nodes[other].confirms(),
-                version: self.nodes[other].state.version(),
-                mine: self.nodes[node].state.version(),
-                withdrawn: self.nodes[other].withdrawn.clone(),
-                sent: now,
-            };
-            if is_slow {
-                self.confirms.push(confirm);
-            } else {
-                self.take_confirm(confirm);
-            }
-        }
-    }
-
-    fn take_confirm(&mut self, confirm: Confirm) {
-        let node = &mut self.nodes[confirm.asker];
-        if node.incarnation != confirm.incarnation || !node.alive || node.paused {
-            return;
-        }
-        node.withdrawn.extend(confirm.withdrawn);
-        if let Some(epoch) = confirm.epoch {
-            let (version, mine) = (confirm.version, confirm.mine);
-            node.contact
-                .confirmed(confirm.witness, epoch, version, mine, confirm.sent);
-        }
-        let asker = confirm.asker;
-        if confirm.version > self.nodes[asker].state.version() {
-            self.fetch_config(asker, confirm.witness);
-        }
-    }
-
-    fn fetch_config(&mut self, node: usize, witness: MemberId) {
-        let other = self.nodes.iter().position(|other| other.id == witness);
-        let Some(other) = other.filter(|other| self.is_up(*other) && self.reaches(node, *other))
-        else {
-            return;
-        };
-        let state = self.nodes[other].state.clone();
-        let now = self.clock(node);
-        self.nodes[node].adopt(now, state);
-        self.count("configuration from witness");
-    }
-
-    /// Has a node learn how much its roster's witnesses have read.
-    fn learn_witnessed(&mut self, node: usize) {
-        if !self.is_up(node) {
-            return;
-        }
-        let Some((epoch, state)) = self.nodes[node].state.epoch() else {
-            return;
-        };
-        let witnesses = state.roster.witnesses.clone();
-        let mut versions: Vec<Offset> = witnesses
-            .iter()
-            .filter_map(|seat| self.nodes.iter().position(|other| other.id == seat.member))
-            .filter(|other| self.is_up(*other) && self.reaches(node, *other))
-            .map(|other| self.nodes[other].state.version())
-            .collect();
-        versions.sort_unstable_by(|a, b| b.cmp(a));
-        if let Some(version) = versions.get(witnesses.len() / 2) {
-            let now = self.clock(node);
-            self.nodes[node].witnessed(now, epoch, *version);
-        }
-    }
-
-    fn gossip(&mut self, a: usize, b: usize) {
-        if self.is_up(a) && self.is_up(b) && self.reaches(a, b) {
-            let union: BTreeSet<[u8; 32]> = self.nodes[a]
-                .withdrawn
-                .union(&self.nodes[b].withdrawn)
-                .copied()
-                .collect();
-            self.nodes[a].withdrawn.clone_from(&union);
-            self.nodes[b].withdrawn = union;
-        }
-    }
-
     // Deliveries of what was on its way
 
     fn deliver(&mut self) -> Result<(), String> {
@@ -477,168 +379,6 @@
         Ok(())
     }
 
-    // Rate and burst
-
-    fn serve_round(&mut self, node: usize, customer: usize, is_slow: bool) -> Result<(), String> {
-        for _ in 0..ROUND {
-            let admitted = self.serve(node, customer, is_slow)?;
-            if !admitted && !is_slow {
-                break;
-            }
-        }
-        Ok(())
-    }
-
-    /// Has an entry admit one request; returns whether it was admitted.
-    fn serve(&mut self, entry: usize, index: usize, is_slow: bool) -> Result<bool, String> {
-        if !self.is_up(entry) {
-            return Ok(false);
-        }
-        let now = self.clock(entry);
-        if !self.nodes[entry].contact.is_fresh(now) {
-            self.count("refused without contact");
-            return Ok(false);
-        }
-        let Some(known) = self.nodes[entry]
-            .state
-            .customer(&customer(index).name)
-            .cloned()
-        else {
-            return Ok(false);
-        };
-        let Some(epoch) = self.nodes[entry]
-            .state
-            .epoch()
-            .map(|(_, epoch)| epoch.clone())
-        else {
-            return Ok(false);
-        };
-        if !self.nodes[entry].contact_is_by_log(now) {
-            self.count("served by witnesses");
-        }
-        let id = CustomerId::of(&known.name);
-        let holders = holders(&known, &epoch.roster);
-        let mut search = self.nodes[entry].limiter.begin(id, holders);
-        loop {
-            match self.nodes[entry].limiter.step(now, &search) {
-                Step::Admit => {
-                    self.admit(index)?;
-                    return Ok(true);
-                }
-                Step::Refuse { .. } => {
-                    self.count("refused");
-                    return Ok(false);
-                }
-                Step::Ask(holder, want) => {
-                    let draw = self.draw(entry, holder, id, want);
-                    if is_slow && let Some(draw @ Draw::Granted(_)) = draw {
-                        let incarnation = self.nodes[entry].incarnation;
-                        let grant = Grant {
-                            entry,
-                            incarnation,
-                            customer: index,
-                            search,
-                            sent: now,
-                            draw,
-                        };
-                        self.grants.push(grant);
-                        return Ok(false);
-                    }
-                    self.nodes[entry]
-                        .limiter
-                        .answered(now, &mut search, now, draw);
-                }
-            }
-        }
-    }
-
-    fn draw(&mut self, entry: usize, holder: MemberId, id: CustomerId, want: u32) -> Option<Draw> {
-        let index = self.nodes.iter().position(|node| node.id == holder)?;
-        if !self.is_up(index) || !self.reaches(entry, index) {
-            return None;
-        }
-        let now = self.clock(index);
-        let draw = self.nodes[index].draw(now, id, want);
-        let moved = index > 2 || self.nodes[index].incarnation > 0;
-        if moved && matches!(draw, Draw::Granted(_)) {
-            self.count("drew after handover");
-        }
-        Some(draw)
-    }
-
-    fn admit(&mut self, index: usize) -> Result<(), String> {
-        self.count("admitted");
-        if self.buckets[index].take(self.now_us) {
-            return Ok(());
-        }
-        Err(format!("customer {index} got more than its rate and burst"))
-    }
-
-    // Rosters
-
-    fn propose(&mut self, node: usize, members: u8) {
-        if !self.reaches_log(node) || self.nodes[node].folded.is_none() {
-            return;
-        }
-        let chosen: Vec<usize> = (0..NODES)
-            .filter(|index| members & (1 << index) != 0 && self.nodes[*index].alive)
-            .collect();
-        if chosen.is_empty() {
-            return;
-        }
-        let based_on = self.nodes[node].state.object_version(&ObjectKey::Roster);
-        let stale = based_on != self.reference.version(&ObjectKey::Roster);
-        let roster = self.roster(&chosen);
-        self.append(based_on, Change::PutRoster(roster));
-        if stale {
-            self.count("stale proposal rejected");
-        }
-    }
-
-    fn settle(&mut self, node: usize) {
-        if !self.reaches_log(node) || self.nodes[node].folded.is_none() {
-            return;
-        }
-        let Some((version, epoch)) = self.nodes[node].state.epoch() else {
-            return;
-        };
-        let epoch = epoch.clone();
-        if epoch.settled.is_some() {
-            return;
-        }
-        let unable: BTreeSet<MemberId> = epoch
-            .previous
-            .iter()
-            .filter(|seat| self.is_unable(node, seat, version))
-            .map(|seat| seat.member)
-            .collect();
-        if may_settle(&epoch, &unable) {
-            let id = RequestId::of(&format!("settle {version}"));
-            self.append_record(Record {
-                id,
-                based_on: version,
-                change: Change::SettleRoster,
-            });
-            self.count("roster settled");
-        }
-    }
-
-    /// The witness has read the roster, or a later incarnation has replaced it.
-    fn is_unable(&self, asker: usize, seat: &Seat, version: Offset) -> bool {
-        let Some(other) = self
-            .nodes
-            .iter()
-            .position(|node| node.seat().process == seat.process)
-        else {
-            return false;
-        };
-        let node = &self.nodes[other];
-        if !self.is_up(other) || !self.reaches(asker, other) {
-            return false;
-        }
-        node.id != seat.member || node.confirms().is_some_and(|epoch| epoch >= version)
-    }
-
     // Faults of nodes
 
     fn kill(&mut self, node: usize) {
@@ -667,135 +407,6 @@
         }
     }
 
-    // Operators
-
-    fn put_customer(&mut self, node: usize, index: usize, large: bool, repeat: bool) {
-        if !self.reaches_log(node) {
-            return;
-        }
-        let object = ObjectKey::Customer(customer(index).name);
-        let based_on = self.nodes[node].state.object_version(&object);
-        let mut customer = customer(index);
-        if index == 2 && large {
-            // Few holders become many and the other way round.
-            customer.burst = LARGE_BURST;
-            self.count("holders changed");
-        }
-        let change = Change::PutCustomer(customer);
-        self.ids += 1;
-        let id = RequestId::of(&format!("op {}", self.ids));
-        let record = Record {
-            id,
-            based_on,
-            change,
-        };
-        self.append_record(record.clone());
-        if repeat {
-            // The answer was lost and a careless operator sends it again,
-            // based on what is in force by now.
-            let based_on = self.reference.version(&object);
-            self.append_record(Record { based_on, ..record });
-            self.count("repeated id");
-        }
-    }
-
-    fn put_key(&mut self, node: usize, index: usize) {
-        if self.reaches_log(node) {
-            let based_on = self.nodes[node]
-                .state
-                .object_version(&ObjectKey::Key(key(index).id));
-            self.append(based_on, Change::PutKey(key(index)));
-        }
-    }
-
-    fn withdraw(&mut self, node: usize, index: usize) {
-        if !self.is_up(node) {
-            return;
-        }
-        let object = ObjectKey::Key(key(index).id);
-        let known = self.nodes[node].state.objects().any(|(other, versioned)| {
-            *other == object && matches!(versioned.value, Object::Key(_))
-        });
-        if !known {
-            return;
-        }
-        self.nodes[node].withdrawn.insert(key(index).hash);
-        if self.reaches_log(node) {
-            let based_on = self.nodes[node].state.object_version(&object);
-            self.append(based_on, Change::WithdrawKey(key(index).id));
-            self.count("key withdrawn");
-        }
-        self.tell_witnesses(node, index);
-    }
-
-    fn tell_witnesses(&mut self, node: usize, index: usize) {
-        let Some((_, epoch)) = self.nodes[node].state.epoch() else {
-            return;
-        };
-        // Witnesses of a roster that is not in force any more count for
-        // nothing: processes ask those of their own.
-        let current = self.reference.version(&ObjectKey::Roster);
-        if self.nodes[node].state.object_version(&ObjectKey::Roster) != current {
-            return;
-        }
-        let witnesses = epoch.roster.witnesses.clone();
-        let mut told = 0;
-        for seat in &witnesses {
-            let other = self.nodes.iter().position(|other| other.id == seat.member);
-            let Some(other) = other.filter(|o| self.is_up(*o) && self.reaches(node, *o)) else {
-                continue;
-            };
-            self.nodes[other].withdrawn.insert(key(index).hash);
-            told += 1;
-        }
-        if told > witnesses.len() / 2 {
-            let is_down = self.log.down;
-            let now_us = self.now_us;
-            let withdrawal = self.withdrawals.entry(index).or_default();
-            withdrawal.told.get_or_insert(now_us);
-            withdrawal.in_outage = is_down;
-            if is_down {
-                self.count("withdrawn in outage");
-            }
-        }
-    }
-
-    fn use_key(&mut self, node: usize, index: usize) -> Result<(), String> {
-        if !self.is_up(node) {
-            return Ok(());
-        }
-        let now = self.clock(node);
-        let state = &self.nodes[node];
-        let served = state.contact.is_fresh(now)
-            && !state.withdrawn.contains(&key(index).hash)
-            && state.state.customer_of_key(&key(index).hash).is_some();
-        let Some(withdrawal) = self.withdrawals.get(&index).filter(|_| served) else {
-            return Ok(());
-        };
-        // With the log at hand the withdrawal is in force once it is in the
-        // log and witnesses know it; in an outage once witnesses know it.
-        let since = match (withdrawal.in_log, withdrawal.told) {
-            (Some(in_log), Some(told)) => Some(in_log.max(told)),
-            (None, Some(told)) if withdrawal.in_outage && self.log.down => Some(told),
-            _ => None,
-        };
-        let late = since.is_some_and(|since| self.now_us > since + WITHDRAWN_MS * 1000);
-        if late && self.roster_is_common() {
-            return Err(format!("key {index} works long after it was withdrawn"));
-        }
-        Ok(())
-    }
-
-    /// Every node knows the roster in force. Otherwise a node may ask the
-    /// witnesses of another one; then only the log tells it.
-    fn roster_is_common(&self) -> bool {
-        let current = self.reference.version(&ObjectKey::Roster);
-        let epoch = |node: &Node| node.state.object_version(&ObjectKey::Roster);
-        self.nodes
-            .iter()
-            .all(|node| !node.alive || epoch(node) == current)
-    }
-
     // Configurations
 
     fn check_configurations(&mut self) -> Result<(), String> {
--- /dev/null
+++ b/cicadagate-policy/tests/fleet/operators.rs
@@ -0,0 +1,138 @@
+//! Operators: changes, keys and their withdrawal.
+
+use {
+    super::{FleetWorld, LARGE_BURST, WITHDRAWN_MS, customer, key, node::Node},
+    cicadagate_policy::{
+        ids::RequestId,
+        version::config::{Change, Object, ObjectKey, Record},
+    },
+};
+
+impl FleetWorld {
+    pub(super) fn put_customer(&mut self, node: usize, index: usize, large: bool, repeat: bool) {
+        if !self.reaches_log(node) {
+            return;
+        }
+        let object = ObjectKey::Customer(customer(index).name);
+        let based_on = self.nodes[node].state.object_version(&object);
+        let mut customer = customer(index);
+        if index == 2 && large {
+            // Few holders become many and the other way round.
+            customer.burst = LARGE_BURST;
+            self.count("holders changed");
+        }
+        let change = Change::PutCustomer(customer);
+        self.ids += 1;
+        let id = RequestId::of(&format!("op {}", self.ids));
+        let record = Record {
+            id,
+            based_on,
+            change,
+        };
+        self.append_record(record.clone());
+        if repeat {
+            // The answer was lost and a careless operator sends it again,
+            // based on what is in force by now.
+            let based_on = self.reference.version(&object);
+            self.append_record(Record { based_on, ..record });
+            self.count("repeated id");
+        }
+    }
+
+    pub(super) fn put_key(&mut self, node: usize, index: usize) {
+        if self.reaches_log(node) {
+            let based_on = self.nodes[node]
+                .state
+                .object_version(&ObjectKey::Key(key(index).id));
+            self.append(based_on, Change::PutKey(key(index)));
+        }
+    }
+
+    pub(super) fn withdraw(&mut self, node: usize, index: usize) {
+        if !self.is_up(node) {
+            return;
+        }
+        let object = ObjectKey::Key(key(index).id);
+        let known = self.nodes[node].state.objects().any(|(other, versioned)| {
+            *other == object && matches!(versioned.value, Object::Key(_))
+        });
+        if !known {
+            return;
+        }
+        self.nodes[node].withdrawn.insert(key(index).hash);
+        if self.reaches_log(node) {
+            let based_on = self.nodes[node].state.object_version(&object);
+            self.append(based_on, Change::WithdrawKey(key(index).id));
+            self.count("key withdrawn");
+        }
+        self.tell_witnesses(node, index);
+    }
+
+    pub(super) fn tell_witnesses(&mut self, node: usize, index: usize) {
+        let Some((_, epoch)) = self.nodes[node].state.epoch() else {
+            return;
+        };
+        // Witnesses of a roster that is not in force any more count for
+        // nothing: processes ask those of their own.
+        let current = self.reference.version(&ObjectKey::Roster);
+        if self.nodes[node].state.object_version(&ObjectKey::Roster) != current {
+            return;
+        }
+        let witnesses = epoch.roster.witnesses.clone();
+        let mut told = 0;
+        for seat in &witnesses {
+            let other = self.nodes.iter().position(|other| other.id == seat.member);
+            let Some(other) = other.filter(|o| self.is_up(*o) && self.reaches(node, *o)) else {
+                continue;
+            };
+            self.nodes[other].withdrawn.insert(key(index).hash);
+            told += 1;
+        }
+        if told > witnesses.len() / 2 {
+            let is_down = self.log.down;
+            let now_us = self.now_us;
+            let withdrawal = self.withdrawals.entry(index).or_default();
+            withdrawal.told.get_or_insert(now_us);
+            withdrawal.in_outage = is_down;
+            if is_down {
+                self.count("withdrawn in outage");
+            }
+        }
+    }
+
+    pub(super) fn use_key(&mut self, node: usize, index: usize) -> Result<(), String> {
+        if !self.is_up(node) {
+            return Ok(());
+        }
+        let now = self.clock(node);
+        let state = &self.nodes[node];
+        let served = state.contact.is_fresh(now)
+            && !state.withdrawn.contains(&key(index).hash)
+            && state.state.customer_of_key(&key(index).hash).is_some();
+        let Some(withdrawal) = self.withdrawals.get(&index).filter(|_| served) else {
+            return Ok(());
+        };
+        // With the log at hand the withdrawal is in force once it is in the
+        // log and witnesses know it; in an outage once witnesses know it.
+        let since = match (withdrawal.in_log, withdrawal.told) {
+            (Some(in_log), Some(told)) => Some(in_log.max(told)),
+            (None, Some(told)) if withdrawal.in_outage && self.log.down => Some(told),
+            _ => None,
+        };
+        let late = since.is_some_and(|since| self.now_us > since + WITHDRAWN_MS * 1000);
+        if late && self.roster_is_common() {
+            return Err(format!("key {index} works long after it was withdrawn"));
+        }
+        Ok(())
+    }
+
+    /// Every node knows the roster in force. Otherwise a node may ask the
+    /// witnesses of another one; then only the log tells it.
+    pub(super) fn roster_is_common(&self) -> bool {
+        let current = self.reference.version(&ObjectKey::Roster);
+        let epoch = |node: &Node| node.state.object_version(&ObjectKey::Roster);
+        self.nodes
+            .iter()
+            .all(|node| !node.alive || epoch(node) == current)
+    }
+}
--- /dev/null
+++ b/cicadagate-policy/tests/fleet/rosters.rs
@@ -0,0 +1,76 @@
+//! Rosters: proposed and settled by any node.
+
+use {
+    super::{FleetWorld, NODES},
+    cicadagate_policy::{
+        ids::{MemberId, Offset, RequestId},
+        process::roster::may_settle,
+        version::config::{Change, ObjectKey, Record, Seat},
+    },
+    std::collections::BTreeSet,
+};
+
+impl FleetWorld {
+    pub(super) fn propose(&mut self, node: usize, members: u8) {
+        if !self.reaches_log(node) || self.nodes[node].folded.is_none() {
+            return;
+        }
+        let chosen: Vec<usize> = (0..NODES)
+            .filter(|index| members & (1 << index) != 0 && self.nodes[*index].alive)
+            .collect();
+        if chosen.is_empty() {
+            return;
+        }
+        let based_on = self.nodes[node].state.object_version(&ObjectKey::Roster);
+        let stale = based_on != self.reference.version(&ObjectKey::Roster);
+        let roster = self.roster(&chosen);
+        self.append(based_on, Change::PutRoster(roster));
+        if stale {
+            self.count("stale proposal rejected");
+        }
+    }
+
+    pub(super) fn settle(&mut self, node: usize) {
+        if !self.reaches_log(node) || self.nodes[node].folded.is_none() {
+            return;
+        }
+        let Some((version, epoch)) = self.nodes[node].state.epoch() else {
+            return;
+        };
+        let epoch = epoch.clone();
+        if epoch.settled.is_some() {
+            return;
+        }
+        let unable: BTreeSet<MemberId> = epoch
+            .previous
+            .iter()
+            .filter(|seat| self.is_unable(node, seat, version))
+            .map(|seat| seat.member)
+            .collect();
+        if may_settle(&epoch, &unable) {
+            let id = RequestId::of(&format!("settle {version}"));
+            self.append_record(Record {
+                id,
+                based_on: version,
+                change: Change::SettleRoster,
+            });
+            self.count("roster settled");
+        }
+    }
+
+    /// The witness has read the roster, or a later incarnation has replaced it.
+    pub(super) fn is_unable(&self, asker: usize, seat: &Seat, version: Offset) -> bool {
+        let Some(other) = self
+            .nodes
+            .iter()
+            .position(|node| node.seat().process == seat.process)
+        else {
+            return false;
+        };
+        let node = &self.nodes[other];
+        if !self.is_up(other) || !self.reaches(asker, other) {
+            return false;
+        }
+        node.id != seat.member || node.confirms().is_some_and(|epoch| epoch >= version)
+    }
+}
--- /dev/null
+++ b/cicadagate-policy/tests/queue.rs
@@ -0,0 +1,164 @@
+//! The queue of one replica: fairness, refusal at once, headroom.
+
+use {
+    cicadagate_policy::{
+        ids::{CustomerId, RequestId},
+        process::dispatch::{Action, Class, Config, Queue, Refused, Request},
+        time::Time,
+    },
+    std::collections::BTreeMap,
+};
+
+const NOW: Time = Time(1_000);
+
+fn request(number: u64, customer: &str, class: Class) -> Request {
+    Request {
+        id: RequestId::of(&format!("{customer} {number}")),
+        customer: CustomerId::of(customer),
+        class,
+        cost: 10,
+        start_by: Time(u64::MAX),
+    }
+}
+
+fn queue(max_running: usize, reserve: usize) -> Queue {
+    Queue::new(Config {
+        max_running,
+        reserve,
+        tokens_per_sec: 100,
+        priorities: true,
+    })
+}
+
+/// Starts what may start; returns it in order.
+fn start_all(queue: &mut Queue, now: Time) -> Vec<Request> {
+    let mut started = Vec::new();
+    while let Some(action) = queue.next(now) {
+        if let Action::Start(request) = action {
+            started.push(request);
+        }
+    }
+    started
+}
+
+#[test]
+fn customers_share_evenly_whatever_they_send() {
+    let mut queue = queue(1, 0);
+    for number in 0..50 {
+        queue
+            .submit(NOW, request(number, "greedy", Class::Online))
+            .expect("queued");
+    }
+    for number in 0..10 {
+        queue
+            .submit(NOW, request(number, "modest", Class::Online))
+            .expect("queued");
+    }
+    let mut served: BTreeMap<CustomerId, usize> = BTreeMap::new();
+    for _ in 0..20 {
+        let started = start_all(&mut queue, NOW);
+        assert_eq!(started.len(), 1);
+        *served.entry(started[0].customer).or_insert(0) += 1;
+        queue.finished(started[0].id);
+    }
+    let modest = served[&CustomerId::of("modest")];
+    assert!((9..=10).contains(&modest), "{modest} of 20");
+}
+
+#[test]
+fn what_would_wait_too_long_is_refused_at_once() {
+    let mut queue = queue(1, 0);
+    queue
+        .submit(NOW, request(0, "a", Class::Online))
+        .expect("queued");
+    start_all(&mut queue, NOW);
+    // Ten tokens at 100 a second: 0.1 s each.
+    for number in 1..=3 {
+        queue
+            .submit(NOW, request(number, "a", Class::Online))
+            .expect("queued");
+    }
+    let late = Request {
+        start_by: NOW.plus(200),
+        ..request(4, "a", Class::Online)
+    };
+    let Err(Refused::WouldWait(ms)) = queue.submit(NOW, late) else {
+        panic!("it would wait 0.4 s");
+    };
+    assert!((100..=300).contains(&ms), "come back after {ms} ms");
+}
+
+#[test]
+fn requests_whose_time_has_passed_are_given_up() {
+    let mut queue = queue(1, 0);
+    queue
+        .submit(NOW, request(0, "a", Class::Online))
+        .expect("queued");
+    start_all(&mut queue, NOW);
+    let next = Request {
+        start_by: NOW.plus(500),
+        ..request(1, "a", Class::Online)
+    };
+    queue.submit(NOW, next).expect("queued");
+    assert_eq!(queue.next(NOW.plus(500)), None);
+    assert_eq!(queue.next(NOW.plus(501)), Some(Action::Expire(next)));
+}
+
+#[test]
+fn batch_leaves_streams_free_after_online_work() {
+    for (reserve, expected) in [(0, 4), (1, 3), (2, 2)] {
+        let mut queue = queue(4, reserve);
+        queue
+            .submit(NOW, request(0, "a", Class::Online))
+            .expect("queued");
+        let started = start_all(&mut queue, NOW);
+        queue.finished(started[0].id);
+        for number in 0..10 {
+            queue
+                .submit(NOW, request(number, "b", Class::Batch))
+                .expect("queued");
+        }
+        assert_eq!(
+            start_all(&mut queue, NOW.plus(10)).len(),
+            expected,
+            "reserve {reserve}"
+        );
+        // Without online work for a while all streams are taken.
+        let later = start_all(&mut queue, NOW.plus(60_000));
+        assert_eq!(expected + later.len(), 4, "reserve {reserve}");
+    }
+}
+
+#[test]
+fn batch_gives_way_to_online_work() {
+    let mut queue = queue(2, 0);
+    for number in 0..2 {
+        queue
+            .submit(NOW, request(number, "b", Class::Batch))
+            .expect("queued");
+    }
+    assert_eq!(start_all(&mut queue, NOW).len(), 2);
+    queue
+        .submit(NOW, request(0, "a", Class::Online))
+        .expect("queued");
+    let mut actions = Vec::new();
+    while let Some(action) = queue.next(NOW) {
+        actions.push(action);
+    }
+    // What one step costs is not known yet, so both give way.
+    let preempted = actions
+        .iter()
+        .filter(|action| matches!(action, Action::Preempt(_)));
+    assert_eq!(preempted.count(), 2, "{actions:?}");
+    assert!(matches!(actions.last(), Some(Action::Start(r)) if r.class == Class::Online));
+}
+
+#[test]
+fn the_same_request_is_queued_once() {
+    let mut queue = queue(1, 0);
+    let one = request(0, "a", Class::Online);
+    queue.submit(NOW, one).expect("queued");
+    assert_eq!(queue.submit(NOW, one), Err(Refused::Duplicate));
+    start_all(&mut queue, NOW);
+    assert_eq!(queue.submit(NOW, one), Err(Refused::Duplicate));
+}
--- a/cicadagate-standin/src/engine.rs
+++ b/cicadagate-standin/src/engine.rs
@@ -76,7 +76,8 @@
 }
 
 /// Faults in force.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 struct Faults {
     /// Breaks the connection of each stream after so many tokens.
--- a/cicadagate-standin/src/platform/mod.rs
+++ b/cicadagate-standin/src/platform/mod.rs
@@ -30,7 +30,8 @@
 }
 
 /// Faults in force.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Faults {
     /// The log does not answer.
--- a/cicadagate-wire/src/key.rs
+++ b/cicadagate-wire/src/key.rs
@@ -14,7 +14,8 @@
 pub type Result<T, E = InvalidKey> = std::result::Result<T, E>;
 
 /// The fleet's key is not 64 hexadecimal digits.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(display("the fleet's key must be 64 hexadecimal digits"))]
 pub struct InvalidKey;
 
--- a/cicadagate-wire/src/peer.rs
+++ b/cicadagate-wire/src/peer.rs
@@ -34,7 +34,8 @@
 const MAX_HELLO_BYTES: usize = 256;
 
 /// First frame of each side.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Hello {
     /// Version of the protocol.
     pub protocol: u32,
@@ -48,7 +49,8 @@
 pub const PROTOCOL: u32 = 1;
 
 /// Kind of endpoint that a request goes to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Target {
     /// A model engine; the answer is a stream of token events.
     Engine,
@@ -57,7 +59,8 @@
 }
 
 /// One attempt of a request.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Submit {
     /// Id of the request.
     pub id: RequestId,
@@ -100,7 +103,8 @@
 }
 
 /// Why an attempt was refused. It has not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RefusedReason {
     /// It would wait too long; retry after so many milliseconds.
     WouldWait(u64),
@@ -127,7 +131,8 @@
 }
 
 /// A call to a batch process.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum BatchCall {
     /// Stores a file.
     PutFile {
@@ -187,7 +192,8 @@
 }
 
 /// A job as shown.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct JobView {
     /// Id.
     pub id: JobId,
@@ -214,7 +220,8 @@
 }
 
 /// A batch process's answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum BatchReply {
     /// A stored file.
     File {
@@ -245,7 +252,8 @@
 }
 
 /// A message from the side that connected.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum ToServer {
     /// Run an attempt.
     Submit(Box<Submit>),
@@ -287,7 +295,8 @@
 }
 
 /// A message to the side that connected.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum FromServer {
     /// Status and headers of a plain service's answer.
     Head {
--- a/cicadagate-wire/src/seal.rs
+++ b/cicadagate-wire/src/seal.rs
@@ -17,7 +17,8 @@
 pub const MAC_BYTES: usize = 16;
 
 /// Why a sealed message was refused.
-#[derive(Debug, PartialEq, Eq, Snafu)]
+#[derive(Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum SealError {
     /// It is shorter than a MAC.
     #[snafu(display("message too short"))]
