--- a/cicadagate-batch/src/main.rs
+++ b/cicadagate-batch/src/main.rs
@@ -12,16 +12,14 @@
 
 use {
     cicadagate_node::{
-        command::{EXIT_USAGE, settings_or_exit},
+        command::{settings_or_exit, start_or_exit},
         connection::server::serve,
-        event,
-        process::Node,
         settings::{Check, Fault, NodeSettings},
     },
     cicadagate_policy::process::membership::Role,
     process::Batch,
     serde::Deserialize,
-    std::{process::exit, rc::Rc},
+    std::rc::Rc,
 };
 
 /// Settings of the process.
@@ -45,6 +43,8 @@
     keep_secs: u64,
     /// Bytes of a file's chunk in the log.
     chunk_bytes: usize,
+    /// Bytes of results that make a record in the log.
+    record_bytes: usize,
     /// Longest wait of a result before it is written, in milliseconds.
     flush_ms: u64,
     /// Items that run at once for each stream of the replicas, in percent.
@@ -62,6 +62,7 @@
             data_streams: 16,
             keep_secs: 7 * 24 * 3600,
             chunk_bytes: 256 * 1024,
+            record_bytes: 128 * 1024,
             flush_ms: 250,
             window_percent: 150,
             max_tries: 4,
@@ -77,6 +78,7 @@
             ("data_streams", self.batch.data_streams),
             ("keep_secs", self.batch.keep_secs),
             ("chunk_bytes", self.batch.chunk_bytes as u64),
+            ("record_bytes", self.batch.record_bytes as u64),
             ("window_percent", self.batch.window_percent as u64),
             ("max_tries", u64::from(self.batch.max_tries)),
             ("log_retention_secs", self.batch.log_retention_secs),
@@ -94,13 +96,7 @@
 }
 
 async fn run(settings: Settings) {
-    let started = match Node::start(Role::Batch, settings.node).await {
-        Ok(started) => started,
-        Err(err) => {
-            event!(BIND_FAILED, reason: = err);
-            exit(EXIT_USAGE);
-        }
-    };
+    let started = start_or_exit(Role::Batch, settings.node).await;
     let node = started.node;
     let batch = Batch::start(Rc::clone(&node), settings.batch);
     actix_rt::spawn(serve(Rc::clone(&node), started.listener, batch));
--- a/cicadagate-batch/src/process/worker.rs
+++ b/cicadagate-batch/src/process/worker.rs
@@ -34,8 +34,6 @@
 const LOG_PAUSE: Duration = Duration::from_millis(300);
 /// Pause of a worker that may not begin items.
 const IDLE_PAUSE: Duration = Duration::from_millis(50);
-/// Bytes of results that make a record.
-const RECORD_BYTES: usize = 128 * 1024;
 /// Appends a second that results of all jobs may take because of time; full
 /// records come on top.
 const RESULT_APPENDS_PER_SEC: u64 = 100;
@@ -305,7 +303,9 @@
     async fn flush_if_due(&mut self, is_idle: bool) {
         let waited = self.unwritten_since.elapsed();
         let is_due = waited >= self.flush_interval() || is_idle;
-        if self.unwritten.is_empty() || (!is_due && self.unwritten_bytes < RECORD_BYTES) {
+        if self.unwritten.is_empty()
+            || (!is_due && self.unwritten_bytes < self.batch.settings.record_bytes)
+        {
             return;
         }
         let (job, fence) = (self.job.job.id, self.fence);
--- a/cicadagate-batch/src/version/fold.rs
+++ b/cicadagate-batch/src/version/fold.rs
@@ -47,10 +47,7 @@
     type Record = Record;
 
     fn covers(&self, record: &Record) -> Option<Offset> {
-        match record {
-            Record::Carry(state) => Some(state.version()),
-            _ => None,
-        }
+        record.covers()
     }
 
     fn fold(&self, offset: Offset, record: &Record) {
--- a/cicadagate-dispatch/src/main.rs
+++ b/cicadagate-dispatch/src/main.rs
@@ -12,16 +12,14 @@
 
 use {
     cicadagate_node::{
-        command::{EXIT_USAGE, settings_or_exit},
+        command::{settings_or_exit, start_or_exit},
         connection::server::serve,
-        event,
-        process::Node,
         settings::{Check, Fault, NodeSettings},
     },
     cicadagate_policy::process::membership::Role,
     process::Dispatcher,
     serde::Deserialize,
-    std::{process::exit, rc::Rc},
+    std::rc::Rc,
 };
 
 /// Settings of the process.
@@ -84,13 +82,7 @@
 }
 
 async fn run(settings: Settings) {
-    let started = match Node::start(Role::Dispatch, settings.node).await {
-        Ok(started) => started,
-        Err(err) => {
-            event!(BIND_FAILED, reason: = err);
-            exit(EXIT_USAGE);
-        }
-    };
+    let started = start_or_exit(Role::Dispatch, settings.node).await;
     let node = started.node;
     let dispatcher = Dispatcher::start(Rc::clone(&node), settings.dispatch);
     actix_rt::spawn(serve(Rc::clone(&node), started.listener, dispatcher));
--- a/cicadagate-entry/src/main.rs
+++ b/cicadagate-entry/src/main.rs
@@ -11,16 +11,14 @@
 
 use {
     cicadagate_node::{
-        command::{EXIT_USAGE, settings_or_exit},
+        command::{settings_or_exit, start_or_exit},
         connection::http::serve,
-        event,
-        process::Node,
         settings::{Check, Fault, NodeSettings},
     },
     cicadagate_policy::{process::membership::Role, request::choice::Rule},
     process::Entry,
     serde::Deserialize,
-    std::{convert::Infallible, process::exit, rc::Rc},
+    std::{convert::Infallible, rc::Rc},
 };
 
 /// Settings of the process.
@@ -111,13 +109,7 @@
 }
 
 async fn run(settings: Settings) {
-    let started = match Node::start(Role::Entry, settings.node).await {
-        Ok(started) => started,
-        Err(err) => {
-            event!(BIND_FAILED, reason: = err);
-            exit(EXIT_USAGE);
-        }
-    };
+    let started = start_or_exit(Role::Entry, settings.node).await;
     let node = started.node;
     let rule = match settings.entry.routing {
         Routing::Affinity => Rule::Affinity,
--- a/cicadagate-entry/src/request/batches.rs
+++ b/cicadagate-entry/src/request/batches.rs
@@ -10,56 +10,31 @@
     },
     actix_http::{Request, Response, body::BoxBody},
     cicadagate_node::connection::http::respond_json,
-    cicadagate_policy::{
-        ids::{FileId, JobId, MemberId, hash64},
-        process::membership::Role,
-    },
-    cicadagate_wire::peer::{BatchCall, BatchReply, FromServer, JobView, ToServer},
+    cicadagate_policy::ids::{CustomerId, FileId, JobId},
+    cicadagate_wire::peer::{BatchCall, BatchReply, JobView},
     serde_json::{Value, json},
-    std::time::Duration,
 };
 
-/// Time that a batch process has to answer.
-const CALL_TIMEOUT: Duration = Duration::from_secs(20);
-/// Batch processes that are tried for a call.
-const MAX_TRIES: usize = 3;
 /// Retry-after when no batch process answers, in milliseconds.
 const RETRY_MS: u64 = 1_000;
 
 /// Calls a batch process.
-///
-/// Every call may be repeated: files and jobs have ids that a resend meets.
 pub(super) async fn call_batch(call: &Call, batch_call: BatchCall) -> Result<BatchReply> {
-    let node = &call.entry.node;
-    let mut peers = node.live(Role::Batch);
-    let rank =
-        |member: MemberId| hash64(&[call.customer.name.as_bytes(), &member.raw().to_le_bytes()]);
-    peers.sort_by_key(|info| rank(info.id));
-    for peer in peers.into_iter().take(MAX_TRIES) {
-        let message = batch_call.clone();
-        let make = |seq| ToServer::Batch { seq, call: message };
-        match node.links.call(peer.tcp, CALL_TIMEOUT, make).await {
-            Ok(FromServer::Batch {
-                reply:
-                    BatchReply::Error {
-                        code,
-                        message,
-                        retry_ms,
-                    },
-                ..
-            }) => {
-                return Err(ApiError::from_peer(code, message, retry_ms));
-            }
-            Ok(FromServer::Batch { reply, .. }) => return Ok(reply),
-            _ => {}
-        }
+    let spread = CustomerId::of(&call.customer.name).raw();
+    match cicadagate_node::request::call_batch(&call.entry.node, spread, &batch_call).await {
+        Some(BatchReply::Error {
+            code,
+            message,
+            retry_ms,
+        }) => Err(ApiError::from_peer(code, message, retry_ms)),
+        Some(reply) => Ok(reply),
+        None => Err(ApiError::not_run(
+            503,
+            "unavailable",
+            "no batch process answers",
+            RETRY_MS,
+        )),
     }
-    Err(ApiError::not_run(
-        503,
-        "unavailable",
-        "no batch process answers",
-        RETRY_MS,
-    ))
 }
 
 pub(super) async fn create(call: Call, mut req: Request) -> Result<Response<BoxBody>> {
--- a/cicadagate-entry/src/request/mod.rs
+++ b/cicadagate-entry/src/request/mod.rs
@@ -37,6 +37,36 @@
     pub idempotency_key: Option<String>,
 }
 
+impl Call {
+    /// Identifies a request. With an idempotency key a resend has the same id,
+    /// whichever entry it comes to.
+    fn new(
+        entry: &Rc<Entry>,
+        req: &Request,
+        caller: key::Caller,
+        id: RequestId,
+        context: Context,
+    ) -> Self {
+        let value = req.headers().get("idempotency-key");
+        let idempotency_key = value
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned);
+        let key::Caller { customer, key } = caller;
+        let id = match &idempotency_key {
+            Some(key) => RequestId::of(&format!("{}/{key}", customer.name)),
+            None => id,
+        };
+        Self {
+            entry: Rc::clone(entry),
+            id,
+            context,
+            customer,
+            key,
+            idempotency_key,
+        }
+    }
+}
+
 /// Answers a caller's request.
 pub(crate) async fn answer(entry: Rc<Entry>, req: Request) -> Response<BoxBody> {
     let start_ms = epoch_ms();
@@ -111,25 +141,8 @@
     if parts.first() != Some(&"v1") {
         return service::answer(entry, req, id, context).await;
     }
-    let key::Caller { customer, key } = key::caller(&entry.node, &req)?;
-    let header = |name: &str| {
-        req.headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-    };
-    let idempotency_key = header("idempotency-key").map(str::to_owned);
-    let id = match &idempotency_key {
-        Some(key) => RequestId::of(&format!("{}/{key}", customer.name)),
-        None => id,
-    };
-    let call = Call {
-        entry: Rc::clone(entry),
-        id,
-        context,
-        customer,
-        key,
-        idempotency_key,
-    };
+    let caller = key::caller(&entry.node, &req)?;
+    let call = Call::new(entry, &req, caller, id, context);
     match (method, parts.as_slice()) {
         (Method::GET, ["v1", "models"]) => Ok(respond_json(200, &models(entry))),
         (Method::POST, ["v1", "chat", "completions"]) => {
--- a/cicadagate-entry/src/request/service.rs
+++ b/cicadagate-entry/src/request/service.rs
@@ -11,7 +11,7 @@
     },
     crate::process::Entry,
     actix_http::{
-        HttpMessage as _, Method, Request, Response, StatusCode,
+        Method, Request, Response, StatusCode,
         body::{BodyStream, BoxBody},
     },
     bytes::Bytes,
@@ -62,29 +62,12 @@
             "no route leads there",
         ));
     };
-    let Caller { customer, key } = if route.open {
+    let caller = if route.open {
         nobody()
     } else {
         caller(&entry.node, &req)?
     };
-    let header = |name: &str| {
-        req.headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-    };
-    let idempotency_key = header("idempotency-key").map(str::to_owned);
-    let id = match &idempotency_key {
-        Some(key) => RequestId::of(&format!("{}/{key}", customer.name)),
-        None => id,
-    };
-    let call = Call {
-        entry: Rc::clone(entry),
-        id,
-        context,
-        customer,
-        key,
-        idempotency_key,
-    };
+    let call = Call::new(entry, &req, caller, id, context);
     let body = body(&mut req, entry.settings.max_body_bytes).await?;
     if !route.open {
         admit(&call).await?;
--- a/cicadagate-lab/src/demo.rs
+++ b/cicadagate-lab/src/demo.rs
@@ -63,26 +63,8 @@
     for name in &names {
         keys.push(fleet.add_customer(name, 50.0, 50)?);
     }
-    fleet.ctl(
-        "i1",
-        &[
-            "put-route",
-            "draft-1",
-            "--kind",
-            "model",
-            "--backend",
-            "drafting=1",
-        ],
-    )?;
-    let service = [
-        "put-route",
-        "/permits",
-        "--kind",
-        "service",
-        "--backend",
-        "permits=1",
-    ];
-    fleet.ctl("i2", &[&service[..], &["--non-idempotent"]].concat())?;
+    fleet.add_model("draft-1", "drafting")?;
+    fleet.add_service("/permits", "permits")?;
     fleet.wait_in_force()?;
     wait_for_tokens(fleet, &keys).await?;
     Ok(Customers { names, keys })
--- a/cicadagate-lab/src/fleet/mod.rs
+++ b/cicadagate-lab/src/fleet/mod.rs
@@ -478,8 +478,38 @@
         Ok(key["secret"].as_str().unwrap_or_default().to_owned())
     }
 
-    /// Waits until what was decided last is in force everywhere, and the
-    /// holders grant under the roster in force.
+    /// Publishes a model's route to one deployment.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operators' RPC refuses.
+    pub fn add_model(&self, model: &str, deployment: &str) -> Result<()> {
+        let backend = format!("{deployment}=1");
+        let args = ["put-route", model, "--kind", "model", "--backend", &backend];
+        self.ctl("i1", &args).map(drop)
+    }
+
+    /// Publishes a service's route to one deployment; its calls may not be
+    /// repeated.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operators' RPC refuses.
+    pub fn add_service(&self, path: &str, deployment: &str) -> Result<()> {
+        let backend = format!("{deployment}=1");
+        let args = [
+            "put-route",
+            path,
+            "--kind",
+            "service",
+            "--backend",
+            &backend,
+        ];
+        self.ctl("i1", &[&args[..], &["--non-idempotent"]].concat())
+            .map(drop)
+    }
+
+    /// Waits until what was decided last is in force everywhere.
     ///
     /// # Errors
     ///
--- a/cicadagate-lab/src/hops.rs
+++ b/cicadagate-lab/src/hops.rs
@@ -51,17 +51,7 @@
     );
     let fleet = Fleet::start(spec).await?;
     let key = fleet.add_customer("qalaat", 1_000.0, 1_000)?;
-    fleet.ctl(
-        "i1",
-        &[
-            "put-route",
-            MODEL,
-            "--kind",
-            "model",
-            "--backend",
-            "drafting=1",
-        ],
-    )?;
+    fleet.add_model(MODEL, "drafting")?;
     fleet.wait_in_force()?;
     wait_for_tokens(&fleet, std::slice::from_ref(&key)).await?;
     sleep(Duration::from_secs(1)).await;
--- a/cicadagate-lab/src/measure/run.rs
+++ b/cicadagate-lab/src/measure/run.rs
@@ -124,17 +124,7 @@
     for customer in &shape.customers {
         keys.push(fleet.add_customer(&customer.name, customer.rate, customer.burst)?);
     }
-    fleet.ctl(
-        "i1",
-        &[
-            "put-route",
-            MODEL,
-            "--kind",
-            "model",
-            "--backend",
-            "drafting=1",
-        ],
-    )?;
+    fleet.add_model(MODEL, "drafting")?;
     fleet.wait_in_force()?;
     wait_for_tokens(fleet, &keys).await?;
     sleep(FILL).await;
--- a/cicadagate-lab/tests/support/mod.rs
+++ b/cicadagate-lab/tests/support/mod.rs
@@ -52,29 +52,9 @@
     let key = fleet
         .add_customer("qalaat", rate, burst)
         .expect("a customer");
+    fleet.add_model(MODEL, "drafting").expect("a model route");
     fleet
-        .ctl(
-            "i1",
-            &[
-                "put-route",
-                MODEL,
-                "--kind",
-                "model",
-                "--backend",
-                "drafting=1",
-            ],
-        )
-        .expect("a model route");
-    let service = [
-        "put-route",
-        "/permits",
-        "--kind",
-        "service",
-        "--backend",
-        "permits=1",
-    ];
-    fleet
-        .ctl("i1", &[&service[..], &["--non-idempotent"]].concat())
+        .add_service("/permits", "permits")
         .expect("a service route");
     fleet.wait_in_force().expect("in force");
     wait_for_tokens(&fleet, std::slice::from_ref(&key))
--- a/cicadagate-node/src/command.rs
+++ b/cicadagate-node/src/command.rs
@@ -3,10 +3,15 @@
 */
 
 use {
-    crate::settings::{Check, load},
+    crate::{
+        event,
+        process::{Node, Started},
+        settings::{Check, NodeSettings, load},
+    },
+    cicadagate_policy::process::membership::Role,
     serde::de::DeserializeOwned,
     spdlog::{Level, LevelFilter, Logger, formatter::JsonFormatter, sink::StdStreamSink},
-    std::{path::PathBuf, process::exit, sync::Arc},
+    std::{process::exit, sync::Arc},
 };
 
 mod flags {
@@ -68,6 +73,17 @@
     exit(EXIT_USAGE);
 }
 
+/// Starts a deployed binary's node; exits the process if it can't be.
+pub async fn start_or_exit(role: Role, settings: NodeSettings) -> Started {
+    match Node::start(role, settings).await {
+        Ok(started) => started,
+        Err(err) => {
+            event!(BIND_FAILED, reason: = err);
+            exit(EXIT_USAGE);
+        }
+    }
+}
+
 /// Sends log records to standard error, one JSON object a line.
 pub fn start_logging(verbose: bool) {
     let least = if verbose { Level::Debug } else { Level::Info };
@@ -88,6 +104,3 @@
         spdlog::set_default_logger(Arc::new(logger));
     }
 }
-
-/// Path of a settings file, for binaries with a command line of their own.
-pub type SettingsPath = PathBuf;
--- a/cicadagate-node/src/process/follower.rs
+++ b/cicadagate-node/src/process/follower.rs
@@ -154,10 +154,7 @@
     type Record = Record;
 
     fn covers(&self, record: &Record) -> Option<Offset> {
-        match &record.change {
-            Change::Snapshot(state) => Some(state.version()),
-            _ => None,
-        }
+        record.covers()
     }
 
     fn fold(&self, offset: Offset, record: &Record) {
--- a/cicadagate-node/src/request/mod.rs
+++ b/cicadagate-node/src/request/mod.rs
@@ -6,9 +6,11 @@
 */
 
 mod answer;
+mod batch;
 mod router;
 
 pub use {
     answer::{Answer, Failure, FailureKind, Plan, Step},
+    batch::call_batch,
     router::Router,
 };
--- a/cicadagate-operator/src/main.rs
+++ b/cicadagate-operator/src/main.rs
@@ -11,9 +11,7 @@
 
 use {
     cicadagate_node::{
-        command::{EXIT_USAGE, settings_or_exit},
-        event,
-        process::Node,
+        command::{settings_or_exit, start_or_exit},
         settings::{Check, Fault, NodeSettings},
     },
     cicadagate_policy::process::membership::Role,
@@ -21,7 +19,7 @@
     process::Operators,
     request::Service,
     serde::Deserialize,
-    std::{process::exit, rc::Rc},
+    std::rc::Rc,
     tokio::sync::mpsc,
     tokio_stream::wrappers::TcpListenerStream,
     tonic::transport::Server,
@@ -45,13 +43,7 @@
 const MAX_WAITING: usize = 256;
 
 async fn run(settings: Settings) {
-    let started = match Node::start(Role::Operator, settings.node).await {
-        Ok(started) => started,
-        Err(err) => {
-            event!(BIND_FAILED, reason: = err);
-            exit(EXIT_USAGE);
-        }
-    };
+    let started = start_or_exit(Role::Operator, settings.node).await;
     let node = started.node;
     let operators = Operators::start(Rc::clone(&node));
     let (tx, rx) = mpsc::channel(MAX_WAITING);
--- a/cicadagate-operator/src/process/history.rs
+++ b/cicadagate-operator/src/process/history.rs
@@ -7,7 +7,7 @@
     cicadagate_policy::{
         ids::Offset,
         time::Time,
-        version::config::{Change, Record, State, Verdict, object_key},
+        version::config::{Record, State, Verdict, object_key},
     },
     std::{cell::RefCell, collections::VecDeque, rc::Rc},
 };
@@ -43,10 +43,7 @@
     type Record = Record;
 
     fn covers(&self, record: &Record) -> Option<Offset> {
-        match &record.change {
-            Change::Snapshot(state) => Some(state.version()),
-            _ => None,
-        }
+        record.covers()
     }
 
     fn fold(&self, offset: Offset, record: &Record) {
--- a/cicadagate-operator/src/request/jobs.rs
+++ b/cicadagate-operator/src/request/jobs.rs
@@ -5,20 +5,15 @@
 use {
     super::Result,
     crate::process::Operators,
-    cicadagate_policy::{ids::JobId, process::membership::Role},
+    cicadagate_node::request::call_batch,
+    cicadagate_policy::ids::JobId,
     cicadagate_wire::{
-        peer::{BatchCall, BatchReply, FromServer, JobView, ToServer},
+        peer::{BatchCall, BatchReply, JobView},
         rpc::{CancelJobRequest, CancelJobResponse, Job, ListJobsResponse},
     },
-    std::time::Duration,
     tonic::Status,
 };
 
-/// Time that a batch process has to answer.
-const CALL_TIMEOUT: Duration = Duration::from_secs(10);
-/// Batch processes that are tried for a call.
-const MAX_TRIES: usize = 3;
-
 impl Operators {
     pub(super) async fn list_jobs(&self) -> Result<ListJobsResponse> {
         match self
@@ -55,27 +50,17 @@
     }
 
     async fn call_batch(&self, call: BatchCall) -> Result<BatchReply> {
-        for peer in self.node.live(Role::Batch).into_iter().take(MAX_TRIES) {
-            let message = call.clone();
-            let make = |seq| ToServer::Batch { seq, call: message };
-            match self.node.links.call(peer.tcp, CALL_TIMEOUT, make).await {
-                Ok(FromServer::Batch {
-                    reply: BatchReply::Error { code, message, .. },
-                    ..
-                }) => {
-                    return Err(if code == "not_found" {
-                        Status::not_found(message)
-                    } else {
-                        Status::unavailable(message)
-                    });
-                }
-                Ok(FromServer::Batch { reply, .. }) => return Ok(reply),
-                _ => {}
+        let spread = self.node.me().id.raw();
+        match call_batch(&self.node, spread, &call).await {
+            Some(BatchReply::Error { code, message, .. }) if code == "not_found" => {
+                Err(Status::not_found(message))
             }
+            Some(BatchReply::Error { message, .. }) => Err(Status::unavailable(message)),
+            Some(reply) => Ok(reply),
+            None => Err(Status::unavailable(
+                "no batch process answers; come back in 1 s",
+            )),
         }
-        Err(Status::unavailable(
-            "no batch process answers; come back in 1 s",
-        ))
     }
 }
 
--- a/cicadagate-policy/src/version/config/record.rs
+++ b/cicadagate-policy/src/version/config/record.rs
@@ -243,3 +243,14 @@
     /// Without effect.
     Rejected(Rejection),
 }
+
+impl Record {
+    /// Returns the offset that a snapshot covers.
+    #[must_use]
+    pub const fn covers(&self) -> Option<Offset> {
+        match &self.change {
+            Change::Snapshot(state) => Some(state.version()),
+            _ => None,
+        }
+    }
+}
--- a/cicadagate-policy/src/version/jobs.rs
+++ b/cicadagate-policy/src/version/jobs.rs
@@ -140,6 +140,17 @@
     },
 }
 
+impl Record {
+    /// Returns the offset that a carried state covers.
+    #[must_use]
+    pub const fn covers(&self) -> Option<Offset> {
+        match self {
+            Self::Carry(state) => Some(state.version()),
+            _ => None,
+        }
+    }
+}
+
 /// A claim on a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/cicadagate-policy/tests/fleet/node.rs
+++ b/cicadagate-policy/tests/fleet/node.rs
@@ -10,7 +10,7 @@
         request::limit::Limiter,
         time::Time,
         version::{
-            config::{Change, Record, Seat, State},
+            config::{Record, Seat, State},
             reader::{Start, Step},
         },
     },
@@ -47,15 +47,8 @@
 
     /// Drops the records that the last snapshot covers.
     pub fn expire(&mut self) -> bool {
-        let covered = self
-            .records
-            .iter()
-            .rev()
-            .find_map(|record| match &record.change {
-                Change::Snapshot(state) => Some(state.version().0),
-                _ => None,
-            });
-        let drop = covered.unwrap_or(0).saturating_sub(self.first);
+        let covered = self.records.iter().rev().find_map(Record::covers);
+        let drop = covered.unwrap_or_default().0.saturating_sub(self.first);
         self.records
             .drain(..usize::try_from(drop).expect("as many as are there"));
         self.first += drop;
@@ -141,10 +134,7 @@
             .collect();
         for (offset, record) in records {
             self.next = offset.next();
-            let covers = match &record.change {
-                Change::Snapshot(state) => Some(state.version()),
-                _ => None,
-            };
+            let covers = record.covers();
             let had_gap = self.start.has_gap();
             if let Step::Fold(records) = self.start.push(offset, record, covers) {
                 adopted |= had_gap;
--- a/cicadagate-policy/tests/jobs/log.rs
+++ b/cicadagate-policy/tests/jobs/log.rs
@@ -34,11 +34,8 @@
 impl Stream<Record> {
     /// Drops the records that the last carried state covers.
     pub fn expire_covered(&mut self) -> bool {
-        let covered = self.records.iter().rev().find_map(|record| match record {
-            Record::Carry(state) => Some(state.version().0),
-            _ => None,
-        });
-        let drop = covered.unwrap_or(0).saturating_sub(self.first);
+        let covered = self.records.iter().rev().find_map(Record::covers);
+        let drop = covered.unwrap_or_default().0.saturating_sub(self.first);
         self.records
             .drain(..usize::try_from(drop).expect("as many as are there"));
         self.first += drop;
--- a/cicadagate-policy/tests/jobs/worker.rs
+++ b/cicadagate-policy/tests/jobs/worker.rs
@@ -71,10 +71,7 @@
     pub fn read(&mut self, jobs: &Stream<Record>, data: &Stream<Data>, now: Time) {
         for (offset, record) in jobs.from(self.next) {
             self.next = offset.next();
-            let covers = match &record {
-                Record::Carry(state) => Some(state.version()),
-                _ => None,
-            };
+            let covers = record.covers();
             if let Step::Fold(records) = self.start.push(offset, record, covers) {
                 for (offset, record) in records {
                     self.state.fold(offset, &record);
