Ask for the list by its tag; read engines back; index open jobs

An engine that was replaced was not ordered its version again.

Change: If-None-Match on the list; an index of open jobs; engines are compared by what they report.

Conclusion: sizes worked out, not run at that size.

--- a/cicadagate-batch/src/process/claims.rs
+++ b/cicadagate-batch/src/process/claims.rs
@@ -18,7 +18,7 @@
             membership::{Health, Role},
         },
         time::Time,
-        version::jobs::{JobState, Phase, Record},
+        version::jobs::{JobState, Record},
     },
     std::{collections::BTreeMap, rc::Rc, time::Duration},
 };
@@ -65,8 +65,7 @@
     /// Jobs without a living claimant, with the claim to follow.
     fn free_jobs(&self) -> Vec<(JobId, Offset)> {
         let state = self.jobs.state.borrow();
-        let open = state.jobs().filter(|job| job.phase == Phase::Open);
-        let free = open.filter(|job| !self.has_claimant(job));
+        let free = state.open_jobs().filter(|job| !self.has_claimant(job));
         free.map(|job| {
             (
                 job.job.id,
@@ -114,7 +113,7 @@
         };
         let me = self.node.me().id;
         let state = self.jobs.state.borrow();
-        for job in state.jobs().filter(|job| job.phase == Phase::Open) {
+        for job in state.open_jobs() {
             let Some(claim) = job.claim.filter(|claim| claim.claimant == me) else {
                 continue;
             };
--- a/cicadagate-batch/src/process/renew.rs
+++ b/cicadagate-batch/src/process/renew.rs
@@ -7,8 +7,8 @@
 the copies in the jobs stream. A reader uses the offsets in its fold, so it
 finds one or the other; two movers at once leave one set of garbage.
 
-Results of an open job are written again too: the first result of an item wins,
-and a copy of it is the same result for whoever reads only the later part.
+Results of a job that is still open are not written again: a job must end within
+half of the log's retention, or its first results may expire before it closes.
 */
 
 use {
@@ -19,77 +19,99 @@
     cicadagate_policy::{
         ids::{FileId, JobId, Offset},
         process::{homes::home, membership::Role},
-        version::jobs::{File, JobState, Phase, Record},
+        version::jobs::{File, Phase, Record},
     },
     std::{collections::BTreeMap, rc::Rc, time::Duration},
 };
 
-/// How often it is looked what is due.
-const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// Looks in half of the log's retention.
+const LOOKS: u64 = 50;
 
 /// When what was last written, as far as this process knows.
 #[derive(Default)]
 struct Written {
-    /// By first offset of the chunks or results, with when it was first seen.
-    seen: BTreeMap<(u64, Offset), u64>,
+    /// First offset of the chunks or results, and when it was first seen.
+    seen: BTreeMap<u64, (Offset, u64)>,
 }
 
 impl Written {
     /// Returns the age in seconds of what begins at `first`.
     fn age(&mut self, id: u64, first: Offset, created: u64, now: u64) -> u64 {
-        // What was there at the start may be as old as its file or job.
-        let is_first_copy = !self.seen.keys().any(|(other, _)| *other == id);
-        let since =
-            self.seen
-                .entry((id, first))
-                .or_insert(if is_first_copy { created } else { now });
+        // What is seen for the first time may be as old as its file or job.
+        let (known, since) = self.seen.entry(id).or_insert((first, created));
+        if *known != first {
+            (*known, *since) = (first, now);
+        }
         now.saturating_sub(*since)
     }
+
+    /// Forgets what is no more.
+    fn retain(&mut self, is_there: impl Fn(u64) -> bool) {
+        self.seen.retain(|id, _| is_there(*id));
+    }
+}
+
+/// A closed job's results.
+struct Results {
+    job: JobId,
+    file: FileId,
+    from: Offset,
+    records: Vec<Offset>,
 }
 
 /// Writes again for as long as the process lives.
 pub(super) async fn run(batch: Rc<Batch>) {
     let (mut files, mut results) = (Written::default(), Written::default());
+    let due = batch.settings.log_retention_secs / 2;
+    let look_every = Duration::from_secs((due / LOOKS).max(1));
     loop {
-        sleep(LOOK_EVERY).await;
+        sleep(look_every).await;
         if !batch.jobs.is_current() || !batch.node.has_contact() {
             continue;
         }
-        let due = batch.settings.log_retention_secs / 2;
-        let now = epoch_secs();
-        for file in batch.all_files() {
-            let Some(first) = file.chunks.first().copied() else {
-                continue;
-            };
-            let is_due = files.age(file.id.raw(), first, file.created, now) >= due;
-            if is_due && batch.is_mine(file.id.raw()) {
-                batch.move_file(&file, first).await;
-            }
+        for (file, from) in batch.due_files(&mut files, due) {
+            batch.move_file(&file, from).await;
         }
-        for (job, first, records) in batch.closed_jobs() {
-            let (id, file, created) = (job.job.id, job.job.file, job.job.created);
-            let is_due = results.age(id.raw(), first, created, now) >= due;
-            if is_due && batch.is_mine(id.raw()) {
-                batch.move_results(id, file, first, &records).await;
-            }
+        for due in batch.due_results(&mut results, due) {
+            batch.move_results(&due).await;
         }
     }
 }
 
 impl Batch {
-    fn all_files(&self) -> Vec<File> {
-        self.jobs.state.borrow().files().cloned().collect()
+    fn due_files(&self, written: &mut Written, due: u64) -> Vec<(File, Offset)> {
+        let now = epoch_secs();
+        let state = self.jobs.state.borrow();
+        written.retain(|id| state.file(FileId::from_raw(id)).is_some());
+        let due = state.files().filter_map(|file| {
+            let from = file.chunks.first().copied()?;
+            let id = file.id.raw();
+            let is_due = written.age(id, from, file.created, now) >= due && self.is_mine(id);
+            is_due.then(|| (file.clone(), from))
+        });
+        due.collect()
     }
 
-    fn closed_jobs(&self) -> Vec<(JobState, Offset, Vec<Offset>)> {
+    fn due_results(&self, written: &mut Written, due: u64) -> Vec<Results> {
+        let now = epoch_secs();
         let state = self.jobs.state.borrow();
-        let closed = state.jobs().filter_map(|job| match &job.phase {
-            Phase::Closed { results, .. } => {
-                Some((job.clone(), results.first().copied()?, results.clone()))
-            }
-            _ => None,
+        written.retain(|id| state.job(JobId::from_raw(id)).is_some());
+        let due = state.jobs().filter_map(|job| {
+            let Phase::Closed { results, .. } = &job.phase else {
+                return None;
+            };
+            let from = results.first().copied()?;
+            let (job, records) = (&job.job, results.clone());
+            let id = job.id.raw();
+            let is_due = written.age(id, from, job.created, now) >= due && self.is_mine(id);
+            is_due.then_some(Results {
+                job: job.id,
+                file: job.file,
+                from,
+                records,
+            })
         });
-        closed.collect()
+        due.collect()
     }
 
     /// Tells whether this member is the one to write something again.
@@ -110,11 +132,15 @@
         }
     }
 
-    async fn move_results(&self, job: JobId, file: FileId, from: Offset, records: &[Offset]) {
-        let stream = self.data(file);
-        if let Some(results) = copy(&stream, records).await {
-            self.note_move(&Record::MoveResults { job, from, results })
-                .await;
+    async fn move_results(&self, due: &Results) {
+        let stream = self.data(due.file);
+        if let Some(results) = copy(&stream, &due.records).await {
+            let record = Record::MoveResults {
+                job: due.job,
+                from: due.from,
+                results,
+            };
+            self.note_move(&record).await;
         }
     }
 
--- a/cicadagate-batch/src/process/worker.rs
+++ b/cicadagate-batch/src/process/worker.rs
@@ -212,8 +212,11 @@
     /// Jobs that are worked on anywhere.
     fn jobs_worked_on(&self) -> usize {
         let state = self.batch.jobs.state.borrow();
-        let is_worked_on = |job: &&JobState| job.phase == Phase::Open && job.claim.is_some();
-        state.jobs().filter(is_worked_on).count().max(1)
+        state
+            .open_jobs()
+            .filter(|job| job.claim.is_some())
+            .count()
+            .max(1)
     }
 
     /// Items of this job that may run at once: its part of the replicas'
--- a/cicadagate-dispatch/src/process/orders.rs
+++ b/cicadagate-dispatch/src/process/orders.rs
@@ -17,7 +17,7 @@
         process::Node,
     },
     cicadagate_policy::{
-        ids::{EndpointId, Offset},
+        ids::Offset,
         process::{homes::home, membership::Role},
         version::config::Object,
     },
@@ -26,8 +26,9 @@
     std::{collections::BTreeMap, rc::Rc, time::Duration},
 };
 
-/// How often engines are compared with the configuration.
-const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// How often engines are compared with the configuration. What an engine
+/// reports is what counts: one that was replaced has forgotten its orders.
+const LOOK_EVERY: Duration = Duration::from_secs(2);
 /// Time that an engine has to answer.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -47,22 +48,19 @@
         .timeout(ORDER_TIMEOUT)
         .disable_redirects()
         .finish();
-    let mut ordered: BTreeMap<EndpointId, Offset> = BTreeMap::new();
     loop {
         sleep(LOOK_EVERY).await;
         if !node.has_contact() {
             continue;
         }
         let wanted = wanted(&node);
-        let mine = my_engines(&node);
-        ordered.retain(|id, _| mine.iter().any(|endpoint| endpoint.id == *id));
-        for endpoint in mine {
+        for endpoint in my_engines(&node) {
             let Some(wanted) = wanted.get(&endpoint.deployment) else {
                 continue;
             };
-            let is_ordered = ordered.get(&endpoint.id) == Some(&wanted.fence);
-            if !is_ordered && order(&node, &client, &endpoint, wanted).await {
-                ordered.insert(endpoint.id, wanted.fence);
+            let reported = read_back(&client, &endpoint).await;
+            if reported.is_some_and(|version| version != wanted.version) {
+                order(&node, &client, &endpoint, wanted).await;
             }
         }
     }
@@ -96,11 +94,11 @@
     listing.endpoints.values().filter(mine).cloned().collect()
 }
 
-/// Orders a version and reads back; tells whether the engine reports it.
-async fn order(node: &Node, client: &Client, endpoint: &Endpoint, wanted: &Wanted) -> bool {
+/// Orders a version and reads back.
+async fn order(node: &Node, client: &Client, endpoint: &Endpoint, wanted: &Wanted) {
     // Contact may have been lost while an earlier order was under way.
     if !node.has_contact() {
-        return false;
+        return;
     }
     let url = format!("http://{}/control/orders", endpoint.addr);
     let order = json!({"version": wanted.version, "fence": wanted.fence.0});
@@ -118,7 +116,6 @@
     } else {
         event!(ORDER_FAILED, endpoint = endpoint.name.as_str(), status);
     }
-    loaded
 }
 
 async fn read_back(client: &Client, endpoint: &Endpoint) -> Option<String> {
--- a/cicadagate-lab/src/measure/run.rs
+++ b/cicadagate-lab/src/measure/run.rs
@@ -29,6 +29,8 @@
 const FILL: Duration = Duration::from_secs(4);
 /// Longest lag of the generator that still gives figures.
 const MAX_LAG: Duration = Duration::from_millis(100);
+/// Tries to begin a job.
+const BEGIN_TRIES: u32 = 30;
 /// Longest wait for the last answers.
 const DRAIN: Duration = Duration::from_secs(30);
 
@@ -147,16 +149,35 @@
             })
             .collect();
         let lines = job_lines(MODEL, &prompts, shape.item_tokens);
-        let failed = |detail: String| WrongSnafu { detail }.build();
-        let file = caller.upload(entry, &lines).await.map_err(failed)?;
-        caller
-            .create_job(entry, &file, "/v1/chat/completions", &file)
-            .await
-            .map_err(failed)?;
+        let begun = begin_job(&caller, entry, &lines).await;
+        begun.map_err(|detail| WrongSnafu { detail }.build())?;
     }
     Ok(())
 }
 
+/// Begins a job; comes back when it is refused by rate, as a client would.
+async fn begin_job(caller: &Caller, entry: SocketAddr, lines: &str) -> Result<Value, String> {
+    let mut tries = 0;
+    loop {
+        let job = match caller.upload(entry, lines).await {
+            Ok(file) => {
+                caller
+                    .create_job(entry, &file, "/v1/chat/completions", &file)
+                    .await
+            }
+            Err(err) => Err(err),
+        };
+        let is_refused = job
+            .as_ref()
+            .is_err_and(|err| err.contains("rate_limit_exceeded"));
+        tries += 1;
+        if !is_refused || tries == BEGIN_TRIES {
+            return job;
+        }
+        sleep(Duration::from_secs(1)).await;
+    }
+}
+
 /// Callers keep few entries: a customer's load is skewed.
 fn entry_of(shape: &Shape, entries: &[SocketAddr], arrival: &Arrival) -> SocketAddr {
     let kept = shape.customers[arrival.customer].entries.max(1);
--- a/cicadagate-lab/tests/platform.rs
+++ b/cicadagate-lab/tests/platform.rs
@@ -253,3 +253,54 @@
             .expect("served");
     });
 }
+
+/// Engines are ordered to load the version in force, a replaced one again, and
+/// one that checks fencing numbers refuses an old order.
+#[test]
+fn engines_are_ordered_with_fencing_numbers() {
+    run(async {
+        let mut spec = small_spec("orders");
+        for engine in &mut spec.engines {
+            engine.args.push("--checks-fencing".to_owned());
+        }
+        let replaced = spec.engines[1].clone();
+        let mut setup = start(spec).await;
+        let names = ["drafting-1", "drafting-2", "drafting-3"];
+        for version in ["v1", "v2"] {
+            setup
+                .fleet
+                .ctl("i1", &["put-model-version", "drafting", version])
+                .expect("accepted");
+            for name in names {
+                setup
+                    .fleet
+                    .wait("the engine has loaded it", LIMIT, async || {
+                        let page = setup.fleet.page(name, "listen", "/control/stats").await;
+                        page.is_ok_and(|page| page["version"] == version)
+                    })
+                    .await
+                    .expect("loaded");
+            }
+        }
+        let engine = setup
+            .fleet
+            .address("drafting-1", "listen")
+            .expect("an address");
+        let late = json!({"version": "v1", "fence": 1});
+        let refused = cicadagate_lab::load::http::post(engine, "/control/orders", &late).await;
+        assert!(refused.is_err(), "an old fencing number");
+        setup.fleet.kill("drafting-2").expect("killed");
+        setup.fleet.start_engine(&replaced).await.expect("replaced");
+        setup
+            .fleet
+            .wait("the new engine has loaded it", LIMIT, async || {
+                let page = setup
+                    .fleet
+                    .page("drafting-2", "listen", "/control/stats")
+                    .await;
+                page.is_ok_and(|page| page["version"] == "v2")
+            })
+            .await
+            .expect("loaded");
+    });
+}
--- a/cicadagate-node/src/platform/list.rs
+++ b/cicadagate-node/src/platform/list.rs
@@ -1,7 +1,9 @@
 /*!
 The platform's lagging list of instances.
 
-HTTP: `GET /v1/instances` answers all instances as JSON. Ours come with the
+HTTP: `GET /v1/instances` answers all instances as JSON, with an `ETag`; asked
+with the same one in `If-None-Match` it answers 304, so that a large list costs
+its bytes only when it has changed. Ours come with the
 addresses that their processes listen on for datagrams; endpoints come with
 their deployment and address.
 */
@@ -12,7 +14,7 @@
     futures_util::future::LocalBoxFuture,
     serde::{Deserialize, Serialize},
     snafu::ensure,
-    std::{collections::BTreeMap, net::SocketAddr},
+    std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc},
 };
 
 /// What kind of instance is listed.
@@ -149,6 +151,14 @@
 pub struct HttpInstanceList {
     addr: SocketAddr,
     client: awc::Client,
+    last: Rc<RefCell<Last>>,
+}
+
+/// The last answer and its tag.
+#[derive(Default)]
+struct Last {
+    tag: String,
+    instances: Vec<Instance>,
 }
 
 impl HttpInstanceList {
@@ -156,7 +166,11 @@
     #[must_use]
     pub fn new(addr: SocketAddr) -> Self {
         let client = awc::Client::builder().disable_redirects().finish();
-        Self { addr, client }
+        Self {
+            addr,
+            client,
+            last: Rc::default(),
+        }
     }
 }
 
@@ -166,20 +180,33 @@
 impl InstanceList for HttpInstanceList {
     fn read(&self) -> LocalBoxFuture<'static, Result<Vec<Instance>>> {
         let url = format!("http://{}/v1/instances", self.addr);
-        let call = self.client.get(url).timeout(CALL_TIMEOUT).send();
+        let last = Rc::clone(&self.last);
+        let tag = last.borrow().tag.clone();
+        let request = self.client.get(url).timeout(CALL_TIMEOUT);
+        let call = request.insert_header(("if-none-match", tag)).send();
         Box::pin(async move {
             let no_answer = |detail: String| NoAnswerSnafu { detail }.build();
             let mut res = call.await.map_err(|err| no_answer(err.to_string()))?;
             let status = res.status().as_u16();
+            if status == 304 {
+                return Ok(last.borrow().instances.clone());
+            }
             ensure!(status == 200, RefusedSnafu { status });
+            let tag = res.headers().get("etag").and_then(|tag| tag.to_str().ok());
+            let tag = tag.unwrap_or_default().to_owned();
             let body = res.body().limit(MAX_LIST_BYTES).await;
             let body = body.map_err(|err| no_answer(err.to_string()))?;
-            serde_json::from_slice(&body).map_err(|err| {
+            let instances: Vec<Instance> = serde_json::from_slice(&body).map_err(|err| {
                 UnintelligibleSnafu {
                     detail: err.to_string(),
                 }
                 .build()
-            })
+            })?;
+            *last.borrow_mut() = Last {
+                tag,
+                instances: instances.clone(),
+            };
+            Ok(instances)
         })
     }
 }
--- a/cicadagate-node/src/process/follower.rs
+++ b/cicadagate-node/src/process/follower.rs
@@ -33,7 +33,7 @@
 /// Wait after a failed read.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 /// How often the platform's list is read.
-const LIST_EVERY: Duration = Duration::from_millis(500);
+const LIST_EVERY: Duration = Duration::from_secs(1);
 /// Peers that are asked for the configuration at a start in an outage.
 const PEERS_ASKED: usize = 5;
 /// Time that a peer has to answer.
--- a/cicadagate-policy/src/version/jobs.rs
+++ b/cicadagate-policy/src/version/jobs.rs
@@ -201,6 +201,8 @@
     version: Offset,
     files: BTreeMap<FileId, File>,
     jobs: BTreeMap<JobId, JobState>,
+    /// Jobs whose phase is open: few among all that are kept.
+    open: BTreeSet<JobId>,
 }
 
 impl State {
@@ -309,7 +311,11 @@
             claim: None,
             phase: Phase::Open,
         };
-        insert_first(&mut self.jobs, job.id, state)
+        let is_new = insert_first(&mut self.jobs, job.id, state);
+        if is_new {
+            self.open.insert(job.id);
+        }
+        is_new
     }
 
     fn fold_claim(&mut self, job: JobId, claim: Claim, after: Offset) -> bool {
@@ -331,6 +337,7 @@
         let valid = state.phase == Phase::Open;
         if valid {
             state.phase = Phase::Cancelled;
+            self.open.remove(&job);
         }
         valid
     }
@@ -343,6 +350,7 @@
         let valid = state.phase == Phase::Open && held;
         if valid {
             state.phase = phase;
+            self.open.remove(&job);
         }
         valid
     }
@@ -352,6 +360,8 @@
     pub fn expire(&mut self, now_epoch_secs: u64, file_secs: u64) {
         self.jobs
             .retain(|_, state| state.job.keep_until > now_epoch_secs);
+        let jobs = &self.jobs;
+        self.open.retain(|id| jobs.contains_key(id));
         let named: BTreeSet<FileId> = self.jobs.values().map(|state| state.job.file).collect();
         self.files
             .retain(|id, file| named.contains(id) || file.created + file_secs > now_epoch_secs);
@@ -373,6 +383,11 @@
         self.jobs.values()
     }
 
+    /// Iterates over the open jobs.
+    pub fn open_jobs(&self) -> impl Iterator<Item = &JobState> {
+        self.open.iter().filter_map(|id| self.jobs.get(id))
+    }
+
     /// Finds a file.
     #[must_use]
     pub fn file(&self, id: FileId) -> Option<&File> {
--- a/cicadagate-standin/src/platform/mod.rs
+++ b/cicadagate-standin/src/platform/mod.rs
@@ -10,9 +10,9 @@
 
 use {
     crate::serve_announced,
-    actix_http::{Method, Request, Response, body::BoxBody},
+    actix_http::{HttpMessage as _, Method, Request, Response, body::BoxBody},
     cicadagate_node::connection::http::{query_param, read_body, respond, respond_json},
-    cicadagate_policy::time::Time,
+    cicadagate_policy::{ids::hash64, time::Time},
     list::List,
     log::Log,
     serde::Deserialize,
@@ -95,7 +95,7 @@
         (&Method::GET, ["v1", "streams", stream, "records"]) => {
             read(platform, stream, &query).await
         }
-        (&Method::GET, ["v1", "instances"]) => instances(platform),
+        (&Method::GET, ["v1", "instances"]) => instances(platform, &req),
         (&Method::POST, ["v1", "instances"]) => put_instance(platform, &body),
         (&Method::DELETE, ["v1", "instances", id]) => {
             platform.list.remove(platform.clock.now(), id);
@@ -174,13 +174,31 @@
     res
 }
 
-fn instances(platform: &Platform) -> Response<BoxBody> {
+fn instances(platform: &Platform, req: &Request) -> Response<BoxBody> {
     let faults = platform.faults.borrow();
     if faults.list_down.unwrap_or(false) {
         return respond(503, "text/plain", "down\n");
     }
     let lag_ms = faults.list_lag_ms.unwrap_or(0);
-    respond_json(200, &platform.list.as_of(platform.clock.now(), lag_ms))
+    let body = platform
+        .list
+        .as_of(platform.clock.now(), lag_ms)
+        .to_string();
+    let tag = format!("\"{:016x}\"", hash64(&[body.as_bytes()]));
+    let known = req
+        .headers()
+        .get("if-none-match")
+        .and_then(|tag| tag.to_str().ok());
+    let mut res = if known == Some(tag.as_str()) {
+        respond(304, "application/json", "")
+    } else {
+        respond(200, "application/json", body)
+    };
+    if let Ok(tag) = tag.parse() {
+        res.headers_mut()
+            .insert(actix_http::header::HeaderName::from_static("etag"), tag);
+    }
+    res
 }
 
 fn put_instance(platform: &Platform, body: &[u8]) -> Response<BoxBody> {
