--- a/cicadagate-node/src/connection/server.rs
+++ b/cicadagate-node/src/connection/server.rs
@@ -1,9 +1,9 @@
 /*!
 The serving side of the peer protocol.
 
-A connection that does not show the fleet's key within [`HELLO_TIMEOUT`] is
-closed. Answers are queued per connection; a peer that lets [`MAX_QUEUED`] of
-them pile up is cut off, which its side treats like any lost connection.
+A connection that does not show the fleet's key in time is closed. Answers are
+queued per connection up to a bound; what a peer lets pile up beyond it is
+dropped, and its side finds a piece missing and treats the attempt as failed.
 */
 
 use {
--- a/cicadagate-standin/src/platform/mod.rs
+++ b/cicadagate-standin/src/platform/mod.rs
@@ -2,7 +2,7 @@
 The platform: log, instance list and weight store on one address.
 
 Faults are ordered by `POST /control/faults` with a JSON object; the fields
-that it has are set, see [`Faults`].
+that it has are set.
 */
 
 mod list;
