Give a process out only when it has joined; resume streams in time

A new entry was ready once it had the configuration, before it knew homes and holders, and refused with 'limit_unavailable'. A stream that was resumed after the first 2 s had no time left to start and was given up 'waited too long in the queue', half delivered.

A resumed stream has 10 s to go on.

Conclusion: readiness has to mean that a request can be served.

--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -42,6 +42,7 @@
     READY = 101, Info, "The process has folded the configuration and serves.";
     STOPPING = 102, Info, "The process was told to stop and is no longer given out.";
     STOPPED = 103, Info, "The process has ended what ran and exits.";
+    JOINED = 105, Info, "The process knows the others and is given out.";
     BIND_FAILED = 104, Error, "An address can't be bound; the process exits.";
     LOG_UNREACHABLE = 200, Warn, "A stream of the platform's log can't be read; see OPERATING.md, 'An outage of the log'.";
     LOG_REACHABLE = 201, Info, "A stream of the platform's log can be read again.";
--- a/cicadagate-node/src/process/follower.rs
+++ b/cicadagate-node/src/process/follower.rs
@@ -210,7 +210,7 @@
     fn note_config(&self) {
         let config = self.config.borrow();
         let version = config.version();
-        let leaving = !self.phase.get().is_given_out();
+        let leaving = !self.is_given_out();
         self.membership.borrow_mut().set_me(version, leaving);
         if let Some((epoch, state)) = config.epoch() {
             let witnesses: Vec<_> = state
--- a/cicadagate-node/src/process/mod.rs
+++ b/cicadagate-node/src/process/mod.rs
@@ -5,6 +5,7 @@
 mod contact;
 mod follower;
 mod gossip;
+mod join;
 mod operations;
 mod stop;
 
@@ -130,6 +131,7 @@
     list: Rc<dyn InstanceList>,
     phase: Cell<Phase>,
     has_folded: Cell<bool>,
+    has_joined: Cell<bool>,
     running: Cell<usize>,
     has_ended: Notify,
     datagrams: mpsc::UnboundedSender<Outgoing>,
@@ -174,7 +176,8 @@
             tcp: local(listener.local_addr(), settings.listen),
             started,
             version: Offset::NONE,
-            leaving: false,
+            // Not given out before it has joined.
+            leaving: true,
         };
         let operations_addr = local(operations.local_addr(), settings.operations);
         announce(&info, operations_addr);
@@ -200,6 +203,7 @@
             list: Rc::new(HttpInstanceList::new(settings.instances)),
             phase: Cell::default(),
             has_folded: Cell::new(false),
+            has_joined: Cell::new(false),
             running: Cell::new(0),
             has_ended: Notify::new(),
             datagrams,
@@ -222,6 +226,7 @@
         actix_rt::spawn(follower::follow_config(Rc::clone(self)));
         actix_rt::spawn(follower::follow_list(Rc::clone(self)));
         actix_rt::spawn(contact::run(Rc::clone(self)));
+        actix_rt::spawn(join::run(Rc::clone(self)));
         actix_rt::spawn(operations::run(Rc::clone(self), operations));
     }
 
@@ -267,6 +272,13 @@
         self.has_folded.get() || self.config.borrow().version() > Offset::NONE
     }
 
+    /// Tells whether the process may be given work: it has a configuration,
+    /// knows the other processes, and is not stopping.
+    #[must_use]
+    pub fn is_given_out(&self) -> bool {
+        self.has_joined.get() && self.phase.get().is_given_out()
+    }
+
     /// Returns the phase between start and end.
     #[must_use]
     pub fn phase(&self) -> Phase {
@@ -330,7 +342,7 @@
 
     fn map_live<T>(&self, role: Role, of: impl Fn(&Info) -> T) -> Vec<T> {
         let membership = self.membership.borrow();
-        let me = std::iter::once(membership.me()).filter(|_| self.phase.get().is_given_out());
+        let me = std::iter::once(membership.me()).filter(|_| self.is_given_out());
         let others = membership.alive().filter(|info| !info.leaving);
         me.chain(others)
             .filter(|info| info.role == role)
--- a/cicadagate-node/src/process/operations.rs
+++ b/cicadagate-node/src/process/operations.rs
@@ -46,7 +46,7 @@
 }
 
 fn ready(node: &Node) -> Response<BoxBody> {
-    let ready = node.is_configured() && node.has_contact() && node.phase().is_given_out();
+    let ready = node.is_configured() && node.has_contact() && node.is_given_out();
     let body = json!({
         "ready": ready,
         "version": node.config.borrow().version().0,
--- a/cicadagate-node/src/request/answer.rs
+++ b/cicadagate-node/src/request/answer.rs
@@ -30,6 +30,9 @@
 const BOUND_TRIES: usize = 2;
 /// Replicas whose refusal to queue is asked for before giving up.
 const WAIT_TRIES: usize = 3;
+/// Time within which a stream that callers see already must go on, in
+/// milliseconds. Giving it up loses more than a late piece.
+const RESUME_WITHIN_MS: u64 = 10_000;
 /// Retry-after when no replica could be reached, in milliseconds.
 const NO_REPLICA_RETRY_MS: u64 = 1_000;
 
@@ -265,7 +268,7 @@
             headers: plan.headers.clone(),
             body: plan.body.clone(),
             cost: plan.cost,
-            start_within_ms: self.start_by.since(now),
+            start_within_ms: self.start_within_ms(now),
             resume_from: self.attempts.relayed(),
             force: self.over_bound >= BOUND_TRIES,
             load_bound: bound,
@@ -276,6 +279,14 @@
         }
     }
 
+    /// Time within which the next attempt must start.
+    fn start_within_ms(&self, now: Time) -> u64 {
+        if self.attempts.relayed() == 0 {
+            return self.start_by.since(now);
+        }
+        RESUME_WITHIN_MS.min(self.deadline.since(now))
+    }
+
     fn take(&mut self, event: AttemptEvent) -> Result<Option<Step>, Failure> {
         let Some(current) = &self.current else {
             return Ok(None);
--- a/cicadagate-policy/src/process/membership/mod.rs
+++ b/cicadagate-policy/src/process/membership/mod.rs
@@ -50,6 +50,8 @@
 pub const SUSPECT_MS: u64 = 2_000;
 /// Members that are asked to probe on one's behalf.
 pub const HELPERS: usize = 3;
+/// Listed addresses that are pinged in a period while most are unknown.
+pub const JOINS: usize = 4;
 /// Most updates on one message, so that it fits a datagram.
 pub const MAX_UPDATES: usize = 8;
 /// How long a dead or left member is remembered, in milliseconds.
@@ -324,7 +326,8 @@
         }
     }
 
-    /// Pings one listed address that no live member has.
+    /// Pings listed addresses that no live member has: a few while most are
+    /// unknown, then one.
     fn join(&mut self, out: &mut Vec<Outgoing>) {
         let unknown: Vec<SocketAddr> = self
             .candidates
@@ -336,20 +339,28 @@
         if unknown.is_empty() {
             return;
         }
-        let pick = usize::try_from(self.roll() % unknown.len() as u64).unwrap_or(0);
-        let seq = self.next_seq();
-        let mut message = self.message(Kind::Ping { seq });
-        // Whoever is taken for dead at that address must hear of it to refute.
-        let dead = |entry: &&Entry| {
-            entry.update.info.udp == unknown[pick] && entry.update.health == Health::Dead
+        let count = if unknown.len() > self.candidates.len() / 2 {
+            JOINS
+        } else {
+            1
         };
-        message.updates.extend(
-            self.members
+        for _ in 0..count.min(unknown.len()) {
+            let pick = usize::try_from(self.roll() % unknown.len() as u64).unwrap_or(0);
+            let to = unknown[pick];
+            let seq = self.next_seq();
+            let mut message = self.message(Kind::Ping { seq });
+            // Whoever is taken for dead at that address must hear of it to
+            // refute.
+            let dead =
+                |entry: &&Entry| entry.update.info.udp == to && entry.update.health == Health::Dead;
+            let dead = self
+                .members
                 .values()
                 .find(dead)
-                .map(|entry| entry.update.clone()),
-        );
-        out.push((unknown[pick], message));
+                .map(|entry| entry.update.clone());
+            message.updates.extend(dead);
+            out.push((to, message));
+        }
     }
 
     fn next_target(&mut self) -> Option<MemberId> {
