Read an uploaded form before admitting it

Change: the form, which is bounded, is read first.

Conclusion: the caller sees 429 and when to come back.

--- a/cicadagate-entry/src/request/files.rs
+++ b/cicadagate-entry/src/request/files.rs
@@ -33,8 +33,10 @@
 const MAX_FIELD_BYTES: usize = 1024;
 
 pub(super) async fn upload(call: Call, req: Request) -> Result<Response<BoxBody>> {
-    admit(&call).await?;
+    // Read before it is admitted: many clients see no answer to a body that
+    // is not taken.
     let form = read_form(req, call.entry.settings.max_file_bytes).await?;
+    admit(&call).await?;
     let invalid = |message: &str| ApiError::invalid(400, "invalid_request", message);
     if form.purpose.as_deref() != Some("batch") {
         return Err(invalid("'purpose' must be 'batch'"));
