--- a/cicadagate-lab/src/measure/run.rs
+++ b/cicadagate-lab/src/measure/run.rs
@@ -157,25 +157,20 @@
 
 /// Begins a job; comes back when it is refused by rate, as a client would.
 async fn begin_job(caller: &Caller, entry: SocketAddr, lines: &str) -> Result<Value, String> {
-    let mut tries = 0;
-    loop {
-        let job = match caller.upload(entry, lines).await {
-            Ok(file) => {
-                caller
-                    .create_job(entry, &file, "/v1/chat/completions", &file)
-                    .await
-            }
-            Err(err) => Err(err),
-        };
-        let is_refused = job
-            .as_ref()
-            .is_err_and(|err| err.contains("rate_limit_exceeded"));
-        tries += 1;
-        if !is_refused || tries == BEGIN_TRIES {
-            return job;
+    let file = insist(async || caller.upload(entry, lines).await).await?;
+    let path = "/v1/chat/completions";
+    insist(async || caller.create_job(entry, &file, path, &file).await).await
+}
+
+/// Calls until it is not refused by rate.
+async fn insist<T>(mut call: impl AsyncFnMut() -> Result<T, String>) -> Result<T, String> {
+    for _ in 1..BEGIN_TRIES {
+        match call().await {
+            Err(err) if err.contains("rate_limit_exceeded") => sleep(Duration::from_secs(1)).await,
+            other => return other,
         }
-        sleep(Duration::from_secs(1)).await;
     }
+    call().await
 }
 
 /// Callers keep few entries: a customer's load is skewed.
