Bound what a home remembers of begun calls

Cause: read again, the home's list of calls that it has begun grew for as long as the process lived, and a kept answer that replaced another was counted twice, so that the memory forgot too early. The lab's two service calls stood twice.

--- a/cicadagate-dispatch/src/process/intents.rs
+++ b/cicadagate-dispatch/src/process/intents.rs
@@ -11,7 +11,7 @@
     cicadagate_policy::{
         ids::{MemberId, Offset, RequestId},
         time::Time,
-        version::intents::{Intent, State},
+        version::intents::{Intent, REMEMBERED, State},
     },
     std::{
         cell::{Cell, RefCell},
@@ -67,6 +67,7 @@
         if self.begun.borrow().contains(&id) {
             return Claim::MaybeRun;
         }
+        self.forget_begun();
         let known = self.fold.state.borrow().first(id);
         let first = match known {
             Some(first) => Some(first),
@@ -80,6 +81,16 @@
         }
     }
 
+    /// Keeps what was begun no longer than the fold keeps its intent.
+    fn forget_begun(&self) {
+        let mut begun = self.begun.borrow_mut();
+        // At twice its size, so that few claims pay for it.
+        if begun.len() > 2 * REMEMBERED {
+            let state = self.fold.state.borrow();
+            begun.retain(|id| state.first(*id).is_some());
+        }
+    }
+
     /// Writes an intent and returns whose came first.
     async fn write(&self, node: &Node, id: RequestId) -> Option<MemberId> {
         let body = encode(&Intent {
--- a/cicadagate-dispatch/src/process/memory.rs
+++ b/cicadagate-dispatch/src/process/memory.rs
@@ -77,8 +77,9 @@
     /// Keeps a whole answer.
     pub fn keep(&mut self, now: Time, id: RequestId, answer: Recorded) {
         self.bytes += answer.bytes();
-        if self.answers.insert(id, answer).is_none() {
-            self.order.push_back((now, id));
+        match self.answers.insert(id, answer) {
+            Some(old) => self.bytes = self.bytes.saturating_sub(old.bytes()),
+            None => self.order.push_back((now, id)),
         }
         self.forget(now);
     }
--- a/cicadagate-lab/src/load/caller.rs
+++ b/cicadagate-lab/src/load/caller.rs
@@ -142,14 +142,7 @@
         path: &str,
         call_id: &str,
     ) -> Result<(u16, Value), String> {
-        let request = self.post(entry, path).insert_header(("x-call-id", call_id));
-        let mut res = request
-            .send_body("hello")
-            .await
-            .map_err(|err| err.to_string())?;
-        let status = res.status().as_u16();
-        let body = res.body().await.map_err(|err| err.to_string())?;
-        Ok((status, serde_json::from_slice(&body).unwrap_or_default()))
+        call_service(self.post(entry, path).insert_header(("x-call-id", call_id))).await
     }
 
     /// Calls a plain service with an idempotency key.
@@ -164,14 +157,7 @@
         key: &str,
     ) -> Result<(u16, Value), String> {
         let request = self.post(entry, path).insert_header(("x-call-id", key));
-        let request = request.insert_header(("idempotency-key", key));
-        let mut res = request
-            .send_body("hello")
-            .await
-            .map_err(|err| err.to_string())?;
-        let status = res.status().as_u16();
-        let body = res.body().await.map_err(|err| err.to_string())?;
-        Ok((status, serde_json::from_slice(&body).unwrap_or_default()))
+        call_service(request.insert_header(("idempotency-key", key))).await
     }
 
     /// Uploads a batch file; returns its id.
@@ -285,6 +271,17 @@
     }
 }
 
+/// Sends a call to a plain service; returns status and body.
+async fn call_service(request: awc::ClientRequest) -> Result<(u16, Value), String> {
+    let mut res = request
+        .send_body("hello")
+        .await
+        .map_err(|err| err.to_string())?;
+    let status = res.status().as_u16();
+    let body = res.body().await.map_err(|err| err.to_string())?;
+    Ok((status, serde_json::from_slice(&body).unwrap_or_default()))
+}
+
 type Sent<S> = Result<awc::ClientResponse<S>, awc::error::SendRequestError>;
 
 async fn json_answer<S>(sent: Sent<S>) -> Result<Value, String>
