Draw replicas by free slots; end the process when a task panics

Change: the borrow ends before its use; a core task that panics ends the process; a replica is drawn with a weight of its free slots squared.

--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -319,13 +319,13 @@
         member: = gateway.me,
         callers: = addresses.callers
     );
-    actix_rt::spawn(config::follow(Rc::clone(&gateway)));
-    actix_rt::spawn(registry::follow(Rc::clone(&gateway)));
-    actix_rt::spawn(peers::run(Rc::clone(&gateway), peers));
-    actix_rt::spawn(peers::announce(Rc::clone(&gateway)));
-    actix_rt::spawn(jobs::follow(Rc::clone(&gateway)));
-    actix_rt::spawn(work::run(Rc::clone(&gateway)));
-    actix_rt::spawn(tidy(Rc::clone(&gateway)));
+    spawn_task("config_follow", config::follow(Rc::clone(&gateway)));
+    spawn_task("registry_follow", registry::follow(Rc::clone(&gateway)));
+    spawn_task("peers_run", peers::run(Rc::clone(&gateway), peers));
+    spawn_task("peers_announce", peers::announce(Rc::clone(&gateway)));
+    spawn_task("jobs_follow", jobs::follow(Rc::clone(&gateway)));
+    spawn_task("work_run", work::run(Rc::clone(&gateway)));
+    spawn_task("tidy", tidy(Rc::clone(&gateway)));
     spawn_server(&gateway, callers, request::serve_caller);
     spawn_server(&gateway, readiness, directory::serve_readiness);
     spawn_server(&gateway, directory, directory::serve_addresses);
@@ -334,6 +334,20 @@
     Ok(())
 }
 
+/// Runs a task that the process can't do without. If it panics, the process
+/// ends, so that it is started again instead of serving by what it once knew.
+fn spawn_task(name: &'static str, task: impl Future<Output = ()> + 'static) {
+    let running = actix_rt::spawn(task);
+    actix_rt::spawn(async move {
+        if let Err(err) = running.await
+            && err.is_panic()
+        {
+            eprintln!("cicadagate: task {name} panicked");
+            std::process::abort();
+        }
+    });
+}
+
 fn spawn_server<F, Fut>(gateway: &Rc<Gateway>, listener: TcpListener, handler: F)
 where
     F: Fn(Rc<Gateway>, actix_http::Request) -> Fut + Copy + 'static,
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -42,7 +42,8 @@
                 Ok(_) => event!(STORE_BACK, reader = "replicas"),
             }
         }
-        for gone in gateway.replicas.borrow_mut().settle(now) {
+        let settled = gateway.replicas.borrow_mut().settle(now);
+        for gone in settled {
             event!(REPLICA_REMOVED, replica = gone.id.as_str(), reason = "did not come back");
         }
         match outcome {
@@ -102,7 +103,8 @@
     let now = gateway.now();
     let id = item.key.as_str();
     let Some(value) = &item.value else {
-        note(gateway, id, gateway.replicas.borrow_mut().remove(now, id));
+        let change = gateway.replicas.borrow_mut().remove(now, id);
+        note(gateway, id, change);
         return;
     };
     match gateway.codec.registration(id, value) {
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -17,9 +17,11 @@
 
 Failures only slow: a replica that failed is avoided for a time that doubles
 with each further failure, and is used meanwhile when no other is left. A
-success ends that. Among the others, the one with the smallest share of its
-slots taken is chosen, by this process's own count and the reports of others;
-ties go by a hash, so that processes do not all pick the same one.
+success ends that. Among the others one is drawn with a weight that rises with
+its free slots, by this process's own count and the reports of others. The
+reports are some requests old, and if every process picked the one with most
+free slots, all would pick the same. Without a free slot, the one with the
+smallest share of its slots taken is chosen.
 */
 
 use {
@@ -277,7 +279,7 @@
     /// Chooses a replica of a service.
     ///
     /// `load` returns the requests in flight at a replica over all members,
-    /// and whether others suspect it. `seed` breaks ties.
+    /// and whether others suspect it. `seed` is a random number.
     pub fn choose(
         &self,
         now: Time,
@@ -286,18 +288,59 @@
         seed: u64,
         load: impl Fn(EndpointId) -> (u32, bool),
     ) -> Option<&Replica> {
-        self.of_service(service)
+        let candidates: Vec<Candidate<'_>> = self
+            .of_service(service)
             .filter(|replica| !excluded.contains(&replica.endpoint))
-            .min_by_key(|replica| {
+            .map(|replica| {
                 let (in_flight, is_suspect) = load(replica.endpoint);
-                let slots = replica.registration.slots.max(1);
-                let taken = u64::from(in_flight) * 1_000 / u64::from(slots);
-                (
-                    replica.is_avoided(now),
-                    is_suspect,
-                    taken,
-                    mix64(seed, replica.endpoint.raw()),
-                )
+                Candidate {
+                    replica,
+                    in_flight,
+                    doubt: u8::from(replica.is_avoided(now)) * 2 + u8::from(is_suspect),
+                }
             })
+            .collect();
+        let least_doubt = candidates.iter().map(|candidate| candidate.doubt).min()?;
+        let trusted: Vec<&Candidate<'_>> = candidates
+            .iter()
+            .filter(|candidate| candidate.doubt == least_doubt)
+            .collect();
+        let weight = |candidate: &&Candidate<'_>| u64::from(candidate.free_slots()).pow(2);
+        let total: u64 = trusted.iter().map(weight).sum();
+        if total == 0 {
+            let least = trusted.into_iter().min_by_key(|candidate| {
+                (candidate.taken(), mix64(seed, candidate.replica.endpoint.raw()))
+            });
+            return least.map(|candidate| candidate.replica);
+        }
+        let mut at = seed % total;
+        let chosen = trusted.into_iter().find(|candidate| {
+            let is_hit = at < weight(candidate);
+            at = at.saturating_sub(weight(candidate));
+            is_hit
+        });
+        chosen.map(|candidate| candidate.replica)
+    }
+}
+
+struct Candidate<'a> {
+    replica: &'a Replica,
+    in_flight: u32,
+    /// Reasons not to use it.
+    doubt: u8,
+}
+
+impl Candidate<'_> {
+    fn slots(&self) -> u32 {
+        self.replica.registration.slots.max(1)
+    }
+
+    fn free_slots(&self) -> u32 {
+        self.slots().saturating_sub(self.in_flight)
+    }
+
+    /// Share of the slots that is taken, in thousandths.
+    fn taken(&self) -> u64 {
+        u64::from(self.in_flight) * 1_000 / u64::from(self.slots())
     }
 }
