Reach the store through other gateways; count failed runs in the index

Change: a call that the store does not answer is handed to a gateway that reaches it; failed runs are records of the index; items wait 700 ms after the start.

--- a/cicadagate-gateway/src/platform.rs
+++ b/cicadagate-gateway/src/platform.rs
@@ -19,6 +19,7 @@
     bytes::Bytes,
     cicadagate_policy::{process::replicas::Registration, version::serving::ServingConfig},
     futures_util::future::LocalBoxFuture,
+    serde::{Deserialize, Serialize},
     snafu::Snafu,
     std::time::Duration,
 };
@@ -28,7 +29,7 @@
 
 /// Why a call to the store failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Snafu)]
+#[derive(Deserialize, Serialize, Snafu)]
 #[snafu(visibility(pub))]
 pub enum StoreError {
     /// The store says that it did nothing, or was not reached.
@@ -62,6 +63,7 @@
 
 /// Records of a partition, as read.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Page {
     /// Offset of the first record of `records`.
     pub from: u64,
@@ -73,6 +75,7 @@
 
 /// A record of a topic that keeps the newest one of each key.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Keyed {
     /// Key.
     pub key: String,
@@ -82,6 +85,7 @@
 
 /// The newest records of some keys.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Newest {
     /// Records, one for each key.
     pub items: Vec<Keyed>,
--- /dev/null
+++ b/cicadagate-gateway/src/process/fleet_store.rs
@@ -0,0 +1,339 @@
+/*!
+The store, reached directly or through another gateway.
+
+# Problem
+
+The store may turn some instances away and serve the others, and a partition
+may cut some off from it only. Such an instance would answer by a stale
+configuration, hold results that nobody can read, and refuse jobs.
+
+# Choice
+
+A call that the store does not answer is handed to a gateway that says in its
+reports that it reaches the store; that one makes the call and returns the
+store's answer. Whoever uses the store need not know. All records may be
+appended twice, so a call whose answer was lost is handed on like any other.
+While the store does not answer here, calls go through others first, and one
+call every [`PROBE_EVERY_MS`] tries the direct way.
+
+# Cost
+
+Nothing while the store answers. Without it, a message each way between two
+gateways, and a call that waits for a time-out before it is handed on.
+*/
+
+use {
+    super::Gateway,
+    crate::platform::{Keyed, Newest, Page, Result, Store, StoreError},
+    actix_http::Request,
+    actix_rt::time::timeout,
+    bytes::Bytes,
+    cicadagate_node::{
+        connection::http::read_body,
+        event,
+    },
+    cicadagate_policy::{process::membership::Health, time::Time},
+    cicadagate_wire::{
+        key::FleetKey,
+        seal::{open, seal},
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        cell::Cell,
+        net::SocketAddr,
+        rc::{Rc, Weak},
+        time::Duration,
+    },
+};
+
+/// Time between two direct calls while the store does not answer.
+const PROBE_EVERY_MS: u64 = 500;
+/// Time for another gateway to make a call, on top of the call's own wait.
+const HAND_ON_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest call or answer between gateways, in bytes.
+const MAX_MESSAGE_BYTES: usize = 10 * 1024 * 1024;
+/// Longest wait of a read for another gateway.
+const MAX_WAIT: Duration = Duration::from_secs(2);
+
+/// A call to the store.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+enum Call {
+    Append {
+        topic: String,
+        part: u32,
+        records: Vec<Bytes>,
+    },
+    Read {
+        topic: String,
+        part: u32,
+        from: u64,
+        max_bytes: usize,
+        wait_ms: u64,
+    },
+    Newest {
+        topic: String,
+        after: Option<String>,
+    },
+}
+
+/// The store's answer.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+enum Answer {
+    Appended(u64),
+    Page(Page),
+    Newest(Newest),
+}
+
+/// The store as the fleet reaches it.
+pub struct FleetStore {
+    direct: Rc<dyn Store>,
+    gateway: Weak<Gateway>,
+    client: awc::Client,
+    key: [u8; 32],
+    is_reached: Cell<bool>,
+    probed: Cell<Time>,
+}
+
+impl FleetStore {
+    pub(super) fn new(direct: Rc<dyn Store>, gateway: Weak<Gateway>, key: &FleetKey) -> Self {
+        Self {
+            direct,
+            gateway,
+            client: awc::Client::builder().disable_redirects().finish(),
+            key: key.derive("store calls v1"),
+            is_reached: Cell::new(true),
+            probed: Cell::default(),
+        }
+    }
+
+    /// Tells whether the store answers this process itself.
+    #[must_use]
+    pub fn is_reached(&self) -> bool {
+        self.is_reached.get()
+    }
+
+    fn note(&self, outcome: Option<&StoreError>) {
+        let is_reached = !matches!(
+            outcome,
+            Some(StoreError::NotDone { .. } | StoreError::Unknown { .. })
+        );
+        if self.is_reached.replace(is_reached) == is_reached {
+            return;
+        }
+        match outcome.filter(|_| !is_reached) {
+            Some(err) => event!(STORE_LOST, reader = "direct", reason: = err),
+            None => event!(STORE_BACK, reader = "direct"),
+        }
+    }
+
+    /// Another gateway that reaches the store.
+    fn helper(&self, gateway: &Gateway) -> Option<SocketAddr> {
+        let now = gateway.now();
+        let members = gateway.members.borrow();
+        let reports = gateway.reports.borrow();
+        let helpers: Vec<SocketAddr> = reports
+            .heard(now)
+            .filter(|report| report.has_store)
+            .filter_map(|report| members.member(report.member))
+            .filter(|(_, health)| *health <= Health::Suspect)
+            .map(|(info, _)| info.udp)
+            .collect();
+        let pick = usize::try_from(gateway.roll()).unwrap_or_default();
+        let count = helpers.len();
+        (count > 0).then(|| helpers[pick % count])
+    }
+
+    async fn call(self: Rc<Self>, call: Call) -> Result<Answer> {
+        let Some(gateway) = self.gateway.upgrade() else {
+            return perform(&*self.direct, call).await;
+        };
+        let now = gateway.now();
+        let is_probe = now.since(self.probed.get()) >= PROBE_EVERY_MS;
+        let helper = self.helper(&gateway);
+        if !self.is_reached.get()
+            && !is_probe
+            && let Some(helper) = helper
+        {
+            return self.hand_on(helper, &call).await;
+        }
+        if !self.is_reached.get() {
+            self.probed.set(now);
+        }
+        let outcome = perform(&*self.direct, call.clone()).await;
+        self.note(outcome.as_ref().err());
+        match outcome {
+            Err(StoreError::NotDone { .. } | StoreError::Unknown { .. }) => {
+                match self.helper(&gateway) {
+                    Some(helper) => self.hand_on(helper, &call).await,
+                    None => outcome,
+                }
+            }
+            outcome => outcome,
+        }
+    }
+
+    async fn hand_on(&self, helper: SocketAddr, call: &Call) -> Result<Answer> {
+        let unknown = |reason: String| StoreError::Unknown { reason };
+        let body = postcard::to_stdvec(call).map_err(|err| unknown(err.to_string()))?;
+        let mut sealed = Vec::with_capacity(body.len() + 16);
+        seal(&self.key, 0, &body, &mut sealed);
+        let wait = match call {
+            Call::Read { wait_ms, .. } => Duration::from_millis(*wait_ms),
+            Call::Append { .. } | Call::Newest { .. } => Duration::ZERO,
+        };
+        let most = HAND_ON_TIMEOUT + wait;
+        let req = self
+            .client
+            .post(format!("http://{helper}/store"))
+            .timeout(most);
+        let answered = timeout(most, async {
+            let mut res = req.send_body(sealed).await.map_err(|err| err.to_string())?;
+            let body = res.body().limit(MAX_MESSAGE_BYTES);
+            body.await.map_err(|err| err.to_string())
+        });
+        let body = match answered.await {
+            Ok(body) => body.map_err(unknown)?,
+            Err(_) => return Err(unknown(format!("{helper} did not answer"))),
+        };
+        let body = open(&self.key, 1, &body).map_err(|err| unknown(err.to_string()))?;
+        let outcome: Result<Answer> =
+            postcard::from_bytes(body).map_err(|err| unknown(err.to_string()))?;
+        outcome
+    }
+}
+
+async fn perform(store: &dyn Store, call: Call) -> Result<Answer> {
+    match call {
+        Call::Append {
+            topic,
+            part,
+            records,
+        } => {
+            let append = store.append(&topic, part, records);
+            append.await.map(Answer::Appended)
+        }
+        Call::Read {
+            topic,
+            part,
+            from,
+            max_bytes,
+            wait_ms,
+        } => {
+            let wait = Duration::from_millis(wait_ms).min(MAX_WAIT);
+            let read = store.read(&topic, part, from, max_bytes, wait);
+            read.await.map(Answer::Page)
+        }
+        Call::Newest { topic, after } => {
+            let newest = store.newest(&topic, after.as_deref());
+            newest.await.map(Answer::Newest)
+        }
+    }
+}
+
+/// Makes a call to the store for another gateway.
+pub async fn serve(gateway: Rc<Gateway>, mut req: Request) -> crate::request::Response {
+    let store = Rc::clone(&gateway.store);
+    let body = match read_body(&mut req, MAX_MESSAGE_BYTES).await {
+        Ok(body) => body,
+        Err(err) => {
+            event!(MESSAGE_REFUSED, reason: = format!("{err:?}"));
+            return crate::request::respond(400, "text/plain", "");
+        }
+    };
+    let call = open(&store.key, 0, &body)
+        .map_err(|err| err.to_string())
+        .and_then(|body| postcard::from_bytes::<Call>(body).map_err(|err| err.to_string()));
+    let call = match call {
+        Ok(call) => call,
+        Err(reason) => {
+            event!(MESSAGE_REFUSED, reason);
+            return crate::request::respond(403, "text/plain", "");
+        }
+    };
+    let outcome = perform(&*store.direct, call).await;
+    let body = postcard::to_stdvec(&outcome).unwrap_or_default();
+    let mut sealed = Vec::with_capacity(body.len() + 16);
+    seal(&store.key, 1, &body, &mut sealed);
+    crate::request::respond(200, "application/octet-stream", sealed)
+}
+
+impl FleetStore {
+    /// Appends records to a partition, all or none; returns the first's offset.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no way to the store succeeded.
+    pub async fn append(self: &Rc<Self>, topic: &str, part: u32, records: Vec<Bytes>) -> Result<u64> {
+        let call = Call::Append {
+            topic: topic.to_owned(),
+            part,
+            records,
+        };
+        match Rc::clone(self).call(call).await? {
+            Answer::Appended(offset) => Ok(offset),
+            _ => Err(mismatch()),
+        }
+    }
+
+    /// Reads records from an offset on, waiting for one up to `wait`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no way to the store succeeded.
+    pub async fn read(
+        self: &Rc<Self>,
+        topic: &str,
+        part: u32,
+        from: u64,
+        max_bytes: usize,
+        wait: Duration,
+    ) -> Result<Page> {
+        let call = Call::Read {
+            topic: topic.to_owned(),
+            part,
+            from,
+            max_bytes,
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        };
+        match Rc::clone(self).call(call).await? {
+            Answer::Page(page) => Ok(page),
+            _ => Err(mismatch()),
+        }
+    }
+
+    /// Reads the newest records of the keys after one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no way to the store succeeded.
+    pub async fn newest(self: &Rc<Self>, topic: &str, after: Option<&str>) -> Result<Newest> {
+        let call = Call::Newest {
+            topic: topic.to_owned(),
+            after: after.map(str::to_owned),
+        };
+        match Rc::clone(self).call(call).await? {
+            Answer::Newest(newest) => Ok(newest),
+            _ => Err(mismatch()),
+        }
+    }
+
+    /// Encodes a record of a topic with keys.
+    #[must_use]
+    pub fn encode_keyed(&self, key: &str, value: Option<&[u8]>) -> Bytes {
+        self.direct.encode_keyed(key, value)
+    }
+
+    /// Decodes a record of a topic with keys.
+    #[must_use]
+    pub fn decode_keyed(&self, record: &Bytes) -> Option<Keyed> {
+        self.direct.decode_keyed(record)
+    }
+}
+
+fn mismatch() -> StoreError {
+    StoreError::Unintelligible {
+        reason: "answer to another call".to_owned(),
+    }
+}
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -9,6 +9,7 @@
 * `peers`: datagrams of the other gateways.
 * `jobs`: the index of batch jobs and their contents.
 * `work`: items of jobs that run here.
+* `fleet_store`: the store, reached directly or through another gateway.
 * `directory`: which addresses callers are told.
 * `stop`: ending without cutting a request.
 */
@@ -16,6 +17,7 @@
 mod config;
 pub mod contents;
 pub mod directory;
+pub mod fleet_store;
 pub mod jobs;
 mod peers;
 mod registry;
@@ -86,7 +88,7 @@
     /// Settings.
     pub settings: Settings,
     /// The platform's store.
-    pub store: Rc<dyn Store>,
+    pub store: Rc<fleet_store::FleetStore>,
     /// The platform's encodings.
     pub codec: Rc<dyn Codec>,
     /// Metrics.
@@ -147,8 +149,9 @@
             leaving: false,
         };
         let limiter = RateLimiter::new(settings.bounds.limit_tolerance);
-        Rc::new(Self {
-            store,
+        let key = settings.fleet_key.clone();
+        Rc::new_cyclic(|gateway| Self {
+            store: Rc::new(fleet_store::FleetStore::new(store, gateway.clone(), &key)),
             codec,
             metrics: Rc::new(Metrics::new()),
             me,
@@ -334,6 +337,7 @@
     let readiness = bind(addresses.readiness).await?;
     let directory = bind(addresses.directory).await?;
     let metrics = bind(addresses.metrics).await?;
+    let store_calls = bind(addresses.peers).await?;
     event!(
         STARTED,
         instance = gateway.settings.instance.as_str(),
@@ -351,6 +355,7 @@
     spawn_server(&gateway, readiness, directory::serve_readiness);
     spawn_server(&gateway, directory, directory::serve_addresses);
     spawn_server(&gateway, metrics, directory::serve_metrics);
+    spawn_server(&gateway, store_calls, fleet_store::serve);
     stop::run(&gateway).await;
     Ok(())
 }
--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -178,6 +178,7 @@
         items: gateway.work.running(),
         admitted: gateway.limiter.borrow().totals().into_iter().collect(),
         suspects: gateway.replicas.borrow().avoided(now),
+        has_store: gateway.store.is_reached(),
         is_leaving: !gateway.is_ready(),
     };
     let datagram = GatewayDatagram::Report(report);
--- a/cicadagate-gateway/src/process/work.rs
+++ b/cicadagate-gateway/src/process/work.rs
@@ -47,6 +47,9 @@
 
 /// Time between two plans.
 const PLAN_EVERY: Duration = Duration::from_millis(60);
+/// Time after the start before items are run: until others have been heard,
+/// each process would take all items for its own.
+const SETTLE_MS: u64 = 700;
 /// Time between two saves of outputs.
 const SAVE_EVERY: Duration = Duration::from_millis(1_500);
 /// Events that an output must have grown by to be saved.
@@ -138,6 +141,7 @@
 /// Plans and saves for as long as the process lives.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     actix_rt::spawn(save_now_and_then(Rc::clone(&gateway)));
+    sleep(Duration::from_millis(SETTLE_MS)).await;
     loop {
         sleep(PLAN_EVERY).await;
         stop_what_is_over(&gateway);
@@ -328,7 +332,7 @@
             RunEnd::Done => return finish(gateway, &task).await,
             RunEnd::Impossible => return abandon(gateway, item, "the replica says never").await,
             RunEnd::Failed(reason) => {
-                let failures = count_failure(gateway, item);
+                let failures = count_failure(gateway, item).await;
                 event!(ITEM_RETRIED, item: = ItemName(item), id = task.id.as_str(), failures, reason);
                 if failures >= task.route.max_attempts.max(1) {
                     return abandon(gateway, item, "every attempt failed").await;
@@ -342,11 +346,20 @@
     }
 }
 
-fn count_failure(gateway: &Gateway, item: ItemRef) -> u32 {
-    let mut failures = gateway.work.failures.borrow_mut();
-    let count = failures.entry(item).or_default();
-    *count += 1;
-    *count
+/// Counts a failed run, also for those who may run the item later.
+async fn count_failure(gateway: &Rc<Gateway>, item: ItemRef) -> u32 {
+    if let Err(err) = gateway.jobs.append(gateway, &Record::Failed { item }).await {
+        event!(APPEND_FAILED, item: = ItemName(item), reason: = err);
+    }
+    let own = {
+        let mut failures = gateway.work.failures.borrow_mut();
+        let count = failures.entry(item).or_default();
+        *count += 1;
+        *count
+    };
+    let index = gateway.jobs.index.borrow();
+    let known = index.job(item.job).map_or(0, |job| job.failures(item.index));
+    own.max(known)
 }
 
 /// Reads what an item is run with, and the output that is known of it.
--- a/cicadagate-gateway/src/settings.rs
+++ b/cicadagate-gateway/src/settings.rs
@@ -38,7 +38,7 @@
     pub directory: SocketAddr,
     /// Metrics, asked by operators.
     pub metrics: SocketAddr,
-    /// Datagrams of other gateways; all use the same port.
+    /// Datagrams and store calls of other gateways; all use the same port.
     pub peers: SocketAddr,
 }
 
--- a/cicadagate-policy/src/process/reports.rs
+++ b/cicadagate-policy/src/process/reports.rs
@@ -78,7 +78,9 @@
     pub admitted: Vec<(CustomerId, u64)>,
     /// Replicas that failed it lately.
     pub suspects: Vec<EndpointId>,
-    /// Accepts no new work: it is stopping.
+    /// The store answers it.
+    pub has_store: bool,
+    /// Accepts no new work: it is starting or stopping.
     pub is_leaving: bool,
 }
 
--- a/cicadagate-policy/src/version/job_index.rs
+++ b/cicadagate-policy/src/version/job_index.rs
@@ -134,6 +134,11 @@
         /// What was kept.
         progress: Progress,
     },
+    /// A replica ran an item and failed.
+    Failed {
+        /// Item.
+        item: ItemRef,
+    },
     /// A job was ended by its customer.
     Ended {
         /// Job.
@@ -173,6 +178,7 @@
     pub give_up_ms: u64,
     entries: Vec<ItemEntry>,
     states: Vec<ItemState>,
+    failures: BTreeMap<u32, u32>,
     listed: Vec<u32>,
     is_ended: bool,
 }
@@ -196,6 +202,12 @@
         self.states.get(index as usize).copied()
     }
 
+    /// Returns how often replicas have failed an item.
+    #[must_use]
+    pub fn failures(&self, index: u32) -> u32 {
+        self.failures.get(&index).copied().unwrap_or_default()
+    }
+
     /// Finds an item by the submitter's id.
     #[must_use]
     pub fn find(&self, id: &str) -> Option<u32> {
@@ -269,6 +281,7 @@
                     give_up_ms,
                     states: vec![ItemState::Open(None); items.len()],
                     entries: items,
+                    failures: BTreeMap::new(),
                     listed: Vec::new(),
                     is_ended: false,
                 };
@@ -280,6 +293,7 @@
             }
             Record::Finished { item, outcome } => self.finish(item, outcome),
             Record::Saved { item, progress } => self.save(item, progress),
+            Record::Failed { item } => self.note_failure(item),
             Record::Ended { job } => self.end(job),
         }
     }
@@ -303,6 +317,15 @@
         true
     }
 
+    fn note_failure(&mut self, item: ItemRef) -> bool {
+        let job = self.jobs.get_mut(&item.job);
+        let Some(job) = job.filter(|job| (item.index as usize) < job.entries.len()) else {
+            return false;
+        };
+        *job.failures.entry(item.index).or_default() += 1;
+        true
+    }
+
     fn save(&mut self, item: ItemRef, progress: Progress) -> bool {
         let job = self.jobs.get_mut(&item.job);
         let Some(ItemState::Open(known)) =
