--- a/cicadagate-gateway/src/process/work.rs
+++ b/cicadagate-gateway/src/process/work.rs
@@ -25,7 +25,7 @@
     cicadagate_policy::{
         ids::MemberId,
         process::{
-            batch_share::{Slots, plan},
+            batch_share::{Slots, fill, plan},
             membership::Health,
             replicas::Replica,
         },
@@ -54,8 +54,6 @@
 const SAVE_EVERY: Duration = Duration::from_millis(1_500);
 /// Events that an output must have grown by to be saved.
 const SAVE_EVENTS: u64 = 24;
-/// Share of the slots that online and batch work may fill together.
-const FILL: f64 = 0.9;
 /// Delay after a run that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Longest delay between repeated appends.
@@ -195,7 +193,8 @@
         abandon_orphan(gateway, item, &members, &here);
     }
     for (service, items) in by_service {
-        let slots = slots(gateway, &service).for_batch();
+        let due_in_ms = first_due_in_ms(gateway, &items);
+        let slots = slots(gateway, &service, due_in_ms).for_batch();
         let plan = plan(
             slots,
             items.into_iter(),
@@ -227,12 +226,21 @@
     working
 }
 
-fn slots(gateway: &Gateway, service: &str) -> Slots {
+/// Returns the time until the first item is due that is not late already.
+fn first_due_in_ms(gateway: &Gateway, items: &[ItemRef]) -> u64 {
+    let now_ms = epoch_ms();
+    let index = gateway.jobs.index.borrow();
+    let due = items.iter().filter_map(|item| index.job(item.job));
+    let ahead = due.map(|job| job.due_ms).find(|due_ms| *due_ms > now_ms);
+    ahead.map_or(u64::MAX, |due_ms| due_ms - now_ms)
+}
+
+fn slots(gateway: &Gateway, service: &str, first_due_in_ms: u64) -> Slots {
     let pressure = gateway.pressure(service);
     Slots {
         total: pressure.slots,
         online: pressure.online,
-        fill: FILL,
+        fill: fill(first_due_in_ms),
     }
 }
 
--- a/cicadagate-policy/src/process/batch_share.rs
+++ b/cicadagate-policy/src/process/batch_share.rs
@@ -38,26 +38,43 @@
 /// Items that may run beyond the share before one is paused.
 pub const HYSTERESIS: usize = 1;
 
+/// Share of the slots that online and batch work may fill together while jobs
+/// have time, in percent. The rest takes the first requests of a peak, until
+/// batch work has given way.
+pub const CALM_FILL: u32 = 82;
+/// The same when an item is due soon.
+pub const PRESSED_FILL: u32 = 93;
+/// Time before the first due item at which the fill begins to rise, in
+/// milliseconds: about twice what an item runs.
+pub const PRESSED_MS: u64 = 9_000;
+
+/// Returns the share of the slots that may be filled, in percent.
+#[must_use]
+pub const fn fill(first_due_in_ms: u64) -> u32 {
+    if first_due_in_ms < PRESSED_MS {
+        PRESSED_FILL
+    } else {
+        CALM_FILL
+    }
+}
+
 /// Slots of one service and how they are used.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Slots {
     /// Slots of all usable replicas.
     pub total: u32,
     /// Online requests in flight.
     pub online: u32,
-    /// Share of the slots that online and batch work may fill together.
-    pub fill: f64,
+    /// Share of the slots that online and batch work may fill together, in percent.
+    pub fill: u32,
 }
 
 impl Slots {
     /// Returns the items that may run at once over the whole fleet.
     #[must_use]
     pub fn for_batch(self) -> usize {
-        let fillable = f64::from(self.total) * self.fill - f64::from(self.online);
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        // At least zero and at most the number of slots.
-        let slots = fillable.max(0.0).floor() as usize;
-        slots
+        let fillable = self.total * self.fill / 100;
+        fillable.saturating_sub(self.online) as usize
     }
 }
 
