--- a/cicadagate-gateway/src/connection/exchange.rs
+++ b/cicadagate-gateway/src/connection/exchange.rs
@@ -149,8 +149,7 @@
     pub(super) fn is_quiet(&self) -> bool {
         let mut byte = [0];
         let read = self.stream.try_read(&mut byte);
-        self.buf.is_empty()
-            && matches!(read, Err(err) if err.kind() == io::ErrorKind::WouldBlock)
+        self.buf.is_empty() && matches!(read, Err(err) if err.kind() == io::ErrorKind::WouldBlock)
     }
 }
 
@@ -251,7 +250,9 @@
         _ if is_bodiless => Framing::Ended,
         _ if !is_delimited => Framing::UntilClose,
         MessageType::None => Framing::Ended,
-        MessageType::Payload | MessageType::Stream => Framing::Delimited(codec.into_payload_codec()),
+        MessageType::Payload | MessageType::Stream => {
+            Framing::Delimited(codec.into_payload_codec())
+        }
     }
 }
 
--- a/cicadagate-gateway/src/connection/pool.rs
+++ b/cicadagate-gateway/src/connection/pool.rs
@@ -54,12 +54,12 @@
     is_promised: bool,
 }
 
-type Shelf = Rc<RefCell<Vec<Idle>>>;
+type Stock = Rc<RefCell<Vec<Idle>>>;
 
 /// Where a connection goes back to after its answer.
 #[derive(Clone, Debug)]
 pub(super) struct Slot {
-    shelf: Shelf,
+    stock: Stock,
     now: Rc<Cell<Time>>,
 }
 
@@ -67,10 +67,10 @@
     pub(super) fn give_back(&self, conn: Conn, idle_life: Option<Duration>) {
         let life = idle_life.map_or(DEFAULT_IDLE_LIFE, |life| life.saturating_sub(IDLE_MARGIN));
         let now = self.now.get();
-        let mut shelf = self.shelf.borrow_mut();
-        if shelf.len() < MAX_IDLE && !life.is_zero() {
+        let mut stock = self.stock.borrow_mut();
+        if stock.len() < MAX_IDLE && !life.is_zero() {
             let until = now.plus(u64::try_from(life.as_millis()).unwrap_or(u64::MAX));
-            shelf.push(Idle {
+            stock.push(Idle {
                 conn,
                 since: now,
                 until,
@@ -83,7 +83,7 @@
 /// Kept connections of all replicas.
 #[derive(Debug, Default)]
 pub struct Pool {
-    shelves: RefCell<HashMap<EndpointId, Shelf>>,
+    stocks: RefCell<HashMap<EndpointId, Stock>>,
     now: Rc<Cell<Time>>,
     opened: Cell<u64>,
     reused: Cell<u64>,
@@ -112,27 +112,24 @@
         req: &Outgoing,
     ) -> Result<Answer> {
         self.set_now(now);
-        let shelf = Rc::clone(self.shelves.borrow_mut().entry(endpoint).or_default());
+        let stock = Rc::clone(self.stocks.borrow_mut().entry(endpoint).or_default());
         let trusts_promises = reuse == Reuse::Any || now >= self.distrust_until.get();
-        let kept = take(&mut shelf.borrow_mut(), now, reuse, trusts_promises);
+        let kept = take(&mut stock.borrow_mut(), now, reuse, trusts_promises);
         let is_kept = kept.is_some();
-        let conn = match kept {
-            Some(conn) => {
-                self.reused.set(self.reused.get() + 1);
-                conn
-            }
-            None => {
-                self.opened.set(self.opened.get() + 1);
-                Conn::open(addr).await?
-            }
+        let conn = if let Some(conn) = kept {
+            self.reused.set(self.reused.get() + 1);
+            conn
+        } else {
+            self.opened.set(self.opened.get() + 1);
+            Conn::open(addr).await?
         };
         let slot = Slot {
-            shelf: Rc::clone(&shelf),
+            stock: Rc::clone(&stock),
             now: Rc::clone(&self.now),
         };
         let outcome = exchange(conn, slot, req).await;
         if is_kept && matches!(outcome, Err(ExchangeError::Broken { .. })) {
-            shelf.borrow_mut().clear();
+            stock.borrow_mut().clear();
             self.distrust_until.set(now.plus(DISTRUST_MS));
         }
         outcome
@@ -144,11 +141,11 @@
     ///
     /// Returns an error if the replica takes no connection.
     pub async fn probe(&self, now: Time, endpoint: EndpointId, addr: SocketAddr) -> Result<()> {
-        let shelf = Rc::clone(self.shelves.borrow_mut().entry(endpoint).or_default());
+        let stock = Rc::clone(self.stocks.borrow_mut().entry(endpoint).or_default());
         let conn = Conn::open(addr).await?;
         self.opened.set(self.opened.get() + 1);
         let slot = Slot {
-            shelf,
+            stock,
             now: Rc::clone(&self.now),
         };
         self.set_now(now);
@@ -164,25 +161,27 @@
     /// Closes idle connections that are over age, and those of replicas that are gone.
     pub fn expire(&self, now: Time, is_known: impl Fn(EndpointId) -> bool) {
         self.set_now(now);
-        self.shelves.borrow_mut().retain(|endpoint, shelf| {
-            shelf
+        self.stocks.borrow_mut().retain(|endpoint, stock| {
+            stock
                 .borrow_mut()
                 .retain(|idle| now < idle.until && idle.conn.is_quiet());
-            is_known(*endpoint) || Rc::strong_count(shelf) > 1
+            is_known(*endpoint) || Rc::strong_count(stock) > 1
         });
     }
 
     /// Tells whether an idle connection to a replica is kept.
     #[must_use]
     pub fn has_idle(&self, endpoint: EndpointId) -> bool {
-        let shelves = self.shelves.borrow();
-        shelves.get(&endpoint).is_some_and(|shelf| !shelf.borrow().is_empty())
+        let stocks = self.stocks.borrow();
+        stocks
+            .get(&endpoint)
+            .is_some_and(|stock| !stock.borrow().is_empty())
     }
 
     /// Closes the idle connections of a replica.
     pub fn forget(&self, endpoint: EndpointId) {
-        if let Some(shelf) = self.shelves.borrow().get(&endpoint) {
-            shelf.borrow_mut().clear();
+        if let Some(stock) = self.stocks.borrow().get(&endpoint) {
+            stock.borrow_mut().clear();
         }
     }
 
@@ -193,15 +192,15 @@
     }
 }
 
-fn take(shelf: &mut Vec<Idle>, now: Time, reuse: Reuse, trusts_promises: bool) -> Option<Conn> {
+fn take(stock: &mut Vec<Idle>, now: Time, reuse: Reuse, trusts_promises: bool) -> Option<Conn> {
     let fresh_ms = u64::try_from(FRESH.as_millis()).unwrap_or(u64::MAX);
     // The last one in was used last.
-    while let Some(idle) = shelf.pop() {
+    while let Some(idle) = stock.pop() {
         let is_safe = reuse == Reuse::Any
             || now.since(idle.since) < fresh_ms
             || (trusts_promises && idle.is_promised);
         if !is_safe {
-            shelf.push(idle);
+            stock.push(idle);
             return None;
         }
         if now < idle.until && idle.conn.is_quiet() {
--- a/cicadagate-gateway/src/process/config.rs
+++ b/cicadagate-gateway/src/process/config.rs
@@ -11,7 +11,7 @@
 */
 
 use {
-    super::Gateway,
+    super::{Gateway, fleet_store::Contact},
     crate::platform::{Keyed, StoreError},
     actix_rt::time::sleep,
     cicadagate_node::event,
@@ -31,17 +31,13 @@
 pub(super) async fn follow(gateway: Rc<Gateway>) {
     let (topic, _) = gateway.codec.config_source();
     let mut next: Option<u64> = None;
-    let mut is_reachable = true;
+    let mut contact = Contact::new("config");
     loop {
         let outcome = match next {
             None => read_newest(&gateway, topic).await,
             Some(from) => read_next(&gateway, topic, from).await,
         };
-        let reached = !matches!(&outcome, Err(err) if !matches!(err, StoreError::Expired { .. }));
-        if reached != is_reachable {
-            is_reachable = reached;
-            note_contact(&outcome);
-        }
+        contact.note(outcome.as_ref().err());
         match outcome {
             Ok(offset) => next = Some(offset),
             Err(StoreError::Expired { .. }) => next = None,
@@ -53,13 +49,6 @@
     }
 }
 
-fn note_contact(outcome: &Result<u64, StoreError>) {
-    match outcome {
-        Err(err) => event!(STORE_LOST, reader = "config", reason: = err),
-        Ok(_) => event!(STORE_BACK, reader = "config"),
-    }
-}
-
 async fn read_newest(gateway: &Rc<Gateway>, topic: &str) -> Result<u64, StoreError> {
     let page = gateway.store.newest(topic, None).await?;
     for item in page.items {
--- a/cicadagate-gateway/src/process/directory.rs
+++ b/cicadagate-gateway/src/process/directory.rs
@@ -69,9 +69,5 @@
 
 /// Answers with the metrics.
 pub async fn serve_metrics(gateway: Rc<Gateway>, _req: Request) -> Response {
-    respond(
-        200,
-        "text/plain; version=0.0.4",
-        gateway.metrics.render(),
-    )
+    respond(200, "text/plain; version=0.0.4", gateway.metrics.render())
 }
--- a/cicadagate-gateway/src/process/fleet_store.rs
+++ b/cicadagate-gateway/src/process/fleet_store.rs
@@ -29,10 +29,7 @@
     actix_http::Request,
     actix_rt::time::timeout,
     bytes::Bytes,
-    cicadagate_node::{
-        connection::http::read_body,
-        event,
-    },
+    cicadagate_node::{connection::http::read_body, event},
     cicadagate_policy::{process::membership::Health, time::Time},
     cicadagate_wire::{
         key::FleetKey,
@@ -56,7 +53,7 @@
 /// which the direct way counts as lost.
 const MAX_OVERTAKEN: u32 = 2;
 /// Time for another gateway to make a call, on top of the call's own wait.
-const HAND_ON_TIMEOUT: Duration = Duration::from_millis(1_000);
+const HAND_ON_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest call or answer between gateways, in bytes.
 const MAX_MESSAGE_BYTES: usize = 10 * 1024 * 1024;
 /// Longest wait of a read for another gateway.
@@ -141,14 +138,11 @@
         if self.is_reached.replace(is_reached) == is_reached {
             return;
         }
-        match outcome.filter(|_| !is_reached) {
-            Some(err) => event!(STORE_LOST, reader = "direct", reason: = err),
-            None => event!(STORE_BACK, reader = "direct"),
-        }
+        note_reached("direct", outcome.filter(|_| !is_reached));
     }
 
     /// Another gateway that reaches the store.
-    fn helper(&self, gateway: &Gateway) -> Option<SocketAddr> {
+    fn helper(gateway: &Gateway) -> Option<SocketAddr> {
         let now = gateway.now();
         let members = gateway.members.borrow();
         let reports = gateway.reports.borrow();
@@ -170,7 +164,7 @@
         };
         let now = gateway.now();
         let is_probe = now.since(self.probed.get()) >= PROBE_EVERY_MS;
-        let helper = self.helper(&gateway);
+        let helper = Self::helper(&gateway);
         if !self.is_reached.get()
             && !is_probe
             && let Some(helper) = helper
@@ -191,14 +185,12 @@
         let early = timeout(HEDGE_AFTER + call.wait(), &mut direct).await;
         if let Ok(outcome) = early {
             self.note(outcome.as_ref().err());
-            return match (outcome, self.helper(gateway)) {
-                (Err(err), Some(helper)) if err.is_unreached() => {
-                    self.hand_on(helper, &call).await
-                }
+            return match (outcome, Self::helper(gateway)) {
+                (Err(err), Some(helper)) if err.is_unreached() => self.hand_on(helper, &call).await,
                 (outcome, _) => outcome,
             };
         }
-        let Some(helper) = self.helper(gateway) else {
+        let Some(helper) = Self::helper(gateway) else {
             let outcome = direct.await;
             self.note(outcome.as_ref().err());
             return outcome;
@@ -213,24 +205,26 @@
                     outcome => outcome,
                 }
             }
-            outcome = &mut other => match outcome {
-                Ok(answer) => {
-                    self.overtaken.set(self.overtaken.get() + 1);
-                    if self.overtaken.get() >= MAX_OVERTAKEN {
-                        let reason = "slower than through another gateway".to_owned();
-                        self.note(Some(&StoreError::Unknown { reason }));
-                    }
-                    Ok(answer)
-                }
-                Err(_) => {
-                    let outcome = direct.await;
-                    self.note(outcome.as_ref().err());
-                    outcome
+            outcome = &mut other => {
+                if outcome.is_ok() {
+                    self.note_overtaken();
+                    return outcome;
                 }
+                let outcome = direct.await;
+                self.note(outcome.as_ref().err());
+                outcome
             }
         }
     }
 
+    fn note_overtaken(&self) {
+        self.overtaken.set(self.overtaken.get() + 1);
+        if self.overtaken.get() >= MAX_OVERTAKEN {
+            let reason = "slower than through another gateway".to_owned();
+            self.note(Some(&StoreError::Unknown { reason }));
+        }
+    }
+
     async fn hand_on(&self, helper: SocketAddr, call: &Call) -> Result<Answer> {
         let unknown = |reason: String| StoreError::Unknown { reason };
         let body = postcard::to_stdvec(call).map_err(|err| unknown(err.to_string()))?;
@@ -285,6 +279,44 @@
     }
 }
 
+fn note_reached(reader: &'static str, lost: Option<&StoreError>) {
+    if let Some(err) = lost {
+        event!(STORE_LOST, reader, reason: = err);
+    } else {
+        event!(STORE_BACK, reader);
+    }
+}
+
+/// Whether a reader's calls succeed, and the log lines about changes of it.
+#[derive(Debug)]
+pub struct Contact {
+    reader: &'static str,
+    is_reached: bool,
+}
+
+impl Contact {
+    /// Makes the contact of a reader that has not failed yet.
+    #[must_use]
+    pub const fn new(reader: &'static str) -> Self {
+        Self {
+            reader,
+            is_reached: true,
+        }
+    }
+
+    /// Notes a call's outcome; returns whether the store was reached.
+    pub fn note(&mut self, failure: Option<&StoreError>) -> bool {
+        // Expired records are an answer of the store.
+        let lost = failure.filter(|err| !matches!(err, StoreError::Expired { .. }));
+        let is_reached = lost.is_none();
+        if self.is_reached != is_reached {
+            self.is_reached = is_reached;
+            note_reached(self.reader, lost);
+        }
+        is_reached
+    }
+}
+
 /// Makes a call to the store for another gateway.
 pub async fn serve(gateway: Rc<Gateway>, mut req: Request) -> crate::request::Response {
     let store = Rc::clone(&gateway.store);
@@ -318,7 +350,12 @@
     /// # Errors
     ///
     /// Returns an error if no way to the store succeeded.
-    pub async fn append(self: &Rc<Self>, topic: &str, part: u32, records: Vec<Bytes>) -> Result<u64> {
+    pub async fn append(
+        self: &Rc<Self>,
+        topic: &str,
+        part: u32,
+        records: Vec<Bytes>,
+    ) -> Result<u64> {
         let call = Call::Append {
             topic: topic.to_owned(),
             part,
--- a/cicadagate-gateway/src/process/jobs.rs
+++ b/cicadagate-gateway/src/process/jobs.rs
@@ -7,7 +7,7 @@
 */
 
 use {
-    super::Gateway,
+    super::{Gateway, fleet_store::Contact},
     crate::platform::{Result, StoreError},
     actix_rt::time::{sleep, timeout},
     bytes::Bytes,
@@ -62,17 +62,11 @@
 
 /// Follows the index for as long as the process lives.
 pub(super) async fn follow(gateway: Rc<Gateway>) {
-    let mut is_reachable = true;
+    let mut contact = Contact::new("jobs");
     let mut reads = 0_u64;
     loop {
         let outcome = gateway.jobs.sync(&gateway, gateway.now()).await;
-        if outcome.is_ok() != is_reachable {
-            is_reachable = outcome.is_ok();
-            match &outcome {
-                Err(err) => event!(STORE_LOST, reader = "jobs", reason: = err),
-                Ok(()) => event!(STORE_BACK, reader = "jobs"),
-            }
-        }
+        contact.note(outcome.as_ref().err());
         if outcome.is_err() {
             sleep(RETRY_DELAY).await;
             continue;
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -234,7 +234,10 @@
     /// Returns what all members have in flight at a replica.
     #[must_use]
     pub fn fleet_load(&self, endpoint: EndpointId) -> InFlight {
-        let (own, others) = (self.own_load(endpoint), self.reports.borrow().load(endpoint));
+        let (own, others) = (
+            self.own_load(endpoint),
+            self.reports.borrow().load(endpoint),
+        );
         InFlight {
             online: own.online + others.online,
             batch: own.batch + others.batch,
@@ -274,7 +277,11 @@
         let (own, others) = (self.own_load(endpoint), reports.load(endpoint));
         let (online, batch) = (own.online + others.online, own.batch + others.batch);
         // Batch items give way to online requests, though not for nothing.
-        let in_flight = if for_batch { online + batch } else { online + batch / 2 };
+        let in_flight = if for_batch {
+            online + batch
+        } else {
+            online + batch / 2
+        };
         Outlook {
             in_flight,
             is_suspect: reports.suspicions(endpoint) > 0,
@@ -334,8 +341,7 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.gateway
-            .add_in_flight(self.endpoint, self.is_batch, -1);
+        self.gateway.add_in_flight(self.endpoint, self.is_batch, -1);
         slots::tell(&self.gateway, self.endpoint);
     }
 }
@@ -363,11 +369,9 @@
 /// Returns an error if an address can't be bound.
 pub async fn run(gateway: Rc<Gateway>) -> Result<()> {
     let addresses = gateway.settings.addresses;
-    let peers = UdpSocket::bind(addresses.peers)
-        .await
-        .context(StartSnafu {
-            addr: addresses.peers,
-        })?;
+    let peers = UdpSocket::bind(addresses.peers).await.context(StartSnafu {
+        addr: addresses.peers,
+    })?;
     let callers = bind(addresses.callers).await?;
     let readiness = bind(addresses.readiness).await?;
     let directory = bind(addresses.directory).await?;
--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -20,13 +20,7 @@
     },
     cicadagate_wire::datagram::{DatagramCodec, GatewayDatagram, MAX_DATAGRAM_BYTES},
     serde::{Deserialize, Serialize},
-    std::{
-        cell::Cell,
-        collections::BTreeMap,
-        net::SocketAddr,
-        rc::Rc,
-        time::Duration,
-    },
+    std::{cell::Cell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// Topic in which each instance keeps its address for datagrams.
@@ -65,7 +59,12 @@
     let mut known = BTreeMap::new();
     loop {
         let now = gateway.now();
-        let due = gateway.members.borrow().next_tick().0.min(outbox.next_report.get());
+        let due = gateway
+            .members
+            .borrow()
+            .next_tick()
+            .0
+            .min(outbox.next_report.get());
         let wait = due.saturating_sub(now.0).min(MAX_SLEEP_MS);
         tokio::select! {
             received = outbox.socket.recv_from(&mut buf) => {
@@ -144,7 +143,7 @@
     }
     let config = gateway.current();
     let mut limiter = gateway.limiter.borrow_mut();
-    for (customer, total) in admitted {
+    for (customer, spent) in admitted {
         let limit = config.as_ref().and_then(|config| {
             let customers = config.customers();
             let found = customers.iter().find(|known| known.id == customer)?;
@@ -156,8 +155,9 @@
         if let Some(limit) = limit {
             limiter.watch(now, customer, limit);
         }
-        limiter.note_remote(now, member, customer, total);
+        limiter.note_remote(now, member, customer, spent);
     }
+    limiter.note_heard(member);
 }
 
 fn send_report(gateway: &Rc<Gateway>, outbox: &Outbox) {
@@ -221,9 +221,7 @@
     if let Some(outbox) = gateway.outbox.get() {
         outbox.send_all(gateway, out);
     }
-    let value = gateway
-        .store
-        .encode_keyed(&gateway.settings.instance, None);
+    let value = gateway.store.encode_keyed(&gateway.settings.instance, None);
     if let Err(err) = gateway.store.append(MEMBERS_TOPIC, 0, vec![value]).await {
         event!(APPEND_FAILED, topic = MEMBERS_TOPIC, reason: = err);
     }
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -7,7 +7,7 @@
 */
 
 use {
-    super::Gateway,
+    super::{Gateway, fleet_store::Contact},
     crate::platform::{Keyed, StoreError},
     actix_rt::time::sleep,
     cicadagate_node::event,
@@ -26,25 +26,22 @@
 /// Follows the registrations for as long as the process lives.
 pub(super) async fn follow(gateway: Rc<Gateway>) {
     let mut next: Option<u64> = None;
-    let mut is_reachable = true;
+    let mut contact = Contact::new("replicas");
     loop {
         let outcome = match next {
             None => read_newest(&gateway).await,
             Some(from) => read_next(&gateway, from).await,
         };
         let now = gateway.now();
-        let reached = matches!(&outcome, Ok(_) | Err(StoreError::Expired { .. }));
-        gateway.replicas.borrow_mut().note_store(now, reached);
-        if reached != is_reachable {
-            is_reachable = reached;
-            match &outcome {
-                Err(err) => event!(STORE_LOST, reader = "replicas", reason: = err),
-                Ok(_) => event!(STORE_BACK, reader = "replicas"),
-            }
-        }
+        let is_reached = contact.note(outcome.as_ref().err());
+        gateway.replicas.borrow_mut().note_store(now, is_reached);
         let settled = gateway.replicas.borrow_mut().settle(now);
         for gone in settled {
-            event!(REPLICA_REMOVED, replica = gone.id.as_str(), reason = "did not come back");
+            event!(
+                REPLICA_REMOVED,
+                replica = gone.id.as_str(),
+                reason = "did not come back"
+            );
         }
         match outcome {
             Ok(offset) => {
@@ -91,9 +88,10 @@
         .read(topic, 0, from, MAX_READ_BYTES, Duration::ZERO);
     let page = read.await?;
     for record in &page.records {
-        match gateway.store.decode_keyed(record) {
-            Some(item) => take(gateway, &item),
-            None => event!(RECORD_SKIPPED, key = topic, reason = "no key"),
+        if let Some(item) = gateway.store.decode_keyed(record) {
+            take(gateway, &item);
+        } else {
+            event!(RECORD_SKIPPED, key = topic, reason = "no key");
         }
     }
     Ok(page.from + page.records.len() as u64)
--- a/cicadagate-gateway/src/process/slots.rs
+++ b/cicadagate-gateway/src/process/slots.rs
@@ -126,19 +126,19 @@
 ) -> Reply {
     let slots = {
         let replicas = gateway.replicas.borrow();
-        replicas.get(endpoint).map(|replica| replica.registration.slots)
+        replicas
+            .get(endpoint)
+            .map(|replica| replica.registration.slots)
     };
     let Some(slots) = slots else {
         return Reply::Silent;
     };
-    let decision = gateway.slots.ledger.borrow_mut().ask(
-        gateway.now(),
-        endpoint,
-        slots,
-        member,
-        own,
-        purpose,
-    );
+    let decision =
+        gateway
+            .slots
+            .ledger
+            .borrow_mut()
+            .ask(gateway.now(), endpoint, slots, member, own, purpose);
     match decision.yields {
         Some(yielding) if yielding == gateway.me => gateway.work.yield_slot(gateway, endpoint),
         Some(yielding) => {
--- a/cicadagate-gateway/src/process/stop.rs
+++ b/cicadagate-gateway/src/process/stop.rs
@@ -49,10 +49,7 @@
     gateway.phase.set(gateway.phase.get().stop(now));
     event!(STOPPING, running = gateway.open_requests.get());
     let version = gateway.config.borrow().version().unwrap_or_default();
-    gateway
-        .members
-        .borrow_mut()
-        .set_me(Offset(version), true);
+    gateway.members.borrow_mut().set_me(Offset(version), true);
     super::peers::report_now(gateway);
     gateway.work.hand_over(gateway).await;
     loop {
--- a/cicadagate-gateway/src/process/work.rs
+++ b/cicadagate-gateway/src/process/work.rs
@@ -137,9 +137,9 @@
         let item = {
             let index = gateway.jobs.index.borrow();
             let runs = self.runs.borrow();
-            let there = runs.iter().filter(|(_, run)| {
-                run.endpoint.get() == Some(endpoint) && !run.is_stopping.get()
-            });
+            let there = runs
+                .iter()
+                .filter(|(_, run)| run.endpoint.get() == Some(endpoint) && !run.is_stopping.get());
             let due = |item: &ItemRef| index.job(item.job).map(|job| job.due_ms);
             there.map(|(item, _)| *item).max_by_key(due)
         };
@@ -277,7 +277,8 @@
     members: &[MemberId],
     here: &HashSet<ItemRef>,
 ) {
-    let is_mine = cicadagate_policy::process::batch_share::runner(item, members) == Some(gateway.me);
+    let is_mine =
+        cicadagate_policy::process::batch_share::runner(item, members) == Some(gateway.me);
     if here.contains(&item) {
         gateway.work.stop(item);
     } else if is_mine {
@@ -400,7 +401,9 @@
         *count
     };
     let index = gateway.jobs.index.borrow();
-    let known = index.job(item.job).map_or(0, |job| job.failures(item.index));
+    let known = index
+        .job(item.job)
+        .map_or(0, |job| job.failures(item.index));
     own.max(known)
 }
 
@@ -416,14 +419,29 @@
         let route = route_of(gateway, job).ok_or("route is not known")?;
         let (host, customer) = (job.host.clone(), job.customer_name.clone());
         let id = entry.id.clone();
-        (entry.content, id, host, customer, route, progress, job.give_up_ms)
+        (
+            entry.content,
+            id,
+            host,
+            customer,
+            route,
+            progress,
+            job.give_up_ms,
+        )
     };
     let content = contents::read(gateway, place)
         .await
         .map_err(|err| err.to_string())?;
     let content = ItemContent::decode(&content)?;
-    let kept = gateway.work.outputs.borrow().get(&item).and_then(|output| output.joiner.last());
-    if let Some(progress) = progress.filter(|progress| kept.is_none_or(|kept| kept < progress.last_event)) {
+    let kept = gateway
+        .work
+        .outputs
+        .borrow()
+        .get(&item)
+        .and_then(|output| output.joiner.last());
+    if let Some(progress) =
+        progress.filter(|progress| kept.is_none_or(|kept| kept < progress.last_event))
+    {
         let data = contents::read(gateway, progress.output)
             .await
             .map_err(|err| err.to_string())?;
@@ -453,7 +471,10 @@
 
 async fn run_once(gateway: &Rc<Gateway>, task: &Task, run: &Run) -> RunEnd {
     let now = gateway.now();
-    let service = task.route.target(&task.id).map(|target| target.service.clone());
+    let service = task
+        .route
+        .target(&task.id)
+        .map(|target| target.service.clone());
     let chosen = {
         let replicas = gateway.replicas.borrow();
         let reports = gateway.reports.borrow();
@@ -605,7 +626,13 @@
 
 async fn finish(gateway: &Rc<Gateway>, task: &Task) {
     let item = task.item;
-    let output = gateway.work.outputs.borrow().get(&item).cloned().unwrap_or_default();
+    let output = gateway
+        .work
+        .outputs
+        .borrow()
+        .get(&item)
+        .cloned()
+        .unwrap_or_default();
     let events = output.events;
     let data = Bytes::from(output.data);
     let place = store_output(gateway, item, &data).await;
--- a/cicadagate-gateway/src/request/admission.rs
+++ b/cicadagate-gateway/src/request/admission.rs
@@ -39,7 +39,11 @@
 }
 
 /// Serves a request.
-pub(super) async fn serve(gateway: &Rc<Gateway>, mut req: Request, guard: RequestGuard) -> Response {
+pub(super) async fn serve(
+    gateway: &Rc<Gateway>,
+    mut req: Request,
+    guard: RequestGuard,
+) -> Response {
     let arrival = gateway.now();
     let id = header_text(&req, &gateway.codec.headers().request_id);
     let query = req.uri().query().unwrap_or_default();
@@ -172,7 +176,11 @@
     let retry_after = match problem {
         Problem::NotConfigured | Problem::Closing => {
             let now = gateway.now();
-            let others_serve = gateway.reports.borrow().heard(now).any(|other| !other.is_leaving);
+            let others_serve = gateway
+                .reports
+                .borrow()
+                .heard(now)
+                .any(|other| !other.is_leaving);
             Some(if others_serve { ELSEWHERE } else { LATER })
         }
         _ => retry_after,
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -102,7 +102,7 @@
 /// How an attempt ended that is not followed by another.
 pub(super) enum Reached {
     /// A replica answers.
-    Answer(Answer, Target),
+    Answer(Box<Answer>, Target),
     /// No replica answers.
     Failed(Problem),
 }
@@ -110,7 +110,9 @@
 /// Returns the service that a request goes to.
 fn service_of(route: &Route, id: &str) -> String {
     let target = route.target(id);
-    target.map(|target| target.service.clone()).unwrap_or_default()
+    target
+        .map(|target| target.service.clone())
+        .unwrap_or_default()
 }
 
 /// Refuses a request that would wait too long for a slot.
@@ -154,10 +156,13 @@
         deadline: Time,
     ) -> Self {
         let names = gateway.codec.headers();
-        let attempts = Attempts::new(route.is_repeatable(), deadline)
-            .with_max_runs(route.max_attempts.max(1));
+        let attempts =
+            Attempts::new(route.is_repeatable(), deadline).with_max_runs(route.max_attempts.max(1));
         let last_event = header_text(req, &names.last_event_id).parse().ok();
-        let target = req.uri().path_and_query().map_or("/", |target| target.as_str());
+        let target = req
+            .uri()
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
         Self {
             service: service_of(&route, &id),
             method: req.method().clone(),
@@ -179,7 +184,10 @@
     fn outgoing(&self, gateway: &Gateway, replica: &Registration, now: Time) -> Outgoing {
         let names = gateway.codec.headers();
         let mut headers = self.headers.clone();
-        let customer = self.customer.as_ref().map(|customer| customer.name.as_str());
+        let customer = self
+            .customer
+            .as_ref()
+            .map(|customer| customer.name.as_str());
         endpoint_headers(gateway, &mut headers, replica, customer);
         let left_ms = self.deadline.since(now);
         headers.insert(names.deadline_ms.clone(), HeaderValue::from(left_ms));
@@ -218,9 +226,15 @@
                 Reply::Silent => return Some(target.counted(gateway, "owner silent")),
                 Reply::Full(load) => {
                     let now = gateway.now();
-                    gateway.replicas.borrow_mut().note_full(now, target.endpoint);
+                    gateway
+                        .replicas
+                        .borrow_mut()
+                        .note_full(now, target.endpoint);
                     passed_over.push(target.endpoint);
-                    if least.as_ref().is_none_or(|(online, _)| load.online < *online) {
+                    if least
+                        .as_ref()
+                        .is_none_or(|(online, _)| load.online < *online)
+                    {
                         least = Some((load.online, target));
                     }
                 }
@@ -317,12 +331,18 @@
             self.refusals += 1;
             let now = gateway.now();
             if status == StatusCode::MISDIRECTED_REQUEST {
-                gateway.replicas.borrow_mut().note_failure(now, target.endpoint);
+                gateway
+                    .replicas
+                    .borrow_mut()
+                    .note_failure(now, target.endpoint);
             } else {
-                gateway.replicas.borrow_mut().note_full(now, target.endpoint);
+                gateway
+                    .replicas
+                    .borrow_mut()
+                    .note_full(now, target.endpoint);
             }
             if status == StatusCode::BAD_REQUEST {
-                return Some(Reached::Answer(answer, target));
+                return Some(Reached::Answer(Box::new(answer), target));
             }
             return self.next(gateway, Progress::NotSent, Problem::NoReplica);
         }
@@ -335,7 +355,7 @@
         } else if !status.is_server_error() {
             gateway.replicas.borrow_mut().note_success(target.endpoint);
         }
-        Some(Reached::Answer(answer, target))
+        Some(Reached::Answer(Box::new(answer), target))
     }
 
     fn note_failure(&self, gateway: &Gateway, target: &Target, reason: &dyn std::fmt::Display) {
@@ -365,8 +385,7 @@
     fn may_go_on(&self, gateway: &Gateway) -> bool {
         let now = gateway.now();
         let mut budget = gateway.retry_budget.borrow_mut();
-        self.refusals < MAX_REFUSALS
-            && self.attempts.verdict(now, &mut budget) == Verdict::Retry
+        self.refusals < MAX_REFUSALS && self.attempts.verdict(now, &mut budget) == Verdict::Retry
     }
 
     fn next(&mut self, gateway: &Gateway, progress: Progress, problem: Problem) -> Option<Reached> {
@@ -469,7 +488,13 @@
     let now = gateway.now();
     let is_refusal = problem == Problem::NoReplica;
     if is_refusal {
-        return refuse(gateway, &call.id, problem, &call.route.name, Some(RETRY_AFTER));
+        return refuse(
+            gateway,
+            &call.id,
+            problem,
+            &call.route.name,
+            Some(RETRY_AFTER),
+        );
     }
     let (status, code, _) = problem.describe();
     event!(
@@ -525,8 +550,13 @@
     let listed: Vec<&str> = listed.split(',').map(str::trim).collect();
     let mut headers = HeaderMap::new();
     for (name, value) in req.headers() {
-        let is_ours = [&names.deadline_ms, &names.expected_replica, &names.customer, &names.not_run]
-            .contains(&name);
+        let is_ours = [
+            &names.deadline_ms,
+            &names.expected_replica,
+            &names.customer,
+            &names.not_run,
+        ]
+        .contains(&name);
         let is_dropped = is_hop_by_hop(name)
             || is_ours
             || *name == header::AUTHORIZATION
--- a/cicadagate-gateway/src/request/job_calls.rs
+++ b/cicadagate-gateway/src/request/job_calls.rs
@@ -23,7 +23,7 @@
         ids::{CustomerId, JobId, hash64},
         time::Time,
         version::{
-            job_index::{ItemEntry, ItemState, Outcome, Record},
+            job_index::{ItemEntry, ItemState, Job, Outcome, Record},
             serving::Route,
         },
     },
@@ -90,7 +90,13 @@
         Err(err) => {
             // Without a record in the index nothing of the job runs.
             event!(JOB_REFUSED, job = id, reason: = err);
-            return refuse(gateway, id, Problem::StoreAway, &route.name, Some(RETRY_AFTER));
+            return refuse(
+                gateway,
+                id,
+                Problem::StoreAway,
+                &route.name,
+                Some(RETRY_AFTER),
+            );
         }
     };
     let accepted_ms = epoch_ms();
@@ -117,7 +123,13 @@
             );
             respond(202, "application/json", "{}")
         }
-        Appended::No => refuse(gateway, id, Problem::StoreAway, &route.name, Some(RETRY_AFTER)),
+        Appended::No => refuse(
+            gateway,
+            id,
+            Problem::StoreAway,
+            &route.name,
+            Some(RETRY_AFTER),
+        ),
         Appended::Unknown => refuse(gateway, id, Problem::NoAnswer, &route.name, None),
     }
 }
@@ -192,9 +204,7 @@
             let wait_ms = wait.parse().unwrap_or(0).min(MAX_WAIT_MS);
             results(gateway, &job, job_id(customer, &job), from, wait_ms).await
         }
-        JobCall::Body { job, item } => {
-            body(gateway, &job, job_id(customer, &job), &item).await
-        }
+        JobCall::Body { job, item } => body(gateway, &job, job_id(customer, &job), &item).await,
         JobCall::End { job } => end(gateway, &job, job_id(customer, &job)).await,
     }
 }
@@ -208,7 +218,13 @@
     }
     if let Err(err) = gateway.jobs.sync(gateway, now).await {
         event!(JOB_CALL_FAILED, job = id, reason: = err);
-        return Err(refuse(gateway, id, Problem::StoreAway, "", Some(RETRY_AFTER)));
+        return Err(refuse(
+            gateway,
+            id,
+            Problem::StoreAway,
+            "",
+            Some(RETRY_AFTER),
+        ));
     }
     if gateway.jobs.index.borrow().job(job).is_none() {
         return Err(refuse(gateway, id, Problem::NoSuchJob, "", None));
@@ -233,7 +249,7 @@
             let state = index.job(job);
             (
                 state.is_some_and(|state| state.listed().len() > from),
-                state.is_some_and(cicadagate_policy::version::job_index::Job::is_open),
+                state.is_some_and(Job::is_open),
             )
         };
         let now = gateway.now();
@@ -302,7 +318,10 @@
         state.and_then(|state| {
             let at = state.find(item)?;
             let is_open = matches!(state.state(at), Some(ItemState::Open(_)));
-            state.entry(at).filter(|_| is_open).map(|entry| entry.content)
+            state
+                .entry(at)
+                .filter(|_| is_open)
+                .map(|entry| entry.content)
         })
     };
     let Some(place) = place else {
@@ -327,7 +346,7 @@
     }
     let is_ended = {
         let index = gateway.jobs.index.borrow();
-        index.job(job).is_some_and(|state| state.is_ended())
+        index.job(job).is_some_and(Job::is_ended)
     };
     if is_ended {
         return respond(200, "application/json", "{}");
@@ -335,7 +354,11 @@
     let since = gateway.now();
     match append(gateway, since, &Record::Ended { job }).await {
         Appended::Yes => {
-            event!(JOB_CANCELLED, job = id, took_ms = gateway.now().since(since));
+            event!(
+                JOB_CANCELLED,
+                job = id,
+                took_ms = gateway.now().since(since)
+            );
             respond(200, "application/json", "{}")
         }
         Appended::No | Appended::Unknown => {
--- a/cicadagate-gateway/src/request/mod.rs
+++ b/cicadagate-gateway/src/request/mod.rs
@@ -105,11 +105,7 @@
         let (status, code, message) = self.describe();
         let body = gateway.codec.error(code, message);
         let mut res = respond(status, "application/json", body);
-        gateway
-            .metrics
-            .refusals
-            .with_label_values(&[code])
-            .inc();
+        gateway.metrics.refusals.with_label_values(&[code]).inc();
         if let Some(delay) = retry_after {
             let seconds = format!("{:.3}", delay.as_secs_f64());
             if let Ok(value) = header::HeaderValue::from_str(&seconds) {
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -113,10 +113,15 @@
             }
             let left_ms = self.call.deadline.since(self.gateway.now());
             let may_move = self.events.is_some() && self.sent_bytes > 0;
-            let patience_ms = if may_move { SILENCE_MS.min(left_ms) } else { left_ms };
+            let patience_ms = if may_move {
+                SILENCE_MS.min(left_ms)
+            } else {
+                left_ms
+            };
             let chunk = match &mut self.body {
                 None => None,
-                Some(body) => match timeout(Duration::from_millis(patience_ms), body.chunk()).await {
+                Some(body) => match timeout(Duration::from_millis(patience_ms), body.chunk()).await
+                {
                     Ok(Some(Err(err))) => {
                         self.gateway.note_failed(self.target.endpoint, &err);
                         Some(Err(err.to_string()))
@@ -137,7 +142,13 @@
                 None => {
                     self.is_ended = true;
                     let status = 200;
-                    note_done(&self.gateway, &self.call, &self.target, status, self.sent_bytes);
+                    note_done(
+                        &self.gateway,
+                        &self.call,
+                        &self.target,
+                        status,
+                        self.sent_bytes,
+                    );
                     return None;
                 }
                 Some(Err(reason)) => {
@@ -264,7 +275,13 @@
 }
 
 /// Notes an answer that was passed on whole.
-pub(super) fn note_done(gateway: &Gateway, call: &Call, target: &Target, status: u16, bytes: usize) {
+pub(super) fn note_done(
+    gateway: &Gateway,
+    call: &Call,
+    target: &Target,
+    status: u16,
+    bytes: usize,
+) {
     call.note_held(gateway, target.since);
     let took_ms = gateway.now().since(call.arrival);
     let seconds = Duration::from_millis(took_ms).as_secs_f64();
@@ -274,7 +291,10 @@
         REQUEST_DONE,
         request = call.id.as_str(),
         route = call.route.name.as_str(),
-        customer = call.customer.as_ref().map_or("", |customer| customer.name.as_str()),
+        customer = call
+            .customer
+            .as_ref()
+            .map_or("", |customer| customer.name.as_str()),
         replica = target.registration.id.as_str(),
         status,
         attempts = call.attempts.number(),
--- a/cicadagate-node/src/process/operations.rs
+++ b/cicadagate-node/src/process/operations.rs
@@ -21,7 +21,14 @@
         let node = Rc::clone(&node);
         async move { Ok::<_, Infallible>(answer(&node, &req)) }
     };
-    serve(listener, MAX_CONNECTIONS, Timeouts::default(), metrics, handler).await;
+    serve(
+        listener,
+        MAX_CONNECTIONS,
+        Timeouts::default(),
+        metrics,
+        handler,
+    )
+    .await;
 }
 
 fn answer(node: &Node, req: &Request) -> Response<BoxBody> {
--- a/cicadagate-node/src/stdout.rs
+++ b/cicadagate-node/src/stdout.rs
@@ -157,11 +157,7 @@
         // Without a reader the lines are lost; there is nowhere else to say so.
         let _ = out.write_all(&lines);
         if dropped != (0, 0) {
-            crate::event!(
-                LOG_LINES_DROPPED,
-                routine = dropped.0,
-                others = dropped.1
-            );
+            crate::event!(LOG_LINES_DROPPED, routine = dropped.0, others = dropped.1);
         }
         let _ = out.flush();
         if is_ending {
--- a/cicadagate-policy/src/process/batch_share.rs
+++ b/cicadagate-policy/src/process/batch_share.rs
@@ -32,7 +32,7 @@
         ids::{MemberId, mix64},
         version::job_index::ItemRef,
     },
-    std::collections::HashSet,
+    std::{collections::HashSet, hash::BuildHasher},
 };
 
 /// Items that may run beyond the share before one is paused.
@@ -103,11 +103,11 @@
 /// that this process runs, `elsewhere` those that others report. `members` are
 /// those that take new work, this process included if it does.
 #[must_use]
-pub fn plan(
+pub fn plan<S: BuildHasher>(
     slots: usize,
     urgent: impl Iterator<Item = ItemRef>,
-    here: &HashSet<ItemRef>,
-    elsewhere: &HashSet<ItemRef>,
+    here: &HashSet<ItemRef, S>,
+    elsewhere: &HashSet<ItemRef, S>,
     me: MemberId,
     members: &[MemberId],
 ) -> Plan {
--- a/cicadagate-policy/src/process/rate_limit.rs
+++ b/cicadagate-policy/src/process/rate_limit.rs
@@ -33,7 +33,8 @@
         ids::{CustomerId, MemberId},
         time::Time,
     },
-    std::collections::HashMap,
+    serde::{Deserialize, Serialize},
+    std::collections::{HashMap, HashSet},
 };
 
 /// Longest that a debt takes to be paid, in milliseconds of the rate: a burst
@@ -53,6 +54,17 @@
     pub burst: f64,
 }
 
+/// Requests that a member has admitted for a customer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Spent {
+    /// Since the member started.
+    pub total: u64,
+    /// Since the customer was last without requests there for
+    /// [`REPORTED_FOR_MS`].
+    pub lately: u64,
+}
+
 /// A request exceeds its customer's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct OverLimit {
@@ -67,7 +79,7 @@
     limit: Limit,
     tokens: f64,
     at: Time,
-    own_total: u64,
+    own: Spent,
     /// Time of the last change of the total.
     changed: Time,
     /// Tokens that refused callers were told to come back for.
@@ -75,12 +87,12 @@
 }
 
 impl Bucket {
-    const fn new(now: Time, limit: Limit) -> Self {
+    fn new(now: Time, limit: Limit) -> Self {
         Self {
             limit,
             tokens: limit.burst,
             at: now,
-            own_total: 0,
+            own: Spent::default(),
             changed: now,
             promised: 0.0,
         }
@@ -107,6 +119,7 @@
     members: f64,
     buckets: HashMap<CustomerId, Bucket>,
     heard: HashMap<(MemberId, CustomerId), u64>,
+    known: HashSet<MemberId>,
 }
 
 impl RateLimiter {
@@ -153,7 +166,11 @@
             });
         }
         bucket.tokens -= 1.0;
-        bucket.own_total += 1;
+        if now.since(bucket.changed) > REPORTED_FOR_MS {
+            bucket.own.lately = 0;
+        }
+        bucket.own.total += 1;
+        bucket.own.lately += 1;
         bucket.changed = now;
         Ok(())
     }
@@ -162,15 +179,26 @@
     pub fn cancel(&mut self, customer: CustomerId) {
         if let Some(bucket) = self.buckets.get_mut(&customer) {
             bucket.tokens += 1.0;
-            bucket.own_total = bucket.own_total.saturating_sub(1);
+            bucket.own.total = bucket.own.total.saturating_sub(1);
+            bucket.own.lately = bucket.own.lately.saturating_sub(1);
         }
     }
 
-    /// Takes the running total that a member has admitted for a customer.
-    pub fn note_remote(&mut self, now: Time, member: MemberId, customer: CustomerId, total: u64) {
-        // The first total of a member tells nothing about when it was spent.
-        let before = self.heard.insert((member, customer), total);
-        let spent = total.saturating_sub(before.unwrap_or(total));
+    /// Notes that a member was heard: what it reports of a customer for the
+    /// first time from now on was spent since.
+    pub fn note_heard(&mut self, member: MemberId) {
+        self.known.insert(member);
+    }
+
+    /// Takes what a member has admitted for a customer.
+    pub fn note_remote(&mut self, now: Time, member: MemberId, customer: CustomerId, spent: Spent) {
+        let before = self.heard.insert((member, customer), spent.total);
+        let spent = match before {
+            Some(before) => spent.total.saturating_sub(before),
+            None if self.known.contains(&member) => spent.lately,
+            // Its first report tells nothing about when that was spent.
+            None => 0,
+        };
         let Some(bucket) = self.buckets.get_mut(&customer) else {
             return;
         };
@@ -193,6 +221,7 @@
     pub fn retain_members(&mut self, members: u32, is_known: impl Fn(MemberId) -> bool) {
         self.members = f64::from(members.max(1));
         self.heard.retain(|(member, _), _| is_known(*member));
+        self.known.retain(|member| is_known(*member));
     }
 
     /// Returns what is left of a customer's burst, in percent.
@@ -213,13 +242,13 @@
     /// Returns the running totals that have changed lately. A total is told
     /// several times, so that a lost report does no harm.
     #[must_use]
-    pub fn totals_to_report(&self, now: Time) -> Vec<(CustomerId, u64)> {
+    pub fn totals_to_report(&self, now: Time) -> Vec<(CustomerId, Spent)> {
         self.buckets
             .iter()
             .filter(|(_, bucket)| {
-                bucket.own_total > 0 && now.since(bucket.changed) <= REPORTED_FOR_MS
+                bucket.own.total > 0 && now.since(bucket.changed) <= REPORTED_FOR_MS
             })
-            .map(|(customer, bucket)| (*customer, bucket.own_total))
+            .map(|(customer, bucket)| (*customer, bucket.own))
             .collect()
     }
 }
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -379,7 +379,10 @@
         let total: u64 = trusted.iter().map(weight).sum();
         if total == 0 {
             let least = trusted.into_iter().min_by_key(|candidate| {
-                (candidate.taken(), mix64(seed, candidate.replica.endpoint.raw()))
+                (
+                    candidate.taken(),
+                    mix64(seed, candidate.replica.endpoint.raw()),
+                )
             });
             return least.map(|candidate| candidate.replica);
         }
--- a/cicadagate-policy/src/process/reports.rs
+++ b/cicadagate-policy/src/process/reports.rs
@@ -26,7 +26,7 @@
 */
 
 use {
-    super::membership::Info,
+    super::{membership::Info, rate_limit::Spent},
     crate::{
         ids::{CustomerId, EndpointId, MemberId},
         time::Time,
@@ -74,9 +74,8 @@
     pub in_flight: Vec<(EndpointId, InFlight)>,
     /// Items that it runs.
     pub items: Vec<ItemRef>,
-    /// Running totals of admitted requests, of customers whose total has
-    /// changed lately.
-    pub admitted: Vec<(CustomerId, u64)>,
+    /// What it has admitted for customers whose total has changed lately.
+    pub admitted: Vec<(CustomerId, Spent)>,
     /// Configuration that is in force there.
     pub config_version: u64,
     /// Replicas that failed it lately.
@@ -120,8 +119,7 @@
             .get(&report.member)
             .is_none_or(|heard| heard.report.seq < report.seq);
         if newer {
-            self.heard
-                .insert(report.member, Heard { report, at: now });
+            self.heard.insert(report.member, Heard { report, at: now });
             self.sum_up();
         }
         newer
--- a/cicadagate-policy/src/version/job_index.rs
+++ b/cicadagate-policy/src/version/job_index.rs
@@ -26,7 +26,7 @@
 use {
     crate::ids::{CustomerId, JobId, hash64},
     serde::{Deserialize, Serialize},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Where a content lies.
@@ -249,7 +249,7 @@
 pub struct JobIndex {
     jobs: BTreeMap<JobId, Job>,
     /// Open jobs, most urgent first.
-    open: BTreeMap<(u64, JobId), ()>,
+    open: BTreeSet<(u64, JobId)>,
 }
 
 impl JobIndex {
@@ -286,7 +286,7 @@
                     is_ended: false,
                 };
                 if state.is_open() {
-                    self.open.insert((due_ms, job), ());
+                    self.open.insert((due_ms, job));
                 }
                 self.jobs.insert(job, state);
                 true
@@ -379,7 +379,7 @@
     /// Iterates over the items that remain to be run, those due first first.
     pub fn open_items(&self) -> impl Iterator<Item = ItemRef> + '_ {
         self.open
-            .keys()
+            .iter()
             .filter_map(|(_, id)| self.jobs.get(id))
             .flat_map(Job::open_items)
     }
@@ -391,7 +391,7 @@
 
     /// Iterates over the open jobs, those due first first.
     pub fn open_jobs(&self) -> impl Iterator<Item = &Job> {
-        self.open.keys().filter_map(|(_, id)| self.jobs.get(id))
+        self.open.iter().filter_map(|(_, id)| self.jobs.get(id))
     }
 
     /// Forgets jobs that are over and were accepted before a time.
--- /dev/null
+++ b/cicadagate-policy/tests/batch_share.rs
@@ -0,0 +1,96 @@
+//! Which items run where, under the square wave of online load.
+
+use {
+    cicadagate_policy::{
+        ids::{JobId, MemberId},
+        process::batch_share::{CALM_FILL, PRESSED_FILL, Plan, Slots, fill, plan, runner},
+        version::job_index::ItemRef,
+    },
+    std::collections::HashSet,
+};
+
+fn items(count: u32) -> Vec<ItemRef> {
+    (0..count)
+        .map(|index| ItemRef {
+            job: JobId::from_raw(u64::from(index / 10)),
+            index,
+        })
+        .collect()
+}
+
+fn members(count: u64) -> Vec<MemberId> {
+    (1..=count).map(MemberId::from_raw).collect()
+}
+
+fn plan_at(
+    me: MemberId,
+    slots: usize,
+    here: &HashSet<ItemRef>,
+    elsewhere: &HashSet<ItemRef>,
+) -> Plan {
+    let members = members(12);
+    plan(slots, items(60).into_iter(), here, elsewhere, me, &members)
+}
+
+#[test]
+fn every_active_item_starts_at_exactly_one_member() {
+    let none = HashSet::new();
+    let mut started: Vec<ItemRef> = members(12)
+        .into_iter()
+        .flat_map(|me| plan_at(me, 40, &none, &none).start)
+        .collect();
+    started.sort_unstable();
+    assert_eq!(started, items(40));
+}
+
+#[test]
+fn at_a_peak_the_items_due_last_pause() {
+    let here: HashSet<ItemRef> = items(40).into_iter().collect();
+    let plan = plan_at(MemberId::from_raw(1), 8, &here, &HashSet::new());
+    assert!(plan.start.is_empty());
+    assert_eq!(plan.pause, items(40)[9..], "one more than the slots stays");
+}
+
+#[test]
+fn an_item_that_another_member_runs_stays_there() {
+    let me = MemberId::from_raw(3);
+    let none = HashSet::new();
+    let mine = plan_at(me, 60, &none, &none).start;
+    let elsewhere: HashSet<ItemRef> = mine.iter().copied().take(2).collect();
+    let left = plan_at(me, 60, &none, &elsewhere).start;
+    assert_eq!(left, mine[2..]);
+}
+
+#[test]
+fn a_lost_members_items_go_to_the_others_and_no_item_else_moves() {
+    let all = members(12);
+    let rest: Vec<MemberId> = all.iter().copied().filter(|m| m.raw() != 5).collect();
+    for item in items(60) {
+        let before = runner(item, &all);
+        let after = runner(item, &rest);
+        if before == Some(MemberId::from_raw(5)) {
+            assert!(after.is_some_and(|member| rest.contains(&member)));
+        } else {
+            assert_eq!(before, after);
+        }
+    }
+}
+
+#[test]
+fn batch_work_gets_what_online_work_leaves() {
+    // Valley, peak and overload of 72 slots.
+    for (online, expected) in [(12, 47), (58, 1), (90, 0)] {
+        let slots = Slots {
+            total: 72,
+            online,
+            fill: CALM_FILL,
+        };
+        assert_eq!(slots.for_batch(), expected, "{online} online");
+    }
+}
+
+#[test]
+fn more_slots_are_filled_when_items_are_due_soon() {
+    assert_eq!(fill(15_000), CALM_FILL);
+    assert_eq!(fill(2_000), PRESSED_FILL);
+}
--- /dev/null
+++ b/cicadagate-policy/tests/events.rs
@@ -0,0 +1,93 @@
+//! Event streams, cut anywhere and joined over several runs.
+
+use {
+    cicadagate_policy::request::events::{Event, Join, Joiner, MAX_EVENT_BYTES, Splitter},
+    quickcheck::quickcheck,
+};
+
+fn stream(count: u64) -> Vec<u8> {
+    (0..count)
+        .flat_map(|id| format!("id: {id}\ndata: piece {id}\ndata: more\n\n").into_bytes())
+        .collect()
+}
+
+fn split(bytes: &[u8], cuts: &[u8]) -> Vec<Event> {
+    let mut splitter = Splitter::default();
+    let mut events = Vec::new();
+    let mut rest = bytes;
+    let mut cuts = cuts.iter().cycle();
+    while !rest.is_empty() {
+        let len = cuts.next().map_or(1, |cut| usize::from(*cut) + 1);
+        let (chunk, tail) = rest.split_at(len.min(rest.len()));
+        splitter.feed(chunk).expect("events are short");
+        events.extend(std::iter::from_fn(|| splitter.next_event()));
+        rest = tail;
+    }
+    assert!(!splitter.is_inside_event());
+    events
+}
+
+quickcheck! {
+    fn events_do_not_depend_on_where_the_bytes_are_cut(count: u8, cuts: Vec<u8>) -> bool {
+        let bytes = stream(u64::from(count % 20));
+        let events = split(&bytes, &cuts);
+        let raw: Vec<u8> = events.iter().flat_map(|event| event.raw.to_vec()).collect();
+        let ids: Vec<Option<u64>> = events.iter().map(|event| event.id).collect();
+        raw == bytes && ids == (0..u64::from(count % 20)).map(Some).collect::<Vec<_>>()
+    }
+
+    // Runs that break off anywhere and go on at or before the right place.
+    fn a_resumed_stream_has_each_event_once(breaks: Vec<(u8, u8)>) -> bool {
+        let total = 40;
+        let mut joiner = Joiner::default();
+        let mut seen = Vec::new();
+        for (len, overlap) in breaks.into_iter().chain([(u8::MAX, 0)]) {
+            let start = joiner.last().map_or(0, |last| last + 1);
+            let from = start.saturating_sub(u64::from(overlap % 4));
+            for id in (from..total).take(usize::from(len)) {
+                if joiner.take(Some(id)) == Join::Pass {
+                    seen.push(id);
+                }
+            }
+        }
+        seen == (0..total).collect::<Vec<_>>()
+    }
+}
+
+#[test]
+fn a_missing_event_is_a_gap_and_changes_nothing() {
+    let mut joiner = Joiner::after(Some(4));
+    assert_eq!(joiner.take(Some(6)), Join::Gap);
+    assert_eq!(joiner.last(), Some(4));
+    assert_eq!(joiner.take(Some(5)), Join::Pass);
+    assert_eq!(joiner.take(Some(5)), Join::Drop);
+    assert_eq!(joiner.take(None), Join::Pass);
+}
+
+#[test]
+fn the_data_of_an_event_is_its_data_lines() {
+    let events = split(b"id: 3\r\ndata: a\r\ndata:b\r\n\r\n:comment\n\n", &[3]);
+    assert_eq!(events[0].data().as_deref(), Some(&b"a\nb"[..]));
+    assert_eq!(events[0].id, Some(3));
+    assert_eq!((events[1].data(), events[1].id), (None, None));
+}
+
+#[test]
+fn an_event_that_does_not_end_is_refused() {
+    let mut splitter = Splitter::default();
+    let half = vec![b'x'; MAX_EVENT_BYTES / 2];
+    assert!(splitter.feed(&half).is_ok());
+    assert!(splitter.feed(&half).is_ok());
+    assert!(splitter.feed(b"x").is_err());
+}
+
+#[test]
+fn a_stream_that_stops_inside_an_event_shows_it() {
+    let mut splitter = Splitter::default();
+    splitter
+        .feed(b"id: 1\ndata: x\n\nid: 2\nda")
+        .expect("short");
+    assert!(splitter.next_event().is_some());
+    assert!(splitter.next_event().is_none());
+    assert!(splitter.is_inside_event());
+}
--- /dev/null
+++ b/cicadagate-policy/tests/job_index.rs
@@ -0,0 +1,230 @@
+//! The index of jobs against a simple oracle, under repeated and late records.
+
+use {
+    cicadagate_policy::{
+        ids::{CustomerId, JobId},
+        version::job_index::{
+            ItemEntry, ItemRef, ItemState, JobIndex, Outcome, Place, Progress, Record,
+        },
+    },
+    quickcheck::{Arbitrary, Gen, QuickCheck},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+const JOBS: u64 = 4;
+const ITEMS: u32 = 3;
+const FUZZ_CASES: u64 = 2_000;
+
+fn place(offset: u64) -> Place {
+    Place {
+        part: 0,
+        offset,
+        records: 1,
+        bytes: 10,
+    }
+}
+
+fn accepted(job: u64, due_ms: u64) -> Record {
+    let items = (0..ITEMS).map(|index| ItemEntry {
+        id: format!("item {index}"),
+        tokens: 10,
+        content: place(u64::from(index)),
+    });
+    Record::Accepted {
+        job: JobId::from_raw(job),
+        customer: CustomerId::of("huka"),
+        customer_name: "huka".to_owned(),
+        route: "r".to_owned(),
+        host: "a.example".to_owned(),
+        config_version: 1,
+        accepted_ms: 1_000,
+        due_ms,
+        give_up_ms: 60_000,
+        items: items.collect(),
+    }
+}
+
+fn item(job: u64, index: u32) -> ItemRef {
+    ItemRef {
+        job: JobId::from_raw(job),
+        index,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Log(Vec<Record>);
+
+impl Arbitrary for Log {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let len = usize::arbitrary(g) % 60;
+        let records = (0..len).map(|at| {
+            let job = u64::arbitrary(g) % JOBS;
+            // One index beyond the job's items, too.
+            let item = item(job, u32::arbitrary(g) % (ITEMS + 1));
+            match u8::arbitrary(g) % 10 {
+                0..=2 => accepted(job, 10_000 + job),
+                3..=5 => Record::Finished {
+                    item,
+                    outcome: if bool::arbitrary(g) {
+                        Outcome::Done(place(at as u64))
+                    } else {
+                        Outcome::Abandoned
+                    },
+                },
+                6 | 7 => Record::Saved {
+                    item,
+                    progress: Progress {
+                        output: place(at as u64),
+                        last_event: u64::arbitrary(g) % 5,
+                    },
+                },
+                8 => Record::Failed { item },
+                _ => Record::Ended {
+                    job: JobId::from_raw(job),
+                },
+            }
+        });
+        Self(records.collect())
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        Box::new(self.0.shrink_records().map(Self))
+    }
+}
+
+trait ShrinkRecords {
+    fn shrink_records(&self) -> Box<dyn Iterator<Item = Vec<Record>>>;
+}
+
+impl ShrinkRecords for Vec<Record> {
+    fn shrink_records(&self) -> Box<dyn Iterator<Item = Vec<Record>>> {
+        let all = self.clone();
+        Box::new((0..all.len()).map(move |at| {
+            let mut fewer = all.clone();
+            fewer.remove(at);
+            fewer
+        }))
+    }
+}
+
+/// What the promises say, without the fold's shortcuts.
+#[derive(Default)]
+struct Oracle {
+    accepted: BTreeSet<u64>,
+    ended: BTreeSet<u64>,
+    listed: BTreeMap<u64, Vec<(u32, Outcome)>>,
+}
+
+impl Oracle {
+    fn take(&mut self, record: &Record) {
+        match record {
+            Record::Accepted { job, .. } => {
+                self.accepted.insert(job.raw());
+            }
+            Record::Finished { item, outcome } => {
+                let job = item.job.raw();
+                let listed = self.listed.entry(job).or_default();
+                let is_first = listed.iter().all(|(index, _)| *index != item.index);
+                let is_open = self.accepted.contains(&job) && !self.ended.contains(&job);
+                if is_first && is_open && item.index < ITEMS {
+                    listed.push((item.index, *outcome));
+                }
+            }
+            Record::Ended { job } if self.accepted.contains(&job.raw()) => {
+                self.ended.insert(job.raw());
+            }
+            Record::Saved { .. } | Record::Failed { .. } | Record::Ended { .. } => {}
+        }
+    }
+}
+
+fn listed(index: &JobIndex, job: u64) -> Vec<(u32, Outcome)> {
+    let Some(job) = index.job(JobId::from_raw(job)) else {
+        return Vec::new();
+    };
+    let outcome = |index: u32| match job.state(index) {
+        Some(ItemState::Finished(outcome)) => outcome,
+        other => panic!("listed item {index} is {other:?}"),
+    };
+    job.listed().iter().map(|i| (*i, outcome(*i))).collect()
+}
+
+fn agrees_with_the_oracle(log: Log) -> bool {
+    let mut index = JobIndex::default();
+    let mut oracle = Oracle::default();
+    for record in log.0 {
+        let before: Vec<_> = (0..JOBS).map(|job| listed(&index, job)).collect();
+        oracle.take(&record);
+        index.fold(record);
+        for job in 0..JOBS {
+            let after = listed(&index, job);
+            let kept = after.starts_with(&before[usize::try_from(job).unwrap_or(0)]);
+            let expected = oracle.listed.get(&job).cloned().unwrap_or_default();
+            let is_known = index.job(JobId::from_raw(job)).is_some();
+            if !kept || after != expected || is_known != oracle.accepted.contains(&job) {
+                return false;
+            }
+        }
+    }
+    let open: BTreeSet<ItemRef> = index.open_items().collect();
+    (0..JOBS).all(|job| {
+        (0..ITEMS).all(|at| {
+            let is_listed = oracle
+                .listed
+                .get(&job)
+                .is_some_and(|listed| listed.iter().any(|(index, _)| *index == at));
+            let expected =
+                oracle.accepted.contains(&job) && !oracle.ended.contains(&job) && !is_listed;
+            open.contains(&item(job, at)) == expected
+                && index.is_item_open(item(job, at)) == expected
+        })
+    })
+}
+
+#[test]
+fn positions_and_results_never_change() {
+    QuickCheck::new()
+        .tests(FUZZ_CASES)
+        .quickcheck(agrees_with_the_oracle as fn(Log) -> bool);
+}
+
+#[test]
+fn items_that_are_due_first_come_first() {
+    let mut index = JobIndex::default();
+    for (job, due_ms) in [(1, 9_000), (2, 3_000), (3, 6_000)] {
+        index.fold(accepted(job, due_ms));
+    }
+    let order: Vec<u64> = index.open_items().map(|item| item.job.raw()).collect();
+    assert_eq!(order, [2, 2, 2, 3, 3, 3, 1, 1, 1]);
+}
+
+#[test]
+fn the_furthest_saved_output_counts() {
+    let mut index = JobIndex::default();
+    index.fold(accepted(1, 9_000));
+    for (offset, last_event) in [(5, 20), (6, 10)] {
+        index.fold(Record::Saved {
+            item: item(1, 0),
+            progress: Progress {
+                output: place(offset),
+                last_event,
+            },
+        });
+    }
+    let job = index.job(JobId::from_raw(1)).expect("accepted");
+    let Some(ItemState::Open(Some(progress))) = job.state(0) else {
+        panic!("an open item with an output");
+    };
+    assert_eq!((progress.last_event, progress.output.offset), (20, 5));
+}
+
+#[test]
+fn failed_runs_are_counted_for_everybody() {
+    let mut index = JobIndex::default();
+    index.fold(accepted(1, 9_000));
+    for _ in 0..3 {
+        index.fold(Record::Failed { item: item(1, 2) });
+    }
+    let job = index.job(JobId::from_raw(1)).expect("accepted");
+    assert_eq!((job.failures(2), job.failures(1)), (3, 0));
+}
--- /dev/null
+++ b/cicadagate-policy/tests/overload.rs
@@ -0,0 +1,76 @@
+//! Who is refused when there is more to do than slots.
+
+use cicadagate_policy::request::overload::{HoldTime, MAX_RETRY_MS, MIN_RETRY_MS, Pressure, admit};
+
+const OBJECTIVE_MS: u64 = 300;
+
+fn pressure(online: u32) -> Pressure {
+    Pressure {
+        online,
+        slots: 72,
+        hold_ms: 750,
+    }
+}
+
+#[test]
+fn nobody_is_refused_while_there_are_slots() {
+    for online in 0..72 {
+        assert!(admit(pressure(online), OBJECTIVE_MS, 0, 9).is_ok());
+    }
+}
+
+#[test]
+fn a_burst_beyond_the_slots_is_refused_before_it_is_late() {
+    // A request at the end of the queue waits for online - slots holds.
+    let first_refused = (72..300)
+        .find(|online| admit(pressure(*online), OBJECTIVE_MS, 100, 9).is_err())
+        .expect("a long queue is refused");
+    let wait = pressure(first_refused).wait_ms();
+    assert!(wait < OBJECTIVE_MS, "waits {wait} ms already");
+    assert!(pressure(first_refused - 1).wait_ms() * 2 > OBJECTIVE_MS);
+}
+
+#[test]
+fn a_customer_that_used_up_its_burst_is_refused_first() {
+    let load = pressure(85);
+    assert!(admit(load, OBJECTIVE_MS, 100, 9).is_ok());
+    assert!(admit(load, OBJECTIVE_MS, 5, 9).is_err());
+}
+
+#[test]
+fn refused_callers_come_back_spread_and_in_time() {
+    let told: Vec<u64> = (0..50)
+        .map(|spread| {
+            let refused = admit(pressure(110), OBJECTIVE_MS, 100, spread * 97);
+            refused.expect_err("overloaded").retry_after_ms
+        })
+        .collect();
+    let (least, most) = (told.iter().min(), told.iter().max());
+    assert!(least.is_some_and(|ms| *ms >= MIN_RETRY_MS));
+    assert!(most.is_some_and(|ms| *ms <= MAX_RETRY_MS));
+    assert!(
+        most.zip(least)
+            .is_some_and(|(most, least)| most - least > 200)
+    );
+}
+
+#[test]
+fn without_measured_hold_times_nothing_is_refused() {
+    let unknown = Pressure {
+        online: 500,
+        slots: 8,
+        hold_ms: HoldTime::default().ms(),
+    };
+    assert!(admit(unknown, OBJECTIVE_MS, 100, 1).is_ok());
+}
+
+#[test]
+fn hold_times_follow_what_is_measured() {
+    let mut held = HoldTime::default();
+    held.note(750);
+    assert_eq!(held.ms(), 750);
+    for _ in 0..100 {
+        held.note(1_500);
+    }
+    assert!((1_400..=1_500).contains(&held.ms()), "{}", held.ms());
+}
--- /dev/null
+++ b/cicadagate-policy/tests/rate_limit.rs
@@ -0,0 +1,214 @@
+//! A customer's limit over a fleet of processes that hear of each other late.
+
+use {
+    cicadagate_policy::{
+        ids::{CustomerId, MemberId},
+        process::rate_limit::{Limit, RateLimiter},
+        time::Time,
+    },
+    quickcheck::{Arbitrary, Gen, QuickCheck},
+};
+
+const CUSTOMER: CustomerId = CustomerId::from_raw(7);
+const LIMIT: Limit = Limit {
+    rate_per_s: 44.0,
+    burst: 44.0,
+};
+const NODES: u64 = 12;
+const REPORT_EVERY_MS: u64 = 100;
+const WINDOW_MS: u64 = 5_000;
+/// What the platform overlooks: a tenth of the limit and 20 requests.
+const EXCESS: f64 = 1.1;
+const SLACK: f64 = 20.0;
+const TOLERANCE: f64 = 5.0;
+const FUZZ_CASES: u64 = 60;
+
+fn bound() -> f64 {
+    let window_s = 5.0;
+    (LIMIT.rate_per_s * window_s + LIMIT.burst) * EXCESS + SLACK
+}
+
+struct Fleet {
+    nodes: Vec<RateLimiter>,
+    admitted: Vec<u64>,
+    refused: u64,
+    seed: u64,
+    hears_others: bool,
+}
+
+impl Fleet {
+    fn new(hears_others: bool, seed: u64) -> Self {
+        let nodes = (0..NODES).map(|_| RateLimiter::new(TOLERANCE)).collect();
+        Self {
+            nodes,
+            admitted: Vec::new(),
+            refused: 0,
+            seed,
+            hears_others,
+        }
+    }
+
+    fn roll(&mut self) -> u64 {
+        self.seed = cicadagate_policy::ids::mix64(self.seed, 1);
+        self.seed
+    }
+
+    /// Plays some time with a number of requests a second at random nodes.
+    fn play(&mut self, from_ms: u64, for_ms: u64, per_s: u64, lost_percent: u64) {
+        for ms in from_ms..from_ms + for_ms {
+            let now = Time(ms);
+            if ms % REPORT_EVERY_MS == 0 {
+                self.report(now, lost_percent);
+            }
+            let due = (ms + 1) * per_s / 1_000 - ms * per_s / 1_000;
+            for _ in 0..due {
+                let node = usize::try_from(self.roll() % NODES).unwrap_or(0);
+                match self.nodes[node].admit(now, CUSTOMER, LIMIT) {
+                    Ok(()) => self.admitted.push(ms),
+                    Err(_) => self.refused += 1,
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, now: Time, lost_percent: u64) {
+        if !self.hears_others {
+            return;
+        }
+        for from in 0..self.nodes.len() {
+            let totals = self.nodes[from].totals_to_report(now);
+            for to in 0..self.nodes.len() {
+                if to == from || self.roll() % 100 < lost_percent {
+                    continue;
+                }
+                let member = MemberId::from_raw(from as u64);
+                for (customer, spent) in &totals {
+                    self.nodes[to].watch(now, *customer, LIMIT);
+                    self.nodes[to].note_remote(now, member, *customer, *spent);
+                }
+                self.nodes[to].note_heard(member);
+            }
+        }
+    }
+
+    fn worst_window(&self) -> usize {
+        let mut first = 0;
+        let mut worst = 0;
+        for (index, ms) in self.admitted.iter().enumerate() {
+            while self.admitted[first] + WINDOW_MS <= *ms {
+                first += 1;
+            }
+            worst = worst.max(index - first + 1);
+        }
+        worst
+    }
+}
+
+fn as_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+#[test]
+fn a_customer_at_seven_times_its_rate_stays_within_the_bound() {
+    let mut fleet = Fleet::new(true, 1);
+    fleet.play(10_000, 3_000, 28, 0);
+    fleet.play(13_000, 8_000, 300, 0);
+    fleet.play(21_000, 5_000, 28, 0);
+    let worst = as_f64(fleet.worst_window());
+    assert!(worst <= bound(), "{worst} requests in a window");
+    // And it gets what its limit allows.
+    let floor = LIMIT.rate_per_s * 5.0 + LIMIT.burst;
+    assert!(worst >= floor, "only {worst} requests in a window");
+}
+
+#[test]
+fn the_bound_shows_a_fleet_that_does_not_hear_of_itself() {
+    let mut fleet = Fleet::new(false, 1);
+    fleet.play(10_000, 8_000, 300, 0);
+    assert!(as_f64(fleet.worst_window()) > bound());
+}
+
+#[test]
+fn nobody_is_refused_below_the_limit() {
+    // The square wave of a large customer: 1.87 times the mean in peaks.
+    let mut fleet = Fleet::new(true, 2);
+    for wave in 0..6 {
+        let start = 10_000 + wave * 5_800;
+        fleet.play(start, 3_400, 11, 5);
+        fleet.play(start + 3_400, 2_400, 52, 5);
+    }
+    assert_eq!(fleet.refused, 0);
+}
+
+#[test]
+fn a_restarted_process_does_not_forget_the_others() {
+    let mut fleet = Fleet::new(true, 3);
+    fleet.play(10_000, 6_000, 300, 0);
+    fleet.nodes[4] = RateLimiter::new(TOLERANCE);
+    fleet.play(16_000, 6_000, 300, 0);
+    let worst = as_f64(fleet.worst_window());
+    assert!(worst <= bound(), "{worst} requests in a window");
+}
+
+#[test]
+fn refused_callers_are_told_different_times() {
+    let mut limiter = RateLimiter::new(0.0);
+    let now = Time(5_000);
+    let mut told = Vec::new();
+    for _ in 0..60 {
+        if let Err(over) = limiter.admit(now, CUSTOMER, LIMIT) {
+            told.push(over.retry_after_ms);
+        }
+    }
+    assert_eq!(told.len(), 16);
+    assert!(told.windows(2).all(|pair| pair[0] < pair[1]), "{told:?}");
+}
+
+#[test]
+fn a_cancelled_admission_is_not_reported() {
+    let mut limiter = RateLimiter::new(0.0);
+    let now = Time(5_000);
+    assert!(limiter.admit(now, CUSTOMER, LIMIT).is_ok());
+    limiter.cancel(CUSTOMER);
+    assert!(limiter.totals_to_report(now).is_empty());
+}
+
+#[test]
+fn a_customer_that_was_quiet_is_not_charged_for_its_past() {
+    let mut fleet = Fleet::new(true, 4);
+    fleet.play(10_000, 20_000, 40, 0);
+    fleet.nodes[0] = RateLimiter::new(TOLERANCE);
+    // Nobody spends for long enough that totals are no longer reported.
+    fleet.play(30_000, 6_000, 0, 0);
+    fleet.play(36_000, 3_000, 40, 0);
+    assert_eq!(fleet.refused, 0);
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Weather {
+    seed: u64,
+    per_s: u64,
+    lost_percent: u64,
+}
+
+impl Arbitrary for Weather {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self {
+            seed: u64::arbitrary(g),
+            per_s: 50 + u64::arbitrary(g) % 300,
+            lost_percent: u64::arbitrary(g) % 30,
+        }
+    }
+}
+
+#[test]
+fn lost_reports_are_made_up_for_by_the_next() {
+    fn holds(weather: Weather) -> bool {
+        let mut fleet = Fleet::new(true, weather.seed);
+        fleet.play(10_000, 12_000, weather.per_s, weather.lost_percent);
+        as_f64(fleet.worst_window()) <= bound()
+    }
+    QuickCheck::new()
+        .tests(FUZZ_CASES)
+        .quickcheck(holds as fn(Weather) -> bool);
+}
--- /dev/null
+++ b/cicadagate-policy/tests/replicas.rs
@@ -0,0 +1,175 @@
+//! Replicas that come, leave, lapse and fail, and the choice among them.
+
+use {
+    cicadagate_policy::{
+        ids::{EndpointId, mix64},
+        process::replicas::{
+            AVOID_MS, Change, MAX_AVOID_MS, Outlook, PROBE_MS, RETURN_MS, Registration, ReplicaSet,
+        },
+        time::Time,
+    },
+    std::collections::HashMap,
+};
+
+const NOW: Time = Time(10_000);
+
+fn registration(id: &str) -> Registration {
+    Registration {
+        id: id.to_owned(),
+        service: "llm".to_owned(),
+        addr: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: "a".to_owned(),
+        slots: 8,
+        is_draining: false,
+        born_ms: 1,
+    }
+}
+
+fn set(count: usize) -> ReplicaSet {
+    let mut set = ReplicaSet::default();
+    for index in 0..count {
+        assert_eq!(
+            set.register(registration(&format!("i{index}"))),
+            Change::Added
+        );
+    }
+    set
+}
+
+fn choose(set: &ReplicaSet, now: Time, seed: u64) -> Option<EndpointId> {
+    set.choose(now, "llm", &[], seed, |_| Outlook::default())
+        .map(|replica| replica.endpoint)
+}
+
+#[test]
+fn a_draining_replica_gets_nothing_new_and_does_not_come_back_by_an_old_entry() {
+    let mut set = set(1);
+    let mut leaving = registration("i0");
+    leaving.is_draining = true;
+    assert_eq!(set.register(leaving.clone()), Change::Draining);
+    assert_eq!(choose(&set, NOW, 1), None);
+    assert_eq!(set.register(leaving), Change::None);
+    assert_eq!(set.remove(NOW, "i0"), Change::Removed);
+}
+
+#[test]
+fn a_removed_entry_is_gone_at_once_while_the_store_answers() {
+    let mut set = set(2);
+    set.note_store(NOW, true);
+    assert_eq!(set.remove(NOW, "i0"), Change::Removed);
+    assert_eq!(choose(&set, NOW, 1), Some(EndpointId::of("i1")));
+    assert_eq!(set.remove(NOW, "unknown"), Change::None);
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_is_kept_until_replicas_have_had_time_to_return() {
+    let mut set = set(2);
+    set.note_store(NOW, false);
+    let back = NOW.plus(5_000);
+    set.note_store(back, true);
+    assert_eq!(set.remove(back.plus(100), "i0"), Change::Lapsed);
+    assert_eq!(set.remove(back.plus(100), "i1"), Change::Lapsed);
+    assert!(choose(&set, back.plus(200), 1).is_some());
+    assert_eq!(set.register(registration("i1")), Change::None);
+    assert!(set.settle(back.plus(RETURN_MS - 1)).is_empty());
+    let gone = set.settle(back.plus(RETURN_MS));
+    assert_eq!(gone.len(), 1);
+    assert_eq!(gone[0].id, "i0");
+    assert_eq!(set.ids(), ["i1"]);
+}
+
+#[test]
+fn failures_slow_and_a_success_ends_that() {
+    let mut set = set(2);
+    let bad = EndpointId::of("i0");
+    assert_eq!(set.note_failure(NOW, bad), 1);
+    for seed in 0..20 {
+        assert_ne!(choose(&set, NOW, seed), Some(bad));
+    }
+    let later = NOW.plus(AVOID_MS);
+    assert!((0..20).any(|seed| choose(&set, later, mix64(seed, 3)) == Some(bad)));
+    for _ in 0..10 {
+        set.note_failure(NOW, bad);
+    }
+    let replica = set.get(bad).expect("known");
+    assert!(replica.is_avoided(NOW.plus(MAX_AVOID_MS - 1)));
+    assert!(!replica.is_avoided(NOW.plus(MAX_AVOID_MS)));
+    set.note_success(bad);
+    assert!(!set.get(bad).expect("known").is_avoided(NOW));
+}
+
+#[test]
+fn with_only_failing_replicas_one_is_still_used() {
+    let mut set = set(1);
+    set.note_failure(NOW, EndpointId::of("i0"));
+    assert!(choose(&set, NOW, 1).is_some());
+}
+
+#[test]
+fn an_unreachable_replica_waits_for_a_probe_and_no_request_finds_out() {
+    let mut set = set(2);
+    let dark = EndpointId::of("i0");
+    set.note_unreachable(NOW, dark);
+    let much_later = NOW.plus(MAX_AVOID_MS * 2);
+    for seed in 0..50 {
+        assert_ne!(choose(&set, much_later, mix64(seed, 5)), Some(dark));
+    }
+    assert!(set.due_probes(NOW.plus(PROBE_MS - 1)).is_empty());
+    assert_eq!(set.due_probes(NOW.plus(PROBE_MS)).len(), 1);
+    assert!(set.due_probes(NOW.plus(PROBE_MS)).is_empty(), "not twice");
+    assert!(set.note_reachable(dark));
+    assert!(!set.note_reachable(dark));
+    assert!((0..50).any(|seed| choose(&set, much_later, mix64(seed, 5)) == Some(dark)));
+}
+
+/// Between two reports all processes see the same loads. If each took the
+/// least loaded replica, all would take the same.
+#[test]
+fn processes_with_the_same_stale_view_spread_their_requests() {
+    let set = set(9);
+    let mut chosen: HashMap<EndpointId, u32> = HashMap::new();
+    for seed in 0..70_u64 {
+        let choice = set.choose(NOW, "llm", &[], mix64(seed, 11), |endpoint| Outlook {
+            in_flight: if endpoint == EndpointId::of("i3") {
+                4
+            } else {
+                5
+            },
+            ..Outlook::default()
+        });
+        *chosen.entry(choice.expect("one").endpoint).or_default() += 1;
+    }
+    let most = chosen.values().max().copied().unwrap_or(0);
+    assert!(most <= 25, "{most} of 70 requests at one replica");
+    assert!(chosen.len() >= 7, "{} replicas used", chosen.len());
+}
+
+#[test]
+fn without_a_free_slot_the_least_loaded_takes_it() {
+    let set = set(3);
+    let choice = set.choose(NOW, "llm", &[], 5, |endpoint| Outlook {
+        in_flight: if endpoint == EndpointId::of("i2") {
+            9
+        } else {
+            12
+        },
+        ..Outlook::default()
+    });
+    assert_eq!(choice.map(|r| r.endpoint), Some(EndpointId::of("i2")));
+}
+
+#[test]
+fn a_kept_connection_is_preferred() {
+    let set = set(4);
+    let connected = EndpointId::of("i1");
+    let hits = (0..400_u64)
+        .filter(|seed| {
+            let choice = set.choose(NOW, "llm", &[], mix64(*seed, 17), |endpoint| Outlook {
+                is_connected: endpoint == connected,
+                ..Outlook::default()
+            });
+            choice.is_some_and(|replica| replica.endpoint == connected)
+        })
+        .count();
+    assert!((160..320).contains(&hits), "{hits} of 400");
+}
--- /dev/null
+++ b/cicadagate-policy/tests/reports.rs
@@ -0,0 +1,109 @@
+//! Load reports: pace, silence, and what is concluded from them.
+
+use {
+    cicadagate_policy::{
+        ids::{EndpointId, JobId, MemberId, Offset},
+        process::{
+            membership::{Info, Role},
+            reports::{InFlight, MIN_PERIOD_MS, REPORTS_PER_S, Report, ReportTable, period_ms},
+        },
+        time::Time,
+        version::job_index::ItemRef,
+    },
+    std::slice,
+};
+
+const NOW: Time = Time(10_000);
+const REPLICA: EndpointId = EndpointId::from_raw(9);
+
+fn report(member: u64, seq: u64, online: u32) -> Report {
+    Report {
+        member: MemberId::from_raw(member),
+        seq,
+        in_flight: vec![(REPLICA, InFlight { online, batch: 1 })],
+        items: vec![ItemRef {
+            job: JobId::from_raw(member),
+            index: 0,
+        }],
+        admitted: Vec::new(),
+        config_version: 1,
+        suspects: Vec::new(),
+        has_store: true,
+        is_leaving: false,
+    }
+}
+
+fn info(member: u64) -> Info {
+    let addr = "10.0.0.1:7660".parse().expect("an address");
+    Info {
+        id: MemberId::from_raw(member),
+        instance: format!("n{member}"),
+        data_centre: "a".to_owned(),
+        role: Role::Entry,
+        udp: addr,
+        tcp: addr,
+        started: 1,
+        version: Offset(1),
+        leaving: false,
+    }
+}
+
+#[test]
+fn a_process_receives_a_bounded_number_of_reports() {
+    for members in [1, 3, 12, 82, 410] {
+        let period = period_ms(members);
+        let received = members as u64 * 1_000 / period;
+        assert!(period >= MIN_PERIOD_MS);
+        assert!(received <= REPORTS_PER_S.max(120), "{members}: {received}");
+    }
+}
+
+#[test]
+fn an_old_report_changes_nothing() {
+    let mut table = ReportTable::default();
+    assert!(table.take(NOW, report(1, 2, 5)));
+    assert!(!table.take(NOW, report(1, 1, 9)));
+    assert_eq!(table.load(REPLICA).online, 5);
+    assert!(table.take(NOW, report(2, 1, 2)));
+    assert_eq!(
+        table.load(REPLICA),
+        InFlight {
+            online: 7,
+            batch: 2
+        }
+    );
+}
+
+#[test]
+fn a_silent_member_is_not_given_out_and_its_items_are_free() {
+    let mut table = ReportTable::default();
+    table.take(NOW, report(1, 1, 5));
+    assert!(table.is_working(NOW, &info(1)));
+    assert_eq!(table.running_elsewhere(NOW).len(), 1);
+    let silent = NOW.plus(table.silent_ms());
+    assert!(!table.is_working(silent, &info(1)));
+    assert!(table.running_elsewhere(silent).is_empty());
+    table.expire(silent.plus(table.silent_ms()), |_| true);
+    assert!(table.is_empty());
+    assert_eq!(table.load(REPLICA), InFlight::default());
+}
+
+#[test]
+fn a_leaving_member_takes_no_new_work_but_keeps_its_items() {
+    let mut table = ReportTable::default();
+    let mut leaving = report(1, 1, 5);
+    leaving.is_leaving = true;
+    let items = leaving.items.clone();
+    table.take(NOW, leaving);
+    assert!(!table.is_working(NOW, &info(1)));
+    let running = table.running_elsewhere(NOW);
+    assert!(slice::Iter::all(&mut items.iter(), |item| running.contains(item)));
+}
+
+#[test]
+fn a_dead_members_load_is_dropped() {
+    let mut table = ReportTable::default();
+    table.take(NOW, report(1, 1, 5));
+    table.expire(NOW, |_| false);
+    assert_eq!(table.len(), 0);
+}
--- /dev/null
+++ b/cicadagate-policy/tests/serving.rs
@@ -0,0 +1,135 @@
+//! Routes, keys and versions of a serving configuration.
+
+use cicadagate_policy::{
+    ids::CustomerId,
+    version::serving::{
+        CallerLimits, Current, Customer, Identity, Route, RouteKind, ServingConfig, Target,
+    },
+};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        targets: vec![Target {
+            service: "s".to_owned(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        priority: 0,
+        is_open: false,
+        is_resumable: false,
+        due_ms: 0,
+        give_up_ms: 0,
+    }
+}
+
+fn customer(name: &str, keys: &[&str]) -> Customer {
+    Customer {
+        id: CustomerId::of(name),
+        name: name.to_owned(),
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        priority: None,
+        rate_per_s: 10.0,
+        burst: 10.0,
+    }
+}
+
+fn config(version: u64, routes: Vec<Route>, customers: Vec<Customer>) -> ServingConfig {
+    ServingConfig::new(
+        version,
+        routes,
+        Vec::new(),
+        customers,
+        CallerLimits::default(),
+    )
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("root", "a.example", "/"),
+        route("deep", "a.example", "/x/y/"),
+        route("x", "a.example", "/x/"),
+        route("other", "b.example", "/x/y/z/"),
+    ];
+    let config = config(1, routes, Vec::new());
+    let cases = [
+        ("a.example", "/x/y/z", Some("deep")),
+        ("a.example", "/x/y", Some("x")),
+        ("a.example:8405", "/x/1", Some("x")),
+        ("a.example", "/", Some("root")),
+        ("b.example", "/x/y/", None),
+        ("c.example", "/x/", None),
+    ];
+    for (host, path, expected) in cases {
+        let found = config.route(host, path).map(|route| route.name.as_str());
+        assert_eq!(found, expected, "{host}{path}");
+    }
+}
+
+#[test]
+fn a_split_follows_its_weights_and_keeps_a_request_at_its_target() {
+    let mut split = route("split", "a.example", "/");
+    split.targets = vec![
+        Target {
+            service: "nine".to_owned(),
+            weight: 90,
+        },
+        Target {
+            service: "one".to_owned(),
+            weight: 10,
+        },
+    ];
+    let to_one = (0..1_000)
+        .filter(|n| {
+            split
+                .target(&format!("r{n}"))
+                .is_some_and(|t| t.service == "one")
+        })
+        .count();
+    assert!((60..140).contains(&to_one), "{to_one}");
+    assert_eq!(split.target("r1"), split.target("r1"));
+}
+
+#[test]
+fn a_key_names_its_customer_only_while_it_is_held() {
+    let config = config(1, Vec::new(), vec![customer("huka", &["k1", "k2"])]);
+    assert!(matches!(config.identify(Some("k2")), Identity::Customer(c) if c.name == "huka"));
+    assert!(matches!(config.identify(Some("k3")), Identity::Unknown));
+    assert!(matches!(config.identify(None), Identity::Unknown));
+    let without = self::config(2, Vec::new(), Vec::new());
+    assert!(matches!(without.identify(None), Identity::NotNeeded));
+}
+
+#[test]
+fn a_version_never_goes_back() {
+    let mut current = Current::default();
+    assert_eq!(current.version(), None);
+    assert!(current.take(config(7, Vec::new(), Vec::new())));
+    assert!(!current.take(config(7, Vec::new(), Vec::new())));
+    assert!(!current.take(config(3, Vec::new(), Vec::new())));
+    assert_eq!(current.version(), Some(7));
+    assert!(current.take(config(12, Vec::new(), Vec::new())));
+    assert_eq!(current.version(), Some(12));
+}
+
+#[test]
+fn only_what_may_run_twice_is_repeatable() {
+    let cases = [
+        (RouteKind::Idempotent, false, true),
+        (RouteKind::NonIdempotent, true, false),
+        (RouteKind::Streaming, false, false),
+        (RouteKind::Streaming, true, true),
+    ];
+    for (kind, is_resumable, expected) in cases {
+        let mut route = route("r", "h", "/");
+        route.kind = kind;
+        route.is_resumable = is_resumable;
+        assert_eq!(route.is_repeatable(), expected, "{kind:?} {is_resumable}");
+    }
+}
--- a/cicadagate-standin/src/lib.rs
+++ b/cicadagate-standin/src/lib.rs
@@ -13,7 +13,10 @@
 
 use {
     actix_rt::net::TcpListener,
-    cicadagate_node::{connection::http::{Timeouts, serve}, metrics::Metrics},
+    cicadagate_node::{
+        connection::http::{Timeouts, serve},
+        metrics::Metrics,
+    },
     serde_json::json,
     std::{convert::Infallible, future::Future, io, net::SocketAddr, rc::Rc},
 };
@@ -35,6 +38,13 @@
     let listener = TcpListener::bind(addr).await?;
     let bound = json!({"bound": {"standin": name, "listen": listener.local_addr()?}});
     println!("{bound}");
-    serve(listener, MAX_CONNECTIONS, Timeouts::default(), Rc::new(Metrics::new()), handler).await;
+    serve(
+        listener,
+        MAX_CONNECTIONS,
+        Timeouts::default(),
+        Rc::new(Metrics::new()),
+        handler,
+    )
+    .await;
     Ok(())
 }
--- a/cicadagate-wire/tests/frames.rs
+++ b/cicadagate-wire/tests/frames.rs
@@ -172,7 +172,9 @@
 #[test]
 fn any_bytes_are_no_datagram() {
     fn property(bytes: Vec<u8>, _: usize) -> bool {
-        let refused = DatagramCodec::new(&key("ab")).decode::<Message>(&bytes).is_err();
+        let refused = DatagramCodec::new(&key("ab"))
+            .decode::<Message>(&bytes)
+            .is_err();
         drop(bytes);
         refused
     }
@@ -196,5 +198,9 @@
         Err(SealError::WrongMac)
     );
     let truncated = &datagram[..datagram.len() - 1];
-    assert!(DatagramCodec::new(&key("ab")).decode::<Message>(truncated).is_err());
+    assert!(
+        DatagramCodec::new(&key("ab"))
+            .decode::<Message>(truncated)
+            .is_err()
+    );
 }
