--- a/cicadagate-node/tests/docs.rs
+++ b/cicadagate-node/tests/docs.rs
@@ -21,7 +21,8 @@
 #[test]
 fn events_page_lists_every_event() {
     let mut page = String::from(
-        "# Log events\n\nEach process writes one JSON object a line to standard error. The field\n\
+        "# Log events\n\nEach process writes one JSON object a line to standard error, and to standard\n\
+         output on the users' platform. The field\n\
          `event` is the number below; numbers are never used again for anything else.\n\n\
          | event | name | level | meaning |\n| --- | --- | --- | --- |\n",
     );
