--- a/cicadagate-gateway/src/process/config.rs
+++ b/cicadagate-gateway/src/process/config.rs
@@ -58,7 +58,7 @@
 }
 
 async fn read_next(gateway: &Rc<Gateway>, topic: &str, from: u64) -> Result<u64, StoreError> {
-    let wait = gateway.settings.bounds.config_in_force / WAIT_SHARE;
+    let wait = gateway.bounds().config_in_force / WAIT_SHARE;
     let read = gateway.store.read(topic, 0, from, MAX_READ_BYTES, wait);
     let page = tokio::select! {
         page = read => page?,
--- a/cicadagate-gateway/src/process/contents.rs
+++ b/cicadagate-gateway/src/process/contents.rs
@@ -68,7 +68,7 @@
 /// have been written all the same; without a record that names them, nobody
 /// reads them.
 pub async fn write(gateway: &Rc<Gateway>, part: u32, contents: &[Bytes]) -> Result<Vec<Place>> {
-    let bounds = &gateway.settings.bounds;
+    let bounds = gateway.bounds();
     let part = part % bounds.parts;
     let cut: Vec<Vec<Bytes>> = contents
         .iter()
--- a/cicadagate-gateway/src/process/directory.rs
+++ b/cicadagate-gateway/src/process/directory.rs
@@ -36,7 +36,7 @@
     if addresses.is_empty() {
         return respond(503, "text/plain", "");
     }
-    let ttl = ADDRESS_TTL.min(gateway.settings.bounds.max_address_ttl);
+    let ttl = ADDRESS_TTL.min(gateway.bounds().max_address_ttl);
     respond(
         200,
         "application/json",
--- a/cicadagate-gateway/src/process/jobs.rs
+++ b/cicadagate-gateway/src/process/jobs.rs
@@ -83,7 +83,7 @@
 }
 
 fn forget(gateway: &Rc<Gateway>) {
-    let keep_ms = gateway.settings.bounds.keep_results.as_millis();
+    let keep_ms = gateway.bounds().keep_results.as_millis();
     // A job is kept twice as long as it must be readable.
     let keep_ms = u64::try_from(keep_ms).unwrap_or(u64::MAX).saturating_mul(2);
     let before = epoch_ms().saturating_sub(keep_ms);
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -31,12 +31,12 @@
         connection::{ExchangeError, Pool},
         platform::{Codec, Store},
         request,
-        settings::Settings,
+        settings::{Bounds, Settings},
     },
     actix_rt::net::{TcpListener, UdpSocket},
     cicadagate_node::{
         clock::{Clock, epoch_ms},
-        connection::http::{Timeouts, serve},
+        connection::http::{Timeouts, serve_with},
         event,
         metrics::Metrics,
         trace::random_bytes,
@@ -122,6 +122,7 @@
     pub cache: contents::SharedCache,
     /// Items of jobs that run here.
     pub work: work::Work,
+    bounds: Cell<Bounds>,
     outbox: OnceCell<peers::Outbox>,
     newer_config: Notify,
     clock: Clock,
@@ -173,6 +174,7 @@
             jobs: jobs::Jobs::default(),
             cache: contents::SharedCache::default(),
             work: work::Work::default(),
+            bounds: Cell::new(settings.bounds),
             outbox: OnceCell::new(),
             newer_config: Notify::new(),
             clock: Clock::start(),
@@ -185,6 +187,23 @@
         })
     }
 
+    /// Returns the bounds that the platform sets now.
+    #[must_use]
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.get()
+    }
+
+    /// Takes settings that have changed. Bounds count at once; where the process
+    /// listens and who it is stays until its next start.
+    pub fn reload(&self, settings: &Settings) {
+        let before = self.bounds.replace(settings.bounds);
+        let needs_restart = settings.addresses != self.settings.addresses
+            || settings.instance != self.settings.instance;
+        if before != settings.bounds || needs_restart {
+            event!(SETTINGS_CHANGED, bounds:? = settings.bounds, needs_restart);
+        }
+    }
+
     /// Returns the present time.
     #[must_use]
     pub fn now(&self) -> Time {
@@ -323,9 +342,19 @@
         }
     }
 
+    /// Bounds on callers' connections, as the configuration sets them.
+    fn timeouts(&self) -> Timeouts {
+        self.current().map_or_else(Timeouts::default, |config| {
+            let limits = config.limits();
+            Timeouts {
+                head: Duration::from_millis(limits.head_timeout_ms),
+                idle: Duration::from_millis(limits.idle_timeout_ms),
+            }
+        })
+    }
+
     fn max_connections(&self) -> usize {
-        self.settings
-            .bounds
+        self.bounds()
             .descriptors
             .saturating_sub(RESERVED_DESCRIPTORS)
             .max(RESERVED_DESCRIPTORS / 10)
@@ -423,10 +452,11 @@
         let answer = handler(Rc::clone(&cx), req);
         async move { Ok(answer.await) }
     };
-    actix_rt::spawn(serve(
+    let cx = Rc::clone(gateway);
+    actix_rt::spawn(serve_with(
         listener,
         gateway.max_connections(),
-        Timeouts::default(),
+        move || cx.timeouts(),
         Rc::clone(&gateway.metrics),
         handler,
     ));
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -47,7 +47,7 @@
             Ok(offset) => {
                 next = Some(offset);
                 gateway.has_replicas.set(true);
-                sleep(gateway.settings.bounds.drain / READ_SHARE).await;
+                sleep(gateway.bounds().drain / READ_SHARE).await;
             }
             Err(StoreError::Expired { .. }) => next = None,
             Err(_) => sleep(RETRY_DELAY).await,
--- a/cicadagate-gateway/src/process/stop.rs
+++ b/cicadagate-gateway/src/process/stop.rs
@@ -28,7 +28,7 @@
     #[must_use]
     pub fn is_closing(&self) -> bool {
         self.stopping_for()
-            .is_some_and(|since| since >= self.settings.bounds.grace.saturating_sub(REFUSE_BEFORE))
+            .is_some_and(|since| since >= self.bounds().grace.saturating_sub(REFUSE_BEFORE))
     }
 
     /// Returns the time since the stop signal.
@@ -54,7 +54,7 @@
     gateway.work.hand_over(gateway).await;
     loop {
         let since = gateway.stopping_for().unwrap_or_default();
-        let grace = gateway.settings.bounds.grace;
+        let grace = gateway.bounds().grace;
         let is_idle = gateway.open_requests.get() == 0;
         let may_end = since >= grace.saturating_sub(REFUSE_BEFORE) && is_idle;
         if may_end || since >= grace.saturating_sub(END_BEFORE) {
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -128,7 +128,10 @@
         gateway.limiter.borrow().burst_left(customer.id)
     });
     let spread = gateway.roll();
-    admit(pressure, route.objective_ms, burst_left, spread).map_err(|over| {
+    let rank = gateway
+        .current()
+        .map_or(0, |config| config.rank(route, customer));
+    admit(pressure, route.objective_ms, rank, burst_left, spread).map_err(|over| {
         event!(
             OVERLOADED,
             request = id,
--- a/cicadagate-node/src/connection/http.rs
+++ b/cicadagate-node/src/connection/http.rs
@@ -52,17 +52,43 @@
     Fut: Future<Output = Result<Response<B>, Infallible>> + 'static,
     B: MessageBody + 'static,
 {
-    let factory = HttpService::build()
-        .client_request_timeout(timeouts.head)
-        .keep_alive(timeouts.idle)
-        .h1_allow_half_closed(false)
-        .tcp_nodelay(true)
-        .finish(fn_service(handler))
-        .tcp();
-    let Ok(service) = factory.new_service(()).await else {
+    serve_with(
+        listener,
+        max_connections,
+        move || timeouts,
+        metrics,
+        handler,
+    )
+    .await;
+}
+
+/// Serves HTTP like [`serve`], with bounds that may change: each connection
+/// keeps those that were in force when it was accepted.
+pub async fn serve_with<F, Fut, B>(
+    listener: TcpListener,
+    max_connections: usize,
+    timeouts: impl Fn() -> Timeouts,
+    metrics: Rc<Metrics>,
+    handler: F,
+) where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Result<Response<B>, Infallible>> + 'static,
+    B: MessageBody + 'static,
+{
+    let build = |timeouts: Timeouts| {
+        let factory = HttpService::build()
+            .client_request_timeout(timeouts.head)
+            .keep_alive(timeouts.idle)
+            .h1_allow_half_closed(false)
+            .tcp_nodelay(true)
+            .finish(fn_service(handler.clone()))
+            .tcp();
+        async move { factory.new_service(()).await.map(Rc::new) }
+    };
+    let mut in_force = timeouts();
+    let Ok(mut service) = build(in_force).await else {
         return;
     };
-    let service = Rc::new(service);
     let open = Rc::new(Cell::new(0_usize));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -77,6 +103,12 @@
             event!(CONNECTION_REFUSED, open = open.get());
             continue;
         }
+        if timeouts() != in_force {
+            in_force = timeouts();
+            if let Ok(rebuilt) = build(in_force).await {
+                service = rebuilt;
+            }
+        }
         open.set(open.get() + 1);
         actix_rt::spawn(serve_connection(
             Rc::clone(&service),
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -44,6 +44,8 @@
     STOPPED = 103, Info, "The process has ended what ran and exits.";
     JOINED = 105, Info, "The process knows the others and is given out.";
     BIND_FAILED = 104, Error, "An address can't be bound; the process exits.";
+    SETTINGS_CHANGED = 106, Info, "The settings have changed; bounds are in force at once.";
+    SETTINGS_REFUSED = 107, Error, "Changed settings can't be used; those before stay in force.";
     LOG_UNREACHABLE = 200, Warn, "A stream of the platform's log can't be read; see OPERATING.md, 'An outage of the log'.";
     LOG_REACHABLE = 201, Info, "A stream of the platform's log can be read again.";
     LOG_GAP = 202, Warn, "Records have expired before a snapshot covered them; waiting for a snapshot.";
--- a/cicadagate-policy/src/request/overload.rs
+++ b/cicadagate-policy/src/request/overload.rs
@@ -16,8 +16,9 @@
 [`WAIT_SHARE`] of its objective is refused at once and told when the queue will
 have drained. Returns are spread, so that they do not form the next peak.
 
-Customers that have used up most of their burst are refused first: the wait
-that they may cause shrinks with what is left of it.
+The less urgent a request is, the shorter it may wait, so that in a queue that
+grows it is refused first. The same goes for customers that have used up most
+of their burst: the wait that they may cause shrinks with what is left of it.
 
 # Cost
 
@@ -35,6 +36,9 @@
 /// Share of the burst that must be left for the full wait, in percent.
 pub const CALM_SHARE: u64 = 50;
 
+/// Rank from which less urgent requests are treated alike.
+pub const MAX_RANK: u32 = 3;
+
 /// Load of a service as a process knows it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Pressure {
@@ -66,7 +70,7 @@
 
 /// Decides whether a request may be sent.
 ///
-/// `burst_left` is what is left of the customer's burst, in percent. `spread`
+/// `rank` is its priority, 0 the most urgent. `burst_left` is what is left of the customer's burst, in percent. `spread`
 /// is a random number.
 ///
 /// # Errors
@@ -75,11 +79,12 @@
 pub fn admit(
     pressure: Pressure,
     objective_ms: u64,
+    rank: u32,
     burst_left: u64,
     spread: u64,
 ) -> Result<(), Overloaded> {
     let wait_ms = pressure.wait_ms();
-    let full_ms = objective_ms * WAIT_SHARE / 100;
+    let full_ms = objective_ms * WAIT_SHARE / 100 / u64::from(rank.min(MAX_RANK) + 1);
     let allowed_ms = full_ms * burst_left.min(CALM_SHARE) / CALM_SHARE;
     if wait_ms <= allowed_ms {
         return Ok(());
--- a/cicadagate-policy/src/version/serving.rs
+++ b/cicadagate-policy/src/version/serving.rs
@@ -249,6 +249,31 @@
             .find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Returns how much less urgent a request is than the most urgent that its
+    /// services may get; 0 is the most urgent.
+    #[must_use]
+    pub fn rank(&self, route: &Route, customer: Option<&Customer>) -> u32 {
+        let own = customer.and_then(|customer| customer.priority);
+        let rivals = self.routes.iter().filter(|rival| {
+            let shares =
+                |target: &Target| route.targets.iter().any(|t| t.service == target.service);
+            rival.kind != RouteKind::Batch && rival.targets.iter().any(shares)
+        });
+        // A customer's priority goes before the route's.
+        let by_route = rivals.map(|rival| rival.priority).min();
+        let by_customer = self.customers.iter().filter_map(|c| c.priority).min();
+        let has_all = self
+            .customers
+            .iter()
+            .all(|customer| customer.priority.is_some());
+        let least = match (by_customer, by_route) {
+            (Some(customer), Some(route)) if !has_all => customer.min(route),
+            (Some(customer), _) => customer,
+            (None, route) => route.unwrap_or(0),
+        };
+        own.unwrap_or(route.priority).saturating_sub(least)
+    }
+
     /// Finds a route by its name.
     #[must_use]
     pub fn route_named(&self, name: &str) -> Option<&Rc<Route>> {
--- a/cicadagate-policy/tests/overload.rs
+++ b/cicadagate-policy/tests/overload.rs
@@ -15,7 +15,7 @@
 #[test]
 fn nobody_is_refused_while_there_are_slots() {
     for online in 0..72 {
-        assert!(admit(pressure(online), OBJECTIVE_MS, 0, 9).is_ok());
+        assert!(admit(pressure(online), OBJECTIVE_MS, 0, 0, 9).is_ok());
     }
 }
 
@@ -23,7 +23,7 @@
 fn a_burst_beyond_the_slots_is_refused_before_it_is_late() {
     // A request at the end of the queue waits for online - slots holds.
     let first_refused = (72..300)
-        .find(|online| admit(pressure(*online), OBJECTIVE_MS, 100, 9).is_err())
+        .find(|online| admit(pressure(*online), OBJECTIVE_MS, 0, 100, 9).is_err())
         .expect("a long queue is refused");
     let wait = pressure(first_refused).wait_ms();
     assert!(wait < OBJECTIVE_MS, "waits {wait} ms already");
@@ -33,15 +33,24 @@
 #[test]
 fn a_customer_that_used_up_its_burst_is_refused_first() {
     let load = pressure(85);
-    assert!(admit(load, OBJECTIVE_MS, 100, 9).is_ok());
-    assert!(admit(load, OBJECTIVE_MS, 5, 9).is_err());
+    assert!(admit(load, OBJECTIVE_MS, 0, 100, 9).is_ok());
+    assert!(admit(load, OBJECTIVE_MS, 0, 5, 9).is_err());
+}
+
+#[test]
+fn the_less_urgent_is_refused_first() {
+    let refused_from = |rank| {
+        (72..300).find(|online| admit(pressure(*online), OBJECTIVE_MS, rank, 100, 9).is_err())
+    };
+    assert!(refused_from(2) < refused_from(1));
+    assert!(refused_from(1) < refused_from(0));
 }
 
 #[test]
 fn refused_callers_come_back_spread_and_in_time() {
     let told: Vec<u64> = (0..50)
         .map(|spread| {
-            let refused = admit(pressure(110), OBJECTIVE_MS, 100, spread * 97);
+            let refused = admit(pressure(110), OBJECTIVE_MS, 0, 100, spread * 97);
             refused.expect_err("overloaded").retry_after_ms
         })
         .collect();
@@ -61,7 +70,7 @@
         slots: 8,
         hold_ms: HoldTime::default().ms(),
     };
-    assert!(admit(unknown, OBJECTIVE_MS, 100, 1).is_ok());
+    assert!(admit(unknown, OBJECTIVE_MS, 0, 100, 1).is_ok());
 }
 
 #[test]
--- a/cicadagate-policy/tests/serving.rs
+++ b/cicadagate-policy/tests/serving.rs
@@ -133,3 +133,23 @@
         assert_eq!(route.is_repeatable(), expected, "{kind:?} {is_resumable}");
     }
 }
+
+#[test]
+fn a_rank_compares_with_the_most_urgent_request_of_the_same_service() {
+    let mut urgent = route("urgent", "h", "/u/");
+    urgent.priority = 1;
+    let mut patient = route("patient", "h", "/p/");
+    patient.priority = 3;
+    let mut alone = route("alone", "h", "/a/");
+    alone.priority = 2;
+    alone.targets[0].service = "other".to_owned();
+    let routes = vec![urgent.clone(), patient.clone(), alone.clone()];
+    let config = self::config(1, routes.clone(), Vec::new());
+    let ranks = [&urgent, &patient, &alone].map(|route| config.rank(route, None));
+    assert_eq!(ranks, [0, 2, 0]);
+    let (mut first, mut second) = (customer("a", &["k1"]), customer("b", &["k2"]));
+    (first.priority, second.priority) = (Some(1), Some(2));
+    let config = self::config(2, routes, vec![first.clone(), second.clone()]);
+    assert_eq!(config.rank(&patient, Some(&first)), 0);
+    assert_eq!(config.rank(&urgent, Some(&second)), 1);
+}
