--- a/cicadagate-gateway/src/process/stop.rs
+++ b/cicadagate-gateway/src/process/stop.rs
@@ -9,7 +9,7 @@
 
 use {
     super::Gateway,
-    actix_rt::time::sleep,
+    actix_rt::time::{sleep, timeout},
     cicadagate_node::event,
     cicadagate_policy::{ids::Offset, time::Time},
     std::{rc::Rc, time::Duration},
@@ -19,7 +19,9 @@
 /// Time before the kill at which new requests are refused.
 const REFUSE_BEFORE: Duration = Duration::from_millis(1_500);
 /// Time before the kill at which the process ends by itself.
-const END_BEFORE: Duration = Duration::from_millis(250);
+const END_BEFORE: Duration = Duration::from_millis(500);
+/// Time to tell others and the store of the end.
+const LEAVE_FOR: Duration = Duration::from_millis(200);
 /// How often it is looked whether the process may end.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
@@ -62,7 +64,15 @@
         }
         sleep(LOOK_EVERY).await;
     }
-    super::peers::leave(gateway).await;
+    if timeout(LEAVE_FOR, super::peers::leave(gateway))
+        .await
+        .is_err()
+    {
+        event!(
+            APPEND_FAILED,
+            reason = "no time left to leave the store's list"
+        );
+    }
     event!(STOPPED, running = gateway.open_requests.get());
 }
 
--- a/cicadagate-policy/src/process/batch_share.rs
+++ b/cicadagate-policy/src/process/batch_share.rs
@@ -41,9 +41,9 @@
 /// Share of the slots that online and batch work may fill together while jobs
 /// have time, in percent. The rest takes the first requests of a peak, until
 /// batch work has given way.
-pub const CALM_FILL: u32 = 82;
+pub const CALM_FILL: u32 = 95;
 /// The same when an item is due soon.
-pub const PRESSED_FILL: u32 = 93;
+pub const PRESSED_FILL: u32 = 100;
 /// Time before the first due item at which the fill begins to rise, in
 /// milliseconds: about twice what an item runs.
 pub const PRESSED_MS: u64 = 9_000;
