Explain an id from collected log files

Cause: an engineer has only logs; nothing put the lines about one id, and what was believed around it, together.

--- a/cicadactl/src/flags.rs
+++ b/cicadactl/src/flags.rs
@@ -107,11 +107,14 @@
             /// Only show the difference.
             optional --dry-run
         }
-        /// Tell what nodes recorded of a request or trace.
+        /// Tell what nodes recorded of a request, trace or item, by their
+        /// operations addresses or by their log files.
         cmd explain {
             required id: String
             /// Operations address of a process; as many as wanted.
             repeated --operations addr: String
+            /// Log file of a process; as many as wanted.
+            repeated --log file: PathBuf
         }
     }
 }
--- a/cicadactl/src/main.rs
+++ b/cicadactl/src/main.rs
@@ -11,6 +11,7 @@
 mod error;
 mod flags;
 mod show;
+mod story;
 
 use {
     client::Client,
@@ -20,6 +21,12 @@
 };
 
 async fn run(flags: Cicadactl) -> Result<()> {
+    // Log files are read without any process.
+    if let CicadactlCmd::Explain(cmd) = &flags.subcommand
+        && !cmd.log.is_empty()
+    {
+        return story::tell(&cmd.id, &cmd.log, flags.json);
+    }
     let mut client = Client::connect(flags.operator.as_deref()).await?;
     let json = flags.json;
     match flags.subcommand {
--- /dev/null
+++ b/cicadactl/src/story.rs
@@ -0,0 +1,314 @@
+/*!
+What collected log files say of one id.
+
+# Problem
+
+A user complains about a request or an item; an engineer has only the log
+files of some instances, each a few hundred lines a second.
+
+# Choice
+
+The lines that name the id are put in the order of their time. The replicas
+and instances that they name lead to the lines about what was believed of them
+shortly before: a replica avoided or removed, the store lost, a configuration
+put in force, a restart. From the lines about the id alone, the cause is told
+in a sentence, with the figures that decided it.
+
+Clocks of instances differ, so lines of different instances may be off by that
+much.
+*/
+
+use {
+    crate::error::{CtlError, Result},
+    serde_json::{Map, Value, json},
+    std::{collections::BTreeSet, fs, path::PathBuf},
+};
+
+/// Time around the id's lines in which changes of belief are shown, in
+/// milliseconds: the longest that a process takes to notice a fault.
+const CONTEXT_MS: u64 = 3_000;
+/// Events about what a process believes.
+const BELIEFS: [&str; 16] = [
+    "STARTED",
+    "STOPPING",
+    "STOPPED",
+    "SETTINGS_CHANGED",
+    "CONFIG_IN_FORCE",
+    "STORE_LOST",
+    "STORE_BACK",
+    "MEMBER_CHANGED",
+    "REPLICA_ADDED",
+    "REPLICA_DRAINING",
+    "REPLICA_LAPSED",
+    "REPLICA_REMOVED",
+    "REPLICA_UNREACHABLE",
+    "REPLICA_REACHED",
+    "APPEND_FAILED",
+    "LOG_LINES_DROPPED",
+];
+
+/// A line of a log.
+#[derive(Clone, Debug)]
+struct Line {
+    at_ms: u64,
+    instance: String,
+    name: String,
+    fields: Map<String, Value>,
+}
+
+impl Line {
+    /// Reads a line; text before the JSON names the instance.
+    fn parse(text: &str, file: &str) -> Option<Self> {
+        let (before, record) = text.split_at(text.find('{')?);
+        let record: Value = serde_json::from_str(record).ok()?;
+        let instance = before.split_whitespace().last().unwrap_or(file);
+        Some(Self {
+            at_ms: record["timestamp"].as_u64()?,
+            instance: instance.to_owned(),
+            name: record["payload"].as_str()?.to_owned(),
+            fields: record["kv"].as_object()?.clone(),
+        })
+    }
+
+    fn names(&self, id: &str) -> bool {
+        let is_id = |value: &Value| value.as_str() == Some(id);
+        self.fields.values().any(is_id)
+    }
+
+    fn text(&self, field: &str) -> &str {
+        let value = self.fields.get(field).and_then(Value::as_str);
+        value.unwrap_or_default()
+    }
+
+    fn number(&self, field: &str) -> i64 {
+        let value = self.fields.get(field);
+        value
+            .and_then(|value| value.as_i64().or_else(|| value.as_str()?.parse().ok()))
+            .unwrap_or_default()
+    }
+
+    fn is_belief_about(&self, instances: &BTreeSet<String>, replicas: &BTreeSet<String>) -> bool {
+        if !BELIEFS.contains(&self.name.as_str()) || !instances.contains(&self.instance) {
+            return false;
+        }
+        let replica = self.text("replica");
+        replica.is_empty() || replicas.contains(replica)
+    }
+
+    fn render(&self, start_ms: u64) -> String {
+        let fields: Vec<String> = self
+            .fields
+            .iter()
+            .filter(|(name, _)| *name != "event")
+            .map(|(name, value)| match value {
+                Value::String(text) => format!("{name}={text}"),
+                other => format!("{name}={other}"),
+            })
+            .collect();
+        let after = i128::from(self.at_ms) - i128::from(start_ms);
+        let (instance, name) = (&self.instance, &self.name);
+        format!("{after:>7} ms  {instance}  {name}  {}", fields.join(" "))
+    }
+}
+
+/// All that the logs say of an id.
+#[derive(Debug)]
+struct Story {
+    start_ms: u64,
+    lines: Vec<Line>,
+    context: Vec<Line>,
+    cause: String,
+}
+
+fn find(all: &[Line], id: &str) -> Option<Story> {
+    // Lines about an item name it by its id or by its place in its job.
+    let places: BTreeSet<&str> = all
+        .iter()
+        .filter(|line| line.names(id))
+        .map(|line| line.text("item"))
+        .filter(|place| !place.is_empty())
+        .collect();
+    let is_about = |line: &&Line| line.names(id) || places.contains(line.text("item"));
+    let lines: Vec<Line> = all.iter().filter(is_about).cloned().collect();
+    let (first, last) = (lines.first()?, lines.last()?);
+    let (start_ms, end_ms) = (first.at_ms, last.at_ms);
+    let instances = lines.iter().map(|line| line.instance.clone()).collect();
+    let replicas = lines
+        .iter()
+        .map(|line| line.text("replica").to_owned())
+        .filter(|replica| !replica.is_empty())
+        .collect();
+    let around = start_ms.saturating_sub(CONTEXT_MS)..=end_ms + CONTEXT_MS;
+    let context: Vec<Line> = all
+        .iter()
+        .filter(|line| around.contains(&line.at_ms))
+        .filter(|line| line.is_belief_about(&instances, &replicas))
+        .cloned()
+        .collect();
+    let cause = cause(&lines, &context);
+    Some(Story {
+        start_ms,
+        lines,
+        context,
+        cause,
+    })
+}
+
+/// Tells the cause of what became of an id, from the lines about it.
+fn cause(lines: &[Line], context: &[Line]) -> String {
+    let last_of = |name: &str| lines.iter().rev().find(|line| line.name == name);
+    if let Some(line) = last_of("REQUEST_REFUSED") {
+        return refusal(line, lines, context);
+    }
+    if let Some(line) = last_of("REQUEST_BROKEN") {
+        return broken(line, last_of("ATTEMPT_FAILED"));
+    }
+    if let Some(line) = last_of("CALLER_LEFT") {
+        let (took, sent) = (line.number("took_ms"), line.number("sent_bytes"));
+        return format!("the caller left after {took} ms with {sent} bytes of the answer");
+    }
+    if let Some(line) = last_of("REQUEST_DONE") {
+        return done(line, lines);
+    }
+    if let Some(line) = last_of("ITEM_ABANDONED") {
+        return format!("the item was given up: {}", line.text("reason"));
+    }
+    if let Some(line) = last_of("ITEM_DONE") {
+        let starts = count(lines, "ITEM_STARTED");
+        let pauses = count(lines, "ITEM_PAUSED");
+        let events = line.number("events");
+        return format!("the item is done: {events} events, {starts} runs, {pauses} pauses");
+    }
+    if let Some(line) = last_of("JOB_REFUSED") {
+        return format!("the job was refused: {}", line.text("reason"));
+    }
+    if let Some(line) = last_of("REQUEST_SENT").or(last_of("ITEM_STARTED")) {
+        let (instance, replica) = (&line.instance, line.text("replica"));
+        let restarted = context
+            .iter()
+            .any(|other| other.name == "STARTED" && other.at_ms > line.at_ms);
+        let why = if restarted {
+            "was restarted"
+        } else {
+            "ended, was frozen, or the caller left before an answer"
+        };
+        return format!("no end is logged: {instance} {why} while {replica} worked on it");
+    }
+    "the lines below are all that is known".to_owned()
+}
+
+fn count(lines: &[Line], name: &str) -> usize {
+    lines.iter().filter(|line| line.name == name).count()
+}
+
+fn refusal(line: &Line, lines: &[Line], context: &[Line]) -> String {
+    let find = |name: &str| lines.iter().find(|line| line.name == name);
+    let code = line.text("code");
+    let version = line.number("config_version");
+    match (code, find("OVER_LIMIT"), find("OVERLOADED")) {
+        ("over_limit", Some(over), _) => format!(
+            "customer {} is over its limit of {} a second and {} at once (tokens left: {})",
+            over.text("customer"),
+            over.fields["rate_per_s"],
+            over.fields["burst"],
+            over.fields["tokens"],
+        ),
+        ("overloaded", _, Some(over)) => format!(
+            "{} online requests for {} slots of {}: it would have waited {} ms",
+            over.number("online"),
+            over.number("slots"),
+            over.text("service"),
+            over.number("wait_ms"),
+        ),
+        ("not_configured", ..) => {
+            let is_lost = context.iter().any(|line| line.name == "STORE_LOST");
+            let why = if is_lost {
+                "and the store is away"
+            } else {
+                "yet"
+            };
+            format!("{} had read no configuration {why}", line.instance)
+        }
+        ("unknown_key" | "no_route", ..) => {
+            format!("configuration {version} has no such key or route ({code})")
+        }
+        ("no_replica", ..) => {
+            let refused = count(lines, "ATTEMPT_FAILED");
+            format!("no replica took it; {refused} refused or were not reached")
+        }
+        ("store_away", ..) => "the store did not answer a call about jobs".to_owned(),
+        _ => format!("refused: {code}"),
+    }
+}
+
+fn broken(line: &Line, attempt: Option<&Line>) -> String {
+    let (code, reason) = (line.text("code"), line.text("reason"));
+    let took = line.number("took_ms");
+    let why = if reason.is_empty() { code } else { reason };
+    match attempt {
+        Some(attempt) => format!(
+            "replica {} failed after {} ms: {}; no further attempt was allowed ({why}, {took} ms)",
+            attempt.text("replica"),
+            attempt.number("after_ms"),
+            attempt.text("reason"),
+        ),
+        None => format!("{why} after {took} ms"),
+    }
+}
+
+fn done(line: &Line, lines: &[Line]) -> String {
+    let attempts = line.number("attempts");
+    let (took, first) = (line.number("took_ms"), line.number("first_ms"));
+    let slot = lines
+        .iter()
+        .rev()
+        .find(|line| line.name == "REQUEST_SENT")
+        .map_or("", |sent| sent.text("slot"));
+    format!(
+        "answered whole in {took} ms, first piece after {first} ms, attempts {attempts}, slot {slot}"
+    )
+}
+
+/// Tells the story of an id from log files.
+///
+/// # Errors
+///
+/// Returns an error if a file can't be read or no line names the id.
+pub(crate) fn tell(id: &str, files: &[PathBuf], as_json: bool) -> Result<()> {
+    let mut all = Vec::new();
+    for path in files {
+        let text = fs::read_to_string(path).map_err(|err| CtlError::Usage {
+            reason: format!("{}: {err}", path.display()),
+        })?;
+        let name = path.file_stem().unwrap_or_default().to_string_lossy();
+        all.extend(text.lines().filter_map(|line| Line::parse(line, &name)));
+    }
+    all.sort_by_key(|line| line.at_ms);
+    let story = find(&all, id).ok_or_else(|| CtlError::Usage {
+        reason: format!("no line of the logs names {id}"),
+    })?;
+    if as_json {
+        let rows = |lines: &[Line]| -> Vec<String> {
+            lines
+                .iter()
+                .map(|line| line.render(story.start_ms))
+                .collect()
+        };
+        let told = json!({
+            "id": id, "cause": story.cause, "lines": rows(&story.lines),
+            "context": rows(&story.context),
+        });
+        println!("{told}");
+        return Ok(());
+    }
+    println!("{id}: {}", story.cause);
+    println!("\nabout it:");
+    for line in &story.lines {
+        println!("{}", line.render(story.start_ms));
+    }
+    println!("\nbelieved around that time:");
+    for line in &story.context {
+        println!("{}", line.render(story.start_ms));
+    }
+    Ok(())
+}
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -418,8 +418,41 @@
     }
 }
 
+/// Notes a caller that leaves before its answer has begun.
+struct Departure {
+    gateway: Rc<Gateway>,
+    id: String,
+    arrival: Time,
+    is_answered: bool,
+}
+
+impl Drop for Departure {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            event!(
+                CALLER_LEFT,
+                request = self.id.as_str(),
+                sent_bytes = 0,
+                took_ms = self.gateway.now().since(self.arrival)
+            );
+        }
+    }
+}
+
 /// Serves a request from its first attempt to the end of its answer.
-pub(super) async fn serve(gateway: &Rc<Gateway>, mut call: Call, guard: RequestGuard) -> Response {
+pub(super) async fn serve(gateway: &Rc<Gateway>, call: Call, guard: RequestGuard) -> Response {
+    let mut departure = Departure {
+        gateway: Rc::clone(gateway),
+        id: call.id.clone(),
+        arrival: call.arrival,
+        is_answered: false,
+    };
+    let res = answer(gateway, call, guard).await;
+    departure.is_answered = true;
+    res
+}
+
+async fn answer(gateway: &Rc<Gateway>, mut call: Call, guard: RequestGuard) -> Response {
     gateway.retry_budget.borrow_mut().note_request();
     loop {
         let (answer, target) = match call.send(gateway).await {
@@ -441,7 +474,12 @@
         }
         match hold(gateway, &call, answer.body).await {
             Held::Whole(body) => {
-                relay::note_done(gateway, &call, &target, head.status().as_u16(), body.len());
+                let done = relay::Done {
+                    status: head.status().as_u16(),
+                    bytes: body.len(),
+                    first_ms: gateway.now().since(call.arrival),
+                };
+                relay::note_done(gateway, &call, &target, done);
                 return head.set_body(body.boxed());
             }
             Held::TooLong(start, body) => {
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -55,6 +55,7 @@
     /// Why the run can't be used any further.
     broken: Option<&'static str>,
     sent_bytes: usize,
+    first_ms: u64,
     is_ended: bool,
     _guard: RequestGuard,
 }
@@ -80,6 +81,7 @@
             events,
             broken: None,
             sent_bytes: 0,
+            first_ms: 0,
             is_ended: false,
             _guard: guard,
         }
@@ -141,14 +143,12 @@
                 None if self.is_inside_event() => self.broken = Some("ended inside an event"),
                 None => {
                     self.is_ended = true;
-                    let status = 200;
-                    note_done(
-                        &self.gateway,
-                        &self.call,
-                        &self.target,
-                        status,
-                        self.sent_bytes,
-                    );
+                    let done = Done {
+                        status: 200,
+                        bytes: self.sent_bytes,
+                        first_ms: self.first_ms,
+                    };
+                    note_done(&self.gateway, &self.call, &self.target, done);
                     return None;
                 }
                 Some(Err(reason)) => {
@@ -162,8 +162,8 @@
 
     fn count(&mut self, bytes: Bytes) -> Bytes {
         if self.sent_bytes == 0 {
-            let took_ms = self.gateway.now().since(self.call.arrival);
-            let seconds = Duration::from_millis(took_ms).as_secs_f64();
+            self.first_ms = self.gateway.now().since(self.call.arrival);
+            let seconds = Duration::from_millis(self.first_ms).as_secs_f64();
             self.gateway.metrics.first_piece_seconds.observe(seconds);
         }
         self.sent_bytes += bytes.len();
@@ -274,14 +274,17 @@
     }
 }
 
+/// An answer that was passed on whole.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Done {
+    pub(super) status: u16,
+    pub(super) bytes: usize,
+    /// Time from the request's arrival to the answer's first piece, in milliseconds.
+    pub(super) first_ms: u64,
+}
+
 /// Notes an answer that was passed on whole.
-pub(super) fn note_done(
-    gateway: &Gateway,
-    call: &Call,
-    target: &Target,
-    status: u16,
-    bytes: usize,
-) {
+pub(super) fn note_done(gateway: &Gateway, call: &Call, target: &Target, done: Done) {
     call.note_held(gateway, target.since);
     let took_ms = gateway.now().since(call.arrival);
     let seconds = Duration::from_millis(took_ms).as_secs_f64();
@@ -296,9 +299,10 @@
             .as_ref()
             .map_or("", |customer| customer.name.as_str()),
         replica = target.registration.id.as_str(),
-        status,
+        status = done.status,
         attempts = call.attempts.number(),
-        bytes,
+        bytes = done.bytes,
+        first_ms = done.first_ms,
         took_ms
     );
 }
