Hold an item back for a moment after it gave way

Change: an item waits 150 ms after it gave way, and for a second after a yield new runs leave a slot free.

--- a/cicadagate-gateway/src/process/work/mod.rs
+++ b/cicadagate-gateway/src/process/work/mod.rs
@@ -26,6 +26,7 @@
             membership::Health,
         },
         request::events::Joiner,
+        time::Time,
         version::job_index::ItemRef,
     },
     serde::{Deserialize, Serialize},
@@ -40,6 +41,11 @@
 
 /// Time between two plans.
 const PLAN_EVERY: Duration = Duration::from_millis(60);
+/// Time that an item waits after it gave way, in milliseconds: a peak lasts
+/// longer, and each start costs the engine a prompt.
+const HOLD_BACK_MS: u64 = 150;
+/// Time after a yield in which new runs leave a slot free, in milliseconds.
+const PRESSURE_MS: u64 = 1000;
 /// How far clocks of instances may differ, in milliseconds: an item must not be
 /// given up early by one that is ahead.
 const CLOCK_MARGIN_MS: u64 = 5_000;
@@ -94,6 +100,10 @@
     runs: RefCell<HashMap<ItemRef, Rc<Run>>>,
     outputs: RefCell<HashMap<ItemRef, Output>>,
     failures: RefCell<HashMap<ItemRef, u32>>,
+    /// When items that gave way may be started again.
+    held_back: RefCell<HashMap<ItemRef, Time>>,
+    /// Time of the last yield.
+    yielded: Cell<Option<Time>>,
     is_handing_over: Cell<bool>,
 }
 
@@ -124,10 +134,22 @@
         };
         if let Some(item) = item {
             event!(ITEM_PAUSED, item: = ItemName(item), endpoint: = endpoint);
+            let now = gateway.now();
+            self.yielded.set(Some(now));
+            self.held_back
+                .borrow_mut()
+                .insert(item, now.plus(HOLD_BACK_MS));
             self.stop(item);
         }
     }
 
+    /// Slots that a new run leaves free, so that an item does not start where
+    /// the next online request would pause it.
+    fn reserve(&self, now: Time) -> u32 {
+        let is_pressed = |yielded| now.since(yielded) < PRESSURE_MS;
+        u32::from(self.yielded.get().is_some_and(is_pressed))
+    }
+
     /// Saves what runs and leaves it to others, since the process stops.
     pub(super) async fn hand_over(&self, gateway: &Rc<Gateway>) {
         self.is_handing_over.set(true);
@@ -162,6 +184,8 @@
     }
     let mut outputs = gateway.work.outputs.borrow_mut();
     outputs.retain(|item, _| index.is_item_open(*item));
+    let mut held_back = gateway.work.held_back.borrow_mut();
+    held_back.retain(|item, _| index.is_item_open(*item));
     let mut failures = gateway.work.failures.borrow_mut();
     failures.retain(|item, _| index.is_item_open(*item));
 }
@@ -212,7 +236,10 @@
             gateway.work.stop(item);
         }
         for item in plan.start {
-            start(gateway, item);
+            let held_back = gateway.work.held_back.borrow().get(&item).copied();
+            if held_back.is_none_or(|until| until <= now) {
+                start(gateway, item);
+            }
         }
     }
 }
--- a/cicadagate-gateway/src/process/work/run.rs
+++ b/cicadagate-gateway/src/process/work/run.rs
@@ -199,7 +199,8 @@
     let Some((endpoint, registration)) = chosen else {
         return RunEnd::Interrupted("no replica".to_owned());
     };
-    if let Reply::Full(_) = ask(gateway, endpoint, Purpose::Batch { reserve: 0 }).await {
+    let reserve = gateway.work.reserve(now);
+    if let Reply::Full(_) = ask(gateway, endpoint, Purpose::Batch { reserve }).await {
         gateway.replicas.borrow_mut().note_full(now, endpoint);
         return RunEnd::NoSlot;
     }
