--- /dev/null
+++ b/cicadagate-gateway/src/process/limits.rs
@@ -0,0 +1,124 @@
+/*!
+Holding requests against their customers' limits.
+
+In a small fleet reports are fresh enough to decide here. In a large one the
+customer's owner is asked; see
+[`rate_limit`](cicadagate_policy::process::rate_limit).
+*/
+
+use {
+    super::{Gateway, owners::owner_of},
+    actix_rt::time::timeout,
+    cicadagate_policy::{
+        ids::CustomerId,
+        process::rate_limit::{Limit, LimitMessage, OverLimit},
+    },
+    cicadagate_wire::datagram::GatewayDatagram,
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::sync::oneshot,
+};
+
+/// Time for an owner to answer, as for slots.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
+
+type Verdict = Result<(), OverLimit>;
+
+/// Questions to owners that wait for an answer.
+#[derive(Debug, Default)]
+pub struct Limits {
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Verdict>>>,
+    seq: Cell<u64>,
+}
+
+/// Takes a token for a request of a customer.
+///
+/// # Errors
+///
+/// Returns an error if the customer's limit allows no request now.
+pub async fn admit(gateway: &Rc<Gateway>, customer: CustomerId, limit: Limit) -> Verdict {
+    let needs_owner = gateway.limiter.borrow().needs_owner();
+    let owner = owner_of(gateway, customer.raw()).filter(|(id, _)| *id != gateway.me);
+    let Some((_, addr)) = owner.filter(|_| needs_owner) else {
+        let mut limiter = gateway.limiter.borrow_mut();
+        return limiter.admit(gateway.now(), customer, limit);
+    };
+    let asked = ask(gateway, addr, customer).await;
+    let mut limiter = gateway.limiter.borrow_mut();
+    match asked {
+        Some(Ok(())) => {
+            limiter.record(gateway.now(), customer, limit);
+            Ok(())
+        }
+        Some(Err(over)) => Err(over),
+        None => limiter.admit(gateway.now(), customer, limit),
+    }
+}
+
+async fn ask(gateway: &Rc<Gateway>, addr: SocketAddr, customer: CustomerId) -> Option<Verdict> {
+    let limits = &gateway.limits;
+    limits.seq.set(limits.seq.get() + 1);
+    let seq = limits.seq.get();
+    let (tx, rx) = oneshot::channel();
+    limits.waiting.borrow_mut().insert(seq, tx);
+    let message = LimitMessage::Ask {
+        seq,
+        member: gateway.me,
+        customer,
+        spent: gateway.limiter.borrow().spent(customer),
+    };
+    send(gateway, addr, message);
+    let answer = timeout(ANSWER_TIMEOUT, rx).await;
+    limits.waiting.borrow_mut().remove(&seq);
+    answer.ok()?.ok()
+}
+
+fn send(gateway: &Gateway, to: SocketAddr, message: LimitMessage) {
+    if let Some(outbox) = gateway.outbox.get() {
+        outbox.send(gateway, to, &GatewayDatagram::Limit(message));
+    }
+}
+
+/// Returns the limit of a customer in the configuration in force.
+#[must_use]
+pub fn limit_of(gateway: &Gateway, customer: CustomerId) -> Option<Limit> {
+    let config = gateway.current()?;
+    let customers = config.customers();
+    let found = customers.iter().find(|known| known.id == customer)?;
+    Some(Limit {
+        rate_per_s: found.rate_per_s,
+        burst: found.burst,
+    })
+}
+
+/// Takes a message of another gateway.
+pub(super) fn take(gateway: &Rc<Gateway>, from: SocketAddr, message: LimitMessage) {
+    match message {
+        LimitMessage::Ask {
+            seq,
+            member,
+            customer,
+            spent,
+        } => {
+            // Without the customer's limit the asker is left to decide.
+            let Some(limit) = limit_of(gateway, customer) else {
+                return;
+            };
+            let mut limiter = gateway.limiter.borrow_mut();
+            let verdict = limiter.admit_for(gateway.now(), member, customer, limit, spent);
+            send(gateway, from, LimitMessage::Answer { seq, verdict });
+        }
+        LimitMessage::Answer { seq, verdict } => {
+            let waiting = gateway.limits.waiting.borrow_mut().remove(&seq);
+            if let Some(tx) = waiting {
+                // Whoever asked may have stopped waiting.
+                let _ = tx.send(verdict);
+            }
+        }
+    }
+}
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -11,6 +11,8 @@
 * `work`: items of jobs that run here.
 * `fleet_store`: the store, reached directly or through another gateway.
 * `directory`: which addresses callers are told.
+* `limits`: holding requests against customers' limits.
+* `owners`: which gateway owns a replica's slots or a customer's limit.
 * `slots`: asking the owners of replicas for slots.
 * `stop`: ending without cutting a request.
 */
@@ -20,6 +22,8 @@
 pub mod directory;
 pub mod fleet_store;
 pub mod jobs;
+pub mod limits;
+mod owners;
 mod peers;
 mod registry;
 pub mod slots;
@@ -114,6 +118,8 @@
     pub pool: Pool,
     /// Repetitions that are allowed.
     pub retry_budget: RefCell<Budget>,
+    /// Questions about limits.
+    pub limits: limits::Limits,
     /// Slots of replicas.
     pub slots: slots::Slots,
     /// Batch jobs.
@@ -170,6 +176,7 @@
             limiter: RefCell::new(limiter),
             pool: Pool::new(),
             retry_budget: RefCell::default(),
+            limits: limits::Limits::default(),
             slots: slots::Slots::default(),
             jobs: jobs::Jobs::default(),
             cache: contents::SharedCache::default(),
--- /dev/null
+++ b/cicadagate-gateway/src/process/owners.rs
@@ -0,0 +1,23 @@
+/*!
+Which gateway owns a replica's slots or a customer's limit.
+*/
+
+use {
+    super::Gateway,
+    cicadagate_policy::{ids::MemberId, process::slot_ledger::owner},
+    std::net::SocketAddr,
+};
+
+/// Returns the owner of a key among the gateways that work, as seen from here.
+pub(super) fn owner_of(gateway: &Gateway, key: u64) -> Option<(MemberId, SocketAddr)> {
+    let now = gateway.now();
+    let members = gateway.members.borrow();
+    let reports = gateway.reports.borrow();
+    let working = members
+        .members()
+        .filter(|(info, _)| reports.is_working(now, info))
+        .map(|(info, _)| info.id);
+    let me = gateway.is_ready().then_some(gateway.me);
+    let id = owner(key, working.chain(me))?;
+    members.member(id).map(|(info, _)| (id, info.udp))
+}
--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -14,7 +14,6 @@
         ids::MemberId,
         process::{
             membership::{Health, Info, Outgoing},
-            rate_limit::Limit,
             reports::{Report, period_ms},
         },
     },
@@ -116,6 +115,7 @@
         }
         Ok(GatewayDatagram::Report(report)) => take_report(gateway, report),
         Ok(GatewayDatagram::Slot(message)) => super::slots::take(gateway, from, message),
+        Ok(GatewayDatagram::Limit(message)) => super::limits::take(gateway, from, message),
         Err(err) => {
             metrics
                 .refused_messages
@@ -141,17 +141,9 @@
         let mut ledger = gateway.slots.ledger.borrow_mut();
         ledger.take_report(now, member, &in_flight);
     }
-    let config = gateway.current();
     let mut limiter = gateway.limiter.borrow_mut();
     for (customer, spent) in admitted {
-        let limit = config.as_ref().and_then(|config| {
-            let customers = config.customers();
-            let found = customers.iter().find(|known| known.id == customer)?;
-            Some(Limit {
-                rate_per_s: found.rate_per_s,
-                burst: found.burst,
-            })
-        });
+        let limit = super::limits::limit_of(gateway, customer);
         if let Some(limit) = limit {
             limiter.watch(now, customer, limit);
         }
--- a/cicadagate-gateway/src/process/slots.rs
+++ b/cicadagate-gateway/src/process/slots.rs
@@ -3,13 +3,13 @@
 */
 
 use {
-    super::Gateway,
+    super::{Gateway, owners::owner_of},
     actix_rt::time::timeout,
     cicadagate_policy::{
         ids::{EndpointId, MemberId},
         process::{
             reports::InFlight,
-            slot_ledger::{Purpose, SlotLedger, SlotMessage, owner},
+            slot_ledger::{Purpose, SlotLedger, SlotMessage},
         },
     },
     cicadagate_wire::datagram::GatewayDatagram,
@@ -47,23 +47,9 @@
     seq: Cell<u64>,
 }
 
-/// The owner of a replica, as seen from here.
-fn owner_of(gateway: &Gateway, endpoint: EndpointId) -> Option<(MemberId, SocketAddr)> {
-    let now = gateway.now();
-    let members = gateway.members.borrow();
-    let reports = gateway.reports.borrow();
-    let working = members
-        .members()
-        .filter(|(info, _)| reports.is_working(now, info))
-        .map(|(info, _)| info.id);
-    let me = gateway.is_ready().then_some(gateway.me);
-    let id = owner(endpoint, working.chain(me))?;
-    members.member(id).map(|(info, _)| (id, info.udp))
-}
-
 /// Asks the owner of a replica for a slot there.
 pub async fn ask(gateway: &Rc<Gateway>, endpoint: EndpointId, purpose: Purpose) -> Reply {
-    let Some((owner, addr)) = owner_of(gateway, endpoint) else {
+    let Some((owner, addr)) = owner_of(gateway, endpoint.raw()) else {
         return Reply::Silent;
     };
     let own = gateway.own_load(endpoint);
@@ -94,7 +80,7 @@
 /// Tells the owner of a replica what this process holds there.
 pub fn tell(gateway: &Gateway, endpoint: EndpointId) {
     let own = gateway.own_load(endpoint);
-    match owner_of(gateway, endpoint) {
+    match owner_of(gateway, endpoint.raw()) {
         Some((owner, _)) if owner == gateway.me => {
             let mut ledger = gateway.slots.ledger.borrow_mut();
             ledger.update(gateway.now(), endpoint, gateway.me, own);
--- a/cicadagate-gateway/src/request/admission.rs
+++ b/cicadagate-gateway/src/request/admission.rs
@@ -8,7 +8,7 @@
         forward::{self, Call},
         job_calls,
     },
-    crate::process::{Gateway, RequestGuard},
+    crate::process::{Gateway, RequestGuard, limits},
     actix_http::{HttpMessage as _, Request, header},
     cicadagate_node::{
         connection::http::{BodyError, read_body},
@@ -62,7 +62,7 @@
         return refuse(gateway, &id, Problem::Malformed, &route.name, None);
     }
     if route.kind != RouteKind::Batch
-        && let Err((problem, delay)) = admit(gateway, arrival, &id, &admitted, &route)
+        && let Err((problem, delay)) = admit(gateway, &id, &admitted, &route).await
     {
         return refuse(gateway, &id, problem, &route.name, Some(delay));
     }
@@ -110,38 +110,35 @@
 }
 
 /// Holds a request against its customer's limit and the load.
-fn admit(
+async fn admit(
     gateway: &Rc<Gateway>,
-    now: Time,
     id: &str,
     admitted: &Admitted,
     route: &Route,
 ) -> Result<(), (Problem, Duration)> {
-    take_token(gateway, now, id, admitted).map_err(|delay| (Problem::OverLimit, delay))?;
     let customer = admitted.customer.as_deref();
-    forward::check_load(gateway, id, route, customer).map_err(|delay| {
-        if let Some(customer) = customer {
-            gateway.limiter.borrow_mut().cancel(customer.id);
-        }
-        (Problem::Overloaded, delay)
-    })
+    // A request that the load refuses takes no token.
+    forward::check_load(gateway, id, route, customer)
+        .map_err(|delay| (Problem::Overloaded, delay))?;
+    take_token(gateway, id, customer)
+        .await
+        .map_err(|delay| (Problem::OverLimit, delay))
 }
 
-fn take_token(
+async fn take_token(
     gateway: &Rc<Gateway>,
-    now: Time,
     id: &str,
-    admitted: &Admitted,
+    customer: Option<&Customer>,
 ) -> Result<(), Duration> {
-    let Some(customer) = &admitted.customer else {
+    let Some(customer) = customer else {
         return Ok(());
     };
     let limit = Limit {
         rate_per_s: customer.rate_per_s,
         burst: customer.burst,
     };
-    let outcome = gateway.limiter.borrow_mut().admit(now, customer.id, limit);
-    outcome.map_err(|over| {
+    let verdict = limits::admit(gateway, customer.id, limit).await;
+    verdict.map_err(|over| {
         event!(
             OVER_LIMIT,
             request = id,
--- a/cicadagate-policy/src/process/rate_limit.rs
+++ b/cicadagate-policy/src/process/rate_limit.rs
@@ -17,6 +17,12 @@
 what the others admit meanwhile; the bucket then goes below zero, and everyone
 refuses until that debt is paid, so that the excess does not add up.
 
+In a large fleet reports are too old for that: if each of eighty members admits
+one request between two reports, a burst is passed. There one member, the
+customer's owner, is asked before a request is admitted; it decides by its own
+bucket, which counts what it grants at once. Without an answer the asker decides
+by what it knows.
+
 A settable tolerance lets the bucket go below zero by some requests before
 anything is refused. Where the platform bounds the excess loosely, it absorbs
 the late news instead of refusing customers below their limit.
@@ -45,6 +51,10 @@
 /// reports of the largest fleet.
 pub const REPORTED_FOR_MS: u64 = 4_000;
 
+/// Members for each request of tolerance above which an owner of the customer is
+/// asked.
+const OWNER_MEMBERS: f64 = 4.0;
+
 /// A customer's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
@@ -67,6 +77,7 @@
 
 /// A request exceeds its customer's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct OverLimit {
     /// Time until the limit allows another request, in milliseconds.
     pub retry_after_ms: u64,
@@ -74,6 +85,30 @@
     pub tokens: f64,
 }
 
+/// A message about a customer's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum LimitMessage {
+    /// Asks the customer's owner to admit a request.
+    Ask {
+        /// Number of the question at its sender.
+        seq: u64,
+        /// Who asks.
+        member: MemberId,
+        /// Customer.
+        customer: CustomerId,
+        /// What the sender has spent for it.
+        spent: Spent,
+    },
+    /// The owner's answer.
+    Answer {
+        /// Number of the question.
+        seq: u64,
+        /// Whether the request is admitted.
+        verdict: Result<(), OverLimit>,
+    },
+}
+
 #[derive(Clone, Debug)]
 struct Bucket {
     limit: Limit,
@@ -112,6 +147,18 @@
     }
 }
 
+impl Bucket {
+    fn spend(&mut self, now: Time) {
+        if now.since(self.changed) > REPORTED_FOR_MS {
+            self.own.lately = 0;
+        }
+        self.tokens -= 1.0;
+        self.own.total += 1;
+        self.own.lately += 1;
+        self.changed = now;
+    }
+}
+
 /// Buckets of all customers at one process.
 #[derive(Clone, Debug, Default)]
 pub struct RateLimiter {
@@ -165,25 +212,62 @@
                 tokens: bucket.tokens,
             });
         }
-        bucket.tokens -= 1.0;
-        if now.since(bucket.changed) > REPORTED_FOR_MS {
-            bucket.own.lately = 0;
+        bucket.spend(now);
+        Ok(())
+    }
+
+    /// Decides about a request of a customer at another member, which has spent
+    /// `spent` so far.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the customer's limit allows no request now.
+    pub fn admit_for(
+        &mut self,
+        now: Time,
+        member: MemberId,
+        customer: CustomerId,
+        limit: Limit,
+        spent: Spent,
+    ) -> Result<(), OverLimit> {
+        self.watch(now, customer, limit);
+        self.note_heard(member);
+        self.note_remote(now, member, customer, spent);
+        let before = self.buckets.get(&customer).map(|bucket| bucket.own);
+        self.admit(now, customer, limit)?;
+        // The admission is the asker's: it will report it as its own.
+        if let (Some(before), Some(bucket)) = (before, self.buckets.get_mut(&customer)) {
+            bucket.own = before;
         }
-        bucket.own.total += 1;
-        bucket.own.lately += 1;
-        bucket.changed = now;
+        self.heard.insert((member, customer), spent.total + 1);
         Ok(())
     }
 
-    /// Takes back the last admission of a customer, before it was reported.
-    pub fn cancel(&mut self, customer: CustomerId) {
+    /// Counts a request that another member has admitted for this one.
+    pub fn record(&mut self, now: Time, customer: CustomerId, limit: Limit) {
+        self.watch(now, customer, limit);
         if let Some(bucket) = self.buckets.get_mut(&customer) {
-            bucket.tokens += 1.0;
-            bucket.own.total = bucket.own.total.saturating_sub(1);
-            bucket.own.lately = bucket.own.lately.saturating_sub(1);
+            bucket.refill(now, limit);
+            bucket.spend(now);
         }
     }
 
+    /// Returns what this process has spent for a customer.
+    #[must_use]
+    pub fn spent(&self, customer: CustomerId) -> Spent {
+        self.buckets
+            .get(&customer)
+            .map_or_else(Spent::default, |bucket| bucket.own)
+    }
+
+    /// Tells whether reports are too old to limit customers by: if each member
+    /// admits one request between two of them, that is more than the tolerance
+    /// makes up for.
+    #[must_use]
+    pub fn needs_owner(&self) -> bool {
+        self.tolerance > 0.0 && self.members > self.tolerance * OWNER_MEMBERS
+    }
+
     /// Notes that a member was heard: what it reports of a customer for the
     /// first time from now on was spent since.
     pub fn note_heard(&mut self, member: MemberId) {
--- a/cicadagate-policy/src/process/slot_ledger.rs
+++ b/cicadagate-policy/src/process/slot_ledger.rs
@@ -122,10 +122,11 @@
     replicas: HashMap<EndpointId, HashMap<MemberId, Held>>,
 }
 
-/// Returns the owner of a replica among the members that work.
+/// Returns the owner of a replica, or of anything else with a hash, among the
+/// members that work.
 #[must_use]
-pub fn owner(endpoint: EndpointId, members: impl Iterator<Item = MemberId>) -> Option<MemberId> {
-    members.max_by_key(|member| mix64(endpoint.raw(), member.raw()))
+pub fn owner(key: u64, members: impl Iterator<Item = MemberId>) -> Option<MemberId> {
+    members.max_by_key(|member| mix64(key, member.raw()))
 }
 
 impl SlotLedger {
--- a/cicadagate-wire/src/datagram.rs
+++ b/cicadagate-wire/src/datagram.rs
@@ -10,7 +10,9 @@
         key::FleetKey,
         seal::{Result, SealError, open, seal},
     },
-    cicadagate_policy::process::{membership::Message, reports::Report, slot_ledger::SlotMessage},
+    cicadagate_policy::process::{
+        membership::Message, rate_limit::LimitMessage, reports::Report, slot_ledger::SlotMessage,
+    },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
 };
 
@@ -18,7 +20,7 @@
 pub const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
 /// A datagram between gateways.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub enum GatewayDatagram {
     /// News about members.
@@ -27,6 +29,8 @@
     Report(Report),
     /// A question or news about slots.
     Slot(SlotMessage),
+    /// A question about a customer's limit.
+    Limit(LimitMessage),
 }
 
 /// Turns messages into datagrams and back.
