Trace stuck jobs of the soak to its store stand-in

The stand-in, told to forget its history twice, forgot what it had kept the first time; a process started after that read no registration and, as the items' runner, ran none. Gauges of items, members and slots, and lines for an item that is assigned or waits long, came out of the search. Ruled out: hanging store calls, leaked slots, panics, frozen processes.

--- a/cicadagate-gateway/src/process/work/mod.rs
+++ b/cicadagate-gateway/src/process/work/mod.rs
@@ -217,12 +217,20 @@
             }
         }
     }
+    let open = by_service.values().map(Vec::len).sum();
+    gateway.metrics.set_state("items_open", open);
+    gateway.metrics.set_state("items_here", here.len());
+    gateway
+        .metrics
+        .set_state("items_elsewhere", elsewhere.len());
+    gateway.metrics.set_state("members_working", members.len());
     for item in orphans {
         abandon_orphan(gateway, item, &members, &here);
     }
     for (service, items) in by_service {
         let due_in_ms = first_due_in_ms(gateway, &items);
         let slots = slots(gateway, &service, due_in_ms).for_batch();
+        gateway.metrics.set_state("batch_slots", slots);
         let plan = plan(
             slots,
             items.into_iter(),
@@ -314,6 +322,7 @@
 }
 
 fn start(gateway: &Rc<Gateway>, item: ItemRef) {
+    event!(ITEM_ASSIGNED, item: = ItemName(item));
     let run = track(gateway, item);
     let gateway = Rc::clone(gateway);
     actix_rt::spawn(async move {
--- a/cicadagate-gateway/src/process/work/run.rs
+++ b/cicadagate-gateway/src/process/work/run.rs
@@ -24,6 +24,7 @@
     cicadagate_policy::{
         process::{
             replicas::{Registration, Replica},
+            reports::InFlight,
             slot_ledger::Purpose,
         },
         request::events::{Join, Joiner, Splitter},
@@ -37,6 +38,8 @@
 
 /// Delay after a run that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Refused slots after which a line is logged: about a second.
+const WAITS_LOGGED: u32 = 20;
 /// Delay before another replica is asked for a slot.
 const SLOT_DELAY: Duration = Duration::from_millis(50);
 /// Silence after which a run is ended and continued elsewhere. An engine sends
@@ -61,8 +64,8 @@
     Impossible,
     /// The replica ran it and failed.
     Failed(String),
-    /// The replica has no slot left.
-    NoSlot,
+    /// The replica has no slot left beside these requests.
+    NoSlot(InFlight),
     /// The run broke off or was refused, which says nothing about the item.
     Interrupted(String),
 }
@@ -76,6 +79,7 @@
             return;
         }
     };
+    let mut refusals = 0_u32;
     while !run.is_stopping.get() && epoch_ms() < task.give_up_ms + CLOCK_MARGIN_MS {
         let end = run_once(gateway, &task, run).await;
         run.endpoint.set(None);
@@ -89,7 +93,18 @@
                     return abandon(gateway, item, "every attempt failed").await;
                 }
             }
-            RunEnd::NoSlot => {
+            RunEnd::NoSlot(load) => {
+                refusals += 1;
+                if refusals.is_multiple_of(WAITS_LOGGED) {
+                    event!(
+                        ITEM_WAITING,
+                        item: = ItemName(item),
+                        id = task.id.as_str(),
+                        refusals,
+                        online = load.online,
+                        batch = load.batch
+                    );
+                }
                 sleep(SLOT_DELAY).await;
                 continue;
             }
@@ -200,9 +215,9 @@
         return RunEnd::Interrupted("no replica".to_owned());
     };
     let reserve = gateway.work.reserve(now);
-    if let Reply::Full(_) = ask(gateway, endpoint, Purpose::Batch { reserve }).await {
+    if let Reply::Full(load) = ask(gateway, endpoint, Purpose::Batch { reserve }).await {
         gateway.replicas.borrow_mut().note_full(now, endpoint);
-        return RunEnd::NoSlot;
+        return RunEnd::NoSlot(load);
     }
     run.endpoint.set(Some(endpoint));
     let after = gateway
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -96,6 +96,8 @@
     JOB_CANCELLED = 603, Info, "A batch job was cancelled.";
     ITEM_FAILED = 604, Warn, "An item was given up after bounded tries.";
     RECORDS_RENEWED = 605, Info, "A file's or job's records were written again before they expire.";
+    ITEM_ASSIGNED = 617, Debug, "This instance is to run an item.";
+    ITEM_WAITING = 618, Info, "An item has waited long for a slot at a replica.";
     ITEM_STARTED = 610, Debug, "An item of a job was sent to a replica.";
     ITEM_PAUSED = 611, Debug, "An item gave way to online requests and goes on later.";
     ITEM_RETRIED = 612, Info, "A run of an item failed and another follows.";
