--- a/cicadagate-gateway/src/process/limits.rs
+++ b/cicadagate-gateway/src/process/limits.rs
@@ -8,33 +8,16 @@
 
 use {
     super::{Gateway, owners::owner_of},
-    actix_rt::time::timeout,
     cicadagate_policy::{
         ids::CustomerId,
         process::rate_limit::{Limit, LimitMessage, OverLimit},
     },
     cicadagate_wire::datagram::GatewayDatagram,
-    std::{
-        cell::{Cell, RefCell},
-        collections::HashMap,
-        net::SocketAddr,
-        rc::Rc,
-        time::Duration,
-    },
-    tokio::sync::oneshot,
+    std::{net::SocketAddr, rc::Rc},
 };
 
-/// Time for an owner to answer, as for slots.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
-
-type Verdict = Result<(), OverLimit>;
-
-/// Questions to owners that wait for an answer.
-#[derive(Debug, Default)]
-pub struct Limits {
-    waiting: RefCell<HashMap<u64, oneshot::Sender<Verdict>>>,
-    seq: Cell<u64>,
-}
+/// What an owner decides.
+pub type Verdict = Result<(), OverLimit>;
 
 /// Takes a token for a request of a customer.
 ///
@@ -61,21 +44,17 @@
 }
 
 async fn ask(gateway: &Rc<Gateway>, addr: SocketAddr, customer: CustomerId) -> Option<Verdict> {
-    let limits = &gateway.limits;
-    limits.seq.set(limits.seq.get() + 1);
-    let seq = limits.seq.get();
-    let (tx, rx) = oneshot::channel();
-    limits.waiting.borrow_mut().insert(seq, tx);
-    let message = LimitMessage::Ask {
-        seq,
-        member: gateway.me,
-        customer,
-        spent: gateway.limiter.borrow().spent(customer),
+    let spent = gateway.limiter.borrow().spent(customer);
+    let question = |seq| {
+        let message = LimitMessage::Ask {
+            seq,
+            member: gateway.me,
+            customer,
+            spent,
+        };
+        send(gateway, addr, message);
     };
-    send(gateway, addr, message);
-    let answer = timeout(ANSWER_TIMEOUT, rx).await;
-    limits.waiting.borrow_mut().remove(&seq);
-    answer.ok()?.ok()
+    gateway.limit_questions.ask(question).await
 }
 
 fn send(gateway: &Gateway, to: SocketAddr, message: LimitMessage) {
@@ -113,12 +92,6 @@
             let verdict = limiter.admit_for(gateway.now(), member, customer, limit, spent);
             send(gateway, from, LimitMessage::Answer { seq, verdict });
         }
-        LimitMessage::Answer { seq, verdict } => {
-            let waiting = gateway.limits.waiting.borrow_mut().remove(&seq);
-            if let Some(tx) = waiting {
-                // Whoever asked may have stopped waiting.
-                let _ = tx.send(verdict);
-            }
-        }
+        LimitMessage::Answer { seq, verdict } => gateway.limit_questions.answer(seq, verdict),
     }
 }
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -25,12 +25,14 @@
 pub mod limits;
 mod owners;
 mod peers;
+pub mod questions;
 mod registry;
 pub mod slots;
 mod stop;
 pub mod work;
 
 use {
+    self::questions::Questions,
     crate::{
         connection::{ExchangeError, Pool},
         platform::{Codec, Store},
@@ -53,6 +55,7 @@
             replicas::{Outlook, ReplicaSet},
             reports::{InFlight, ReportTable},
             shutdown::Phase,
+            slot_ledger::SlotLedger,
         },
         request::{
             attempt::Budget,
@@ -118,10 +121,12 @@
     pub pool: Pool,
     /// Repetitions that are allowed.
     pub retry_budget: RefCell<Budget>,
-    /// Questions about limits.
-    pub limits: limits::Limits,
-    /// Slots of replicas.
-    pub slots: slots::Slots,
+    /// Slots of the replicas that this process owns.
+    pub slot_ledger: RefCell<SlotLedger>,
+    /// Questions to owners about slots.
+    pub slot_questions: Questions<slots::Reply>,
+    /// Questions to owners about limits.
+    pub limit_questions: Questions<limits::Verdict>,
     /// Batch jobs.
     pub jobs: jobs::Jobs,
     /// Contents of items that were used last.
@@ -176,8 +181,9 @@
             limiter: RefCell::new(limiter),
             pool: Pool::new(),
             retry_budget: RefCell::default(),
-            limits: limits::Limits::default(),
-            slots: slots::Slots::default(),
+            slot_ledger: RefCell::default(),
+            slot_questions: Questions::default(),
+            limit_questions: Questions::default(),
             jobs: jobs::Jobs::default(),
             cache: contents::SharedCache::default(),
             work: work::Work::default(),
--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -138,7 +138,7 @@
         return;
     }
     {
-        let mut ledger = gateway.slots.ledger.borrow_mut();
+        let mut ledger = gateway.slot_ledger.borrow_mut();
         ledger.take_report(now, member, &in_flight);
     }
     let mut limiter = gateway.limiter.borrow_mut();
@@ -165,7 +165,7 @@
         .borrow_mut()
         .retain_members(serving, |id| members.member(id).is_some());
     let replicas = gateway.replicas.borrow();
-    gateway.slots.ledger.borrow_mut().retain(
+    gateway.slot_ledger.borrow_mut().retain(
         |id| is_alive(&members, id),
         |endpoint| replicas.get(endpoint).is_some(),
     );
--- a/cicadagate-gateway/src/process/slots.rs
+++ b/cicadagate-gateway/src/process/slots.rs
@@ -4,29 +4,17 @@
 
 use {
     super::{Gateway, owners::owner_of},
-    actix_rt::time::timeout,
     cicadagate_policy::{
         ids::{EndpointId, MemberId},
         process::{
             reports::InFlight,
-            slot_ledger::{Purpose, SlotLedger, SlotMessage},
+            slot_ledger::{Purpose, SlotMessage},
         },
     },
     cicadagate_wire::datagram::GatewayDatagram,
-    std::{
-        cell::{Cell, RefCell},
-        collections::HashMap,
-        net::SocketAddr,
-        rc::Rc,
-        time::Duration,
-    },
-    tokio::sync::oneshot,
+    std::{net::SocketAddr, rc::Rc},
 };
 
-/// Time for an owner to answer. A message takes two milliseconds there and
-/// back; an owner that is slow must not hold a request up.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
-
 /// What an owner says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reply {
@@ -38,15 +26,6 @@
     Silent,
 }
 
-/// Slots that are owned, and questions that wait for an answer.
-#[derive(Debug, Default)]
-pub struct Slots {
-    /// Slots of the replicas that this process owns.
-    pub ledger: RefCell<SlotLedger>,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<Reply>>>,
-    seq: Cell<u64>,
-}
-
 /// Asks the owner of a replica for a slot there.
 pub async fn ask(gateway: &Rc<Gateway>, endpoint: EndpointId, purpose: Purpose) -> Reply {
     let Some((owner, addr)) = owner_of(gateway, endpoint.raw()) else {
@@ -56,25 +35,18 @@
     if owner == gateway.me {
         return decide(gateway, gateway.me, endpoint, own, purpose);
     }
-    let slots = &gateway.slots;
-    slots.seq.set(slots.seq.get() + 1);
-    let seq = slots.seq.get();
-    let (tx, rx) = oneshot::channel();
-    slots.waiting.borrow_mut().insert(seq, tx);
-    let message = SlotMessage::Ask {
-        seq,
-        member: gateway.me,
-        endpoint,
-        own,
-        purpose,
+    let question = |seq| {
+        let message = SlotMessage::Ask {
+            seq,
+            member: gateway.me,
+            endpoint,
+            own,
+            purpose,
+        };
+        send(gateway, addr, message);
     };
-    send(gateway, addr, message);
-    let answer = timeout(ANSWER_TIMEOUT, rx).await;
-    slots.waiting.borrow_mut().remove(&seq);
-    match answer {
-        Ok(Ok(reply)) => reply,
-        Ok(Err(_)) | Err(_) => Reply::Silent,
-    }
+    let answer = gateway.slot_questions.ask(question).await;
+    answer.unwrap_or(Reply::Silent)
 }
 
 /// Tells the owner of a replica what this process holds there.
@@ -82,7 +54,7 @@
     let own = gateway.own_load(endpoint);
     match owner_of(gateway, endpoint.raw()) {
         Some((owner, _)) if owner == gateway.me => {
-            let mut ledger = gateway.slots.ledger.borrow_mut();
+            let mut ledger = gateway.slot_ledger.borrow_mut();
             ledger.update(gateway.now(), endpoint, gateway.me, own);
         }
         Some((_, addr)) => {
@@ -121,8 +93,7 @@
     };
     let decision =
         gateway
-            .slots
-            .ledger
+            .slot_ledger
             .borrow_mut()
             .ask(gateway.now(), endpoint, slots, member, own, purpose);
     match decision.yields {
@@ -173,23 +144,19 @@
             is_granted,
             load,
         } => {
-            let waiting = gateway.slots.waiting.borrow_mut().remove(&seq);
-            if let Some(tx) = waiting {
-                let reply = if is_granted {
-                    Reply::Granted
-                } else {
-                    Reply::Full(load)
-                };
-                // Whoever asked may have stopped waiting.
-                let _ = tx.send(reply);
-            }
+            let reply = if is_granted {
+                Reply::Granted
+            } else {
+                Reply::Full(load)
+            };
+            gateway.slot_questions.answer(seq, reply);
         }
         SlotMessage::Update {
             member,
             endpoint,
             own,
         } => {
-            let mut ledger = gateway.slots.ledger.borrow_mut();
+            let mut ledger = gateway.slot_ledger.borrow_mut();
             ledger.update(gateway.now(), endpoint, member, own);
         }
         SlotMessage::Yield { endpoint } => gateway.work.yield_slot(gateway, endpoint),
--- a/cicadagate-gateway/src/process/stop.rs
+++ b/cicadagate-gateway/src/process/stop.rs
@@ -10,10 +10,9 @@
 use {
     super::Gateway,
     actix_rt::time::{sleep, timeout},
-    cicadagate_node::event,
+    cicadagate_node::{event, process::wait_for_signal},
     cicadagate_policy::{ids::Offset, time::Time},
     std::{rc::Rc, time::Duration},
-    tokio::signal::unix::{SignalKind, signal},
 };
 
 /// Time before the kill at which new requests are refused.
@@ -75,18 +74,3 @@
     }
     event!(STOPPED, running = gateway.open_requests.get());
 }
-
-async fn wait_for_signal() {
-    let (term, int) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    );
-    let (Ok(mut term), Ok(mut int)) = (term, int) else {
-        // Without signals the process runs until it is killed.
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
-}
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -12,6 +12,7 @@
     super::{
         Problem, Response,
         admission::{Admitted, header_text, refuse},
+        headers::{caller_headers, content_length, endpoint_headers, passed_head},
         relay::{self, Relay},
     },
     crate::{
@@ -22,9 +23,9 @@
         },
     },
     actix_http::{
-        HttpMessage as _, Method, Request, StatusCode,
+        Method, Request, StatusCode,
         body::{BodyStream, BoxBody, MessageBody as _, SizedStream},
-        header::{self, HeaderMap, HeaderName, HeaderValue},
+        header::{HeaderMap, HeaderValue},
     },
     actix_rt::time::timeout,
     bytes::{Bytes, BytesMut},
@@ -549,81 +550,3 @@
     );
     problem.respond(gateway, None)
 }
-
-fn content_length(answer: &Answer) -> Option<u64> {
-    let value = answer.head.headers.get(header::CONTENT_LENGTH)?;
-    value.to_str().ok()?.trim().parse().ok()
-}
-
-/// Copies status and headers of a replica's answer.
-fn passed_head(gateway: &Gateway, answer: &Answer) -> Response {
-    let mut res = Response::new(answer.head.status);
-    let names = gateway.codec.headers();
-    for (name, value) in &answer.head.headers {
-        if !is_hop_by_hop(name) && *name != names.not_run {
-            res.headers_mut().append(name.clone(), value.clone());
-        }
-    }
-    res
-}
-
-/// Tells whether a header concerns one connection only.
-#[must_use]
-pub fn is_hop_by_hop(name: &HeaderName) -> bool {
-    const NAMES: [&str; 9] = [
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    ];
-    NAMES.contains(&name.as_str())
-}
-
-/// Returns the caller's headers that a replica may see.
-fn caller_headers(gateway: &Gateway, req: &Request) -> HeaderMap {
-    let names = gateway.codec.headers();
-    let listed = header_text(req, &header::CONNECTION).to_ascii_lowercase();
-    let listed: Vec<&str> = listed.split(',').map(str::trim).collect();
-    let mut headers = HeaderMap::new();
-    for (name, value) in req.headers() {
-        let is_ours = [
-            &names.deadline_ms,
-            &names.expected_replica,
-            &names.customer,
-            &names.not_run,
-        ]
-        .contains(&name);
-        let is_dropped = is_hop_by_hop(name)
-            || is_ours
-            || *name == header::AUTHORIZATION
-            || listed.contains(&name.as_str());
-        if !is_dropped {
-            headers.append(name.clone(), value.clone());
-        }
-    }
-    headers
-}
-
-/// Sets the headers that tell a replica whom the request is for.
-pub fn endpoint_headers(
-    gateway: &Gateway,
-    headers: &mut HeaderMap,
-    replica: &Registration,
-    customer: Option<&str>,
-) {
-    let names = gateway.codec.headers();
-    for (name, value) in [
-        (&names.expected_replica, Some(replica.id.as_str())),
-        (&names.customer, customer),
-    ] {
-        headers.remove(name);
-        if let Some(value) = value.and_then(|value| HeaderValue::from_str(value).ok()) {
-            headers.insert(name.clone(), value);
-        }
-    }
-}
--- a/cicadagate-gateway/src/request/mod.rs
+++ b/cicadagate-gateway/src/request/mod.rs
@@ -7,16 +7,18 @@
 
 * `admission`: route, customer, limit.
 * `forward`: attempts at replicas.
+* `headers`: headers on their way to replicas and back.
 * `relay`: the answer's body on its way to the caller.
 * `job_calls`: submissions, results, bodies and ends of jobs.
 */
 
 mod admission;
 mod forward;
+mod headers;
 mod job_calls;
 mod relay;
 
-pub use forward::{endpoint_headers, is_hop_by_hop};
+pub use headers::{endpoint_headers, is_hop_by_hop};
 use {
     crate::process::Gateway,
     actix_http::{Request, StatusCode, body::BoxBody, header},
--- a/cicadagate-node/src/process/mod.rs
+++ b/cicadagate-node/src/process/mod.rs
@@ -9,6 +9,8 @@
 mod operations;
 mod stop;
 
+pub use stop::wait_for_signal;
+
 pub use {
     contact::WitnessAnswer,
     follower::{Fold, follow},
--- a/cicadagate-node/src/process/stop.rs
+++ b/cicadagate-node/src/process/stop.rs
@@ -35,7 +35,8 @@
     event!(STOPPED);
 }
 
-async fn wait_for_signal() {
+/// Waits until the process is told to stop.
+pub async fn wait_for_signal() {
     let (term, int) = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
