--- a/cicadagate-node/src/connection/http.rs
+++ b/cicadagate-node/src/connection/http.rs
@@ -21,6 +21,12 @@
 /// Time that a caller has to send a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time that the rest of a body that is too long is read.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes of the rest of a body that is too long that are read: some times the
+/// longest bodies that are allowed.
+const DRAIN_BYTES: usize = 32 * 1024 * 1024;
+
 /// Bounds on a caller's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timeouts {
@@ -149,6 +155,7 @@
         while let Some(chunk) = payload.next().await {
             let chunk = chunk.map_err(|_| BodyError::Incomplete)?;
             if body.len() + chunk.len() > limit {
+                drain(&mut payload).await;
                 return Err(BodyError::TooLong);
             }
             body.extend_from_slice(&chunk);
@@ -160,6 +167,22 @@
         .unwrap_or(Err(BodyError::Incomplete))
 }
 
+/// Reads on for a moment without keeping anything. A connection that is closed
+/// while its caller still sends is reset, and the caller loses the answer.
+async fn drain(payload: &mut actix_http::Payload) {
+    let read = async {
+        let mut left = DRAIN_BYTES;
+        while let Some(Ok(chunk)) = payload.next().await {
+            left = left.saturating_sub(chunk.len());
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    // A caller that takes longer is cut; it was told what it may send.
+    let _ = actix_rt::time::timeout(DRAIN_TIMEOUT, read).await;
+}
+
 /// Makes a response with a body of a content type.
 #[must_use]
 pub fn respond(status: u16, content_type: &str, body: impl Into<Bytes>) -> Response<BoxBody> {
