An entry process joins once it knows a share holder of each customer

A majority of all listed processes need not contain one.

Readiness of an entry now also needs a live share holder of each customer under the roster in force, within the same bound of 10 s. Ruled out: retries in the entry until a holder is known, which would delay requests that another entry could serve at once.

--- a/cicadagate-node/src/process/join.rs
+++ b/cicadagate-node/src/process/join.rs
@@ -5,14 +5,17 @@
 yet would refuse requests wrongly, since it could reach neither the owners of
 replicas nor share holders. It is therefore not advertised, and no replica or
 share is placed on it, until it knows a majority of the processes on the
-platform's instance list. The list lags and may contain many processes that are
-gone, so the wait is bounded.
+platform's instance list. A majority may contain no share holder of a customer,
+so an entry process also waits until it knows a live one of each customer. The
+list lags and may contain many processes that are gone, and all holders may be
+lost, so the wait is bounded.
 */
 
 use {
     super::Node,
     crate::event,
     actix_rt::time::sleep,
+    cicadagate_policy::process::{membership::Role, share_holder::have_live_holders},
     std::{rc::Rc, time::Duration},
 };
 
@@ -32,7 +35,7 @@
         }
         let now = node.now();
         let waiting_since = *configured_at.get_or_insert(now);
-        if knows_majority(&node) || now.since(waiting_since) >= MAX_JOIN_WAIT_MS {
+        if can_serve(&node) || now.since(waiting_since) >= MAX_JOIN_WAIT_MS {
             break;
         }
     }
@@ -44,6 +47,15 @@
     event!(JOINED, members = node.membership.borrow().alive().count());
 }
 
+fn can_serve(node: &Node) -> bool {
+    let is_entry = node.membership.borrow().own_info().role == Role::Entry;
+    knows_majority(node) && (!is_entry || knows_share_holders(node))
+}
+
+fn knows_share_holders(node: &Node) -> bool {
+    have_live_holders(&node.config.borrow(), |member| node.is_alive(member))
+}
+
 fn knows_majority(node: &Node) -> bool {
     let listed = node.listed_instances.borrow().gossip.clone();
     let membership = node.membership.borrow();
--- a/cicadagate-policy/src/process/share_holder.rs
+++ b/cicadagate-policy/src/process/share_holder.rs
@@ -162,6 +162,18 @@
     spread_over_data_centres(id.raw(), holder_count(customer), &candidates)
 }
 
+/// Returns whether every customer has a live share holder under the roster in
+/// force. A process that admits requests can't serve a customer without one.
+#[must_use]
+pub fn have_live_holders(state: &State, is_live: impl Fn(MemberId) -> bool) -> bool {
+    let Some((_, epoch)) = state.epoch() else {
+        return false;
+    };
+    state
+        .customers()
+        .all(|customer| holders(customer, &epoch.roster).into_iter().any(&is_live))
+}
+
 fn holder_count(customer: &Customer) -> usize {
     (1..=HOLDERS_PER_CUSTOMER)
         .rev()
