Limit the tokens that a customer may have waiting on a batch route

A submission to a limited route is now a record of the index that asks; every process accepts or refuses it by the tokens waiting at the record's offset, and the submitter responds when it has read its record back. Exact at any number of instances, without an owner. A refusal is final for the attempt, since the store may append a record again after its first copy was refused. What an up-to-date index already shows not to fit is not appended. Retry-After follows the rate at which the customer's tokens were finished, or the due time. Routes without a limit write the same records as before and need no read.

Ruled out: an owner of the count (its successor has to read the log before it decides; two owners at a time), shares (refuse what fits).

--- a/cicadactl/src/explain.rs
+++ b/cicadactl/src/explain.rs
@@ -245,11 +245,29 @@
             let refused = count(lines, "ATTEMPT_FAILED");
             format!("no replica took it; {refused} refused or were not reached")
         }
+        ("too_many_tokens", ..) => lines
+            .iter()
+            .rev()
+            .find(|line| line.name == "JOB_OVER_LIMIT")
+            .map_or_else(|| format!("refused: {code}"), over_token_limit),
         ("store_away", ..) => "the store did not answer a call about jobs".to_owned(),
         _ => format!("refused: {code}"),
     }
 }
 
+fn over_token_limit(line: &LogLine) -> String {
+    format!(
+        "the job's {} tokens do not fit: {} of at most {} of customer {} wait on route {}, \
+         by an index {} ms old",
+        line.int_field("tokens"),
+        line.int_field("waiting"),
+        line.int_field("limit"),
+        line.str_field("customer"),
+        line.str_field("route"),
+        line.int_field("index_age_ms"),
+    )
+}
+
 fn failure_cause(line: &LogLine, attempt: Option<&LogLine>) -> String {
     let (code, reason) = (line.str_field("code"), line.str_field("reason"));
     let took = line.int_field("took_ms");
--- a/cicadactl/tests/explain.rs
+++ b/cicadactl/tests/explain.rs
@@ -15,6 +15,8 @@
 {"level":"warn","timestamp":2500,"payload":"ATTEMPT_FAILED","kv":{"event":523,"request":"r-cut","replica":"i-1","after_ms":400,"reason":"connection ended before an answer: unexpected end of file"},"tid":1}
 {"level":"warn","timestamp":2501,"payload":"REQUEST_BROKEN","kv":{"event":524,"request":"r-cut","status":502,"code":"no_answer","route":"r","attempts":1,"took_ms":403},"tid":1}
 {"level":"info","timestamp":2600,"payload":"REPLICA_REMOVED","kv":{"event":513,"replica":"i-1","reason":"entry is gone"},"tid":1}
+{"level":"info","timestamp":2700,"payload":"JOB_OVER_LIMIT","kv":{"event":619,"job":"j-flood","customer":"huka","route":"drafts","tokens":9000,"waiting":1195000,"limit":1200000,"index_age_ms":12,"retry_after_ms":900},"tid":1}
+{"level":"info","timestamp":2701,"payload":"REQUEST_REFUSED","kv":{"event":522,"request":"j-flood","status":429,"code":"too_many_tokens","route":"drafts","config_version":7,"retry_after_ms":900},"tid":1}
 not a log line
 {"level":"debug","timestamp":3000,"payload":"REQUEST_SENT","kv":{"event":520,"request":"r-killed","attempt":1,"replica":"i-2","slot":"queued","asked_ms":2,"load":9,"slots":8,"left_ms":4990,"after_event":0},"tid":1}
 {"level":"info","timestamp":3500,"payload":"STARTED","kv":{"event":100,"instance":"front-a-1"},"tid":2}
@@ -68,6 +70,10 @@
             "replica i-1 failed after 400 ms: connection ended before an answer",
         ),
         ("r-killed", "front-a-1 was restarted while i-2 worked on it"),
+        (
+            "j-flood",
+            "9000 tokens do not fit: 1195000 of at most 1200000 of customer huka",
+        ),
         ("item-3", "120 events, 2 runs, 1 pauses"),
     ];
     for (id, expected) in cases {
--- a/cicadagate-gateway/src/process/directory.rs
+++ b/cicadagate-gateway/src/process/directory.rs
@@ -11,6 +11,7 @@
     super::Gateway,
     crate::request::{Response, respond},
     actix_http::Request,
+    cicadagate_node::clock::unix_time_ms,
     cicadagate_policy::process::membership::Health,
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
@@ -69,5 +70,26 @@
 
 /// Serves the metrics.
 pub async fn serve_metrics(gateway: Rc<Gateway>, _req: Request) -> Response {
+    set_waiting_tokens(&gateway);
     respond(200, "text/plain; version=0.0.4", gateway.metrics.render())
 }
+
+fn set_waiting_tokens(gateway: &Gateway) {
+    let gauge = &gateway.metrics.waiting_tokens;
+    gauge.reset();
+    let Some(config) = gateway.current_config() else {
+        return;
+    };
+    let as_gauge = |tokens: u64| i64::try_from(tokens).unwrap_or(i64::MAX);
+    let index = gateway.jobs.index.borrow();
+    for ((customer, route), waiting) in index.waiting_tokens(unix_time_ms()) {
+        let limit = config
+            .route_by_name(route)
+            .map_or(0, |route| route.max_waiting_tokens);
+        for (kind, tokens) in [("waiting", waiting), ("limit", limit)] {
+            gauge
+                .with_label_values(&[customer, route, kind])
+                .set(as_gauge(tokens));
+        }
+    }
+}
--- a/cicadagate-gateway/src/process/jobs.rs
+++ b/cicadagate-gateway/src/process/jobs.rs
@@ -152,6 +152,13 @@
             .is_some_and(|synced| now.since(synced) <= within_ms)
     }
 
+    /// Returns the time since which the index was up to date, in milliseconds;
+    /// `None` if it never was.
+    #[must_use]
+    pub fn age_ms(&self, now: Time) -> Option<u64> {
+        self.synced_at.get().map(|synced| now.since(synced))
+    }
+
     /// Waits until the index changes, for at most `max_wait`.
     pub async fn wait_for_change(&self, max_wait: Duration) {
         // The calling code checks the index again, changed or not.
--- a/cicadagate-gateway/src/request/job_requests.rs
+++ b/cicadagate-gateway/src/request/job_requests.rs
@@ -1,7 +1,10 @@
 /*!
 Submissions of batch jobs, and requests about accepted jobs.
 
-A job is accepted once the store has acknowledged its record in the index.
+A job is accepted once the store has acknowledged its record in the index. On a
+route with a limit of waiting tokens, the record is a request, and the job is
+accepted once this process has read the record back and the index has accepted
+it.
 Responses about a job come from an index that was up to date at most
 [`MAX_INDEX_AGE_MS`] ago; if the process can't bring it up to date, the response
 is an error.
@@ -25,8 +28,9 @@
         ids::{CustomerId, JobId, hash64},
         time::Time,
         version::{
-            job_index::{ItemEntry, ItemState, Job, Outcome, Record},
+            job_index::{ItemEntry, ItemState, Job, Outcome, Record, Submission, SubmissionState},
             serving::Route,
+            token_limit::{self, TokenCount},
         },
     },
     std::{rc::Rc, time::Duration},
@@ -89,6 +93,21 @@
         return respond(202, "application/json", "{}");
     }
     let count = items.len();
+    let tokens = items.iter().map(|item| u64::from(item.tokens)).sum();
+    let pending = PendingSubmission {
+        id,
+        job,
+        customer,
+        customer_name: &customer_name,
+        route,
+        tokens,
+        arrival,
+    };
+    if route.max_waiting_tokens > 0
+        && let Some(response) = pending.refuse_unless_it_fits(gateway).await
+    {
+        return response;
+    }
     let entries = match store_items(gateway, job, items).await {
         Ok(entries) => entries,
         Err(err) => {
@@ -105,10 +124,10 @@
         }
     };
     let accepted_ms = unix_time_ms();
-    let record = Record::Accepted {
+    let submission = Submission {
         job,
         customer,
-        customer_name,
+        customer_name: customer_name.clone(),
         route: route.name.clone(),
         host: context.host.clone(),
         config_version: context.config.version(),
@@ -117,25 +136,138 @@
         give_up_ms: accepted_ms.saturating_add(route.give_up_ms),
         items: entries,
     };
-    match append_with_retries(gateway, arrival, &record).await {
-        AppendOutcome::Done => {
+    let state = if route.max_waiting_tokens > 0 {
+        pending.append_limited(gateway, submission).await
+    } else {
+        append_with_retries(gateway, arrival, &Record::Accepted(submission))
+            .await
+            .map_unlimited()
+    };
+    match state {
+        Submitted::Accepted => {
             event!(
                 JOB_ACCEPTED,
                 job = id,
                 items = count,
-                customer = context.customer.as_ref().map_or("", |c| c.name.as_str()),
+                tokens,
+                customer = customer_name,
                 took_ms = gateway.now().since(arrival)
             );
             respond(202, "application/json", "{}")
         }
-        AppendOutcome::NotDone => refuse(
+        Submitted::OverTokenLimit => pending.refuse_over_limit(gateway, &pending.count(gateway)),
+        Submitted::NotDone => refuse(
             gateway,
             id,
             RequestError::StoreUnavailable,
             &route.name,
             Some(RETRY_AFTER),
         ),
-        AppendOutcome::Unknown => refuse(gateway, id, RequestError::NoAnswer, &route.name, None),
+        Submitted::Unknown => refuse(gateway, id, RequestError::NoAnswer, &route.name, None),
+    }
+}
+
+/// Outcome of a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Submitted {
+    Accepted,
+    OverTokenLimit,
+    /// No record of the job is in the index, and none will be.
+    NotDone,
+    Unknown,
+}
+
+/// A job that is being submitted.
+struct PendingSubmission<'a> {
+    id: &'a str,
+    job: JobId,
+    customer: CustomerId,
+    customer_name: &'a str,
+    route: &'a Route,
+    tokens: u64,
+    arrival: Time,
+}
+
+impl PendingSubmission<'_> {
+    fn count(&self, gateway: &Gateway) -> TokenCount {
+        let index = gateway.jobs.index.borrow();
+        index.token_count(self.customer, &self.route.name, unix_time_ms())
+    }
+
+    /// Returns a response if the job was accepted before, or if it does not fit
+    /// and the index that shows this has been brought up to date.
+    async fn refuse_unless_it_fits(&self, gateway: &Rc<Gateway>) -> Option<Response> {
+        let limit = self.route.max_waiting_tokens;
+        token_limit::check(self.count(gateway), self.tokens, limit).err()?;
+        // The index may lack finished items, or the acceptance of this job at
+        // another instance.
+        if let Err(err) = gateway.jobs.sync(gateway, gateway.now()).await {
+            event!(JOB_REFUSED, job = self.id, reason: = err);
+            let error = RequestError::StoreUnavailable;
+            let route = &self.route.name;
+            return Some(refuse(gateway, self.id, error, route, Some(RETRY_AFTER)));
+        }
+        if gateway.jobs.index.borrow().job(self.job).is_some() {
+            event!(JOB_ACCEPTED, job = self.id, repeated = true);
+            return Some(respond(202, "application/json", "{}"));
+        }
+        let count = self.count(gateway);
+        token_limit::check(count, self.tokens, limit).err()?;
+        Some(self.refuse_over_limit(gateway, &count))
+    }
+
+    fn refuse_over_limit(&self, gateway: &Rc<Gateway>, count: &TokenCount) -> Response {
+        let limit = self.route.max_waiting_tokens;
+        let check = token_limit::check(*count, self.tokens, limit);
+        // The index may have room again since it refused the job.
+        let retry_after_ms =
+            check.map_or_else(|over| over.retry_after_ms, |()| token_limit::MIN_RETRY_MS);
+        event!(
+            JOB_OVER_LIMIT,
+            job = self.id,
+            customer = self.customer_name,
+            route = self.route.name.as_str(),
+            tokens = self.tokens,
+            waiting = count.waiting,
+            limit,
+            index_age_ms = gateway.jobs.age_ms(gateway.now()).unwrap_or_default(),
+            retry_after_ms
+        );
+        let delay = Duration::from_millis(retry_after_ms);
+        let error = RequestError::TooManyTokens;
+        refuse(gateway, self.id, error, &self.route.name, Some(delay))
+    }
+
+    /// Appends a submission to a limited route, and reads back whether the
+    /// index accepted it.
+    async fn append_limited(&self, gateway: &Rc<Gateway>, submission: Submission) -> Submitted {
+        let attempt = gateway.next_random();
+        let record = Record::Submitted {
+            submission,
+            attempt,
+            token_limit: self.route.max_waiting_tokens,
+        };
+        let outcome = append_with_retries(gateway, self.arrival, &record).await;
+        if outcome == AppendOutcome::NotDone {
+            return Submitted::NotDone;
+        }
+        let appended = gateway.now();
+        loop {
+            let now = gateway.now();
+            if gateway.jobs.sync(gateway, now).await.is_ok() {
+                let index = gateway.jobs.index.borrow();
+                return match index.submission_state(self.job, attempt) {
+                    SubmissionState::Accepted => Submitted::Accepted,
+                    SubmissionState::Refused => Submitted::OverTokenLimit,
+                    // The record may still be appended.
+                    SubmissionState::Unknown => Submitted::Unknown,
+                };
+            }
+            if now.since(appended) >= APPEND_RETRY_MS {
+                return Submitted::Unknown;
+            }
+            sleep(APPEND_DELAY).await;
+        }
     }
 }
 
@@ -178,6 +310,17 @@
     Unknown,
 }
 
+impl AppendOutcome {
+    /// Returns the outcome of a submission to a route without a limit.
+    const fn map_unlimited(self) -> Submitted {
+        match self {
+            Self::Done => Submitted::Accepted,
+            Self::NotDone => Submitted::NotDone,
+            Self::Unknown => Submitted::Unknown,
+        }
+    }
+}
+
 /// Appends a record, with retries for [`APPEND_RETRY_MS`]. A record that is
 /// appended twice counts once.
 async fn append_with_retries(gateway: &Rc<Gateway>, since: Time, record: &Record) -> AppendOutcome {
--- a/cicadagate-gateway/src/request/mod.rs
+++ b/cicadagate-gateway/src/request/mod.rs
@@ -61,6 +61,8 @@
     UnknownKey,
     /// The customer's rate limit is exceeded.
     OverLimit,
+    /// The customer has too many tokens waiting on the route.
+    TooManyTokens,
     /// A header or the body is malformed.
     Malformed,
     /// The body is too long.
@@ -90,6 +92,11 @@
             Self::JobNotFound => (404, "no_such_job", "no such job or item"),
             Self::UnknownKey => (401, "unknown_key", "the key is missing or not valid"),
             Self::OverLimit => (429, "over_limit", "the customer's rate is used up"),
+            Self::TooManyTokens => (
+                429,
+                "too_many_tokens",
+                "the customer has too many tokens waiting on this route",
+            ),
             Self::Malformed => (400, "malformed", "the request makes no sense"),
             Self::TooLong => (413, "too_long", "the body is too long"),
             Self::Incomplete => (408, "incomplete", "the body did not arrive whole"),
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -105,6 +105,7 @@
     ITEM_DONE = 613, Debug, "An item's output is durable.";
     ITEM_ABANDONED = 614, Warn, "An item was given up.";
     JOB_REFUSED = 615, Warn, "A job was refused or its acceptance is unknown.";
+    JOB_OVER_LIMIT = 619, Info, "A job does not fit into the tokens that its customer may have waiting on the route.";
     JOB_CALL_FAILED = 616, Warn, "A request about a job could not be served.";
     LOG_LINES_DROPPED = 110, Warn, "Log lines were dropped, since standard output does not take them.";
     CHANGE_DECIDED = 700, Info, "An operator's change was accepted or rejected.";
--- a/cicadagate-node/src/metrics.rs
+++ b/cicadagate-node/src/metrics.rs
@@ -36,6 +36,8 @@
     pub refused_messages: IntCounterVec,
     /// Gauges of the process's state, by kind.
     pub state: IntGaugeVec,
+    /// Waiting tokens of batch jobs and their limit, by customer and route.
+    pub waiting_tokens: IntGaugeVec,
     /// Seconds until the first piece of a response.
     pub first_piece_seconds: Histogram,
     /// Duration of requests, in seconds.
@@ -75,6 +77,17 @@
         registry
             .register(Box::new(state.clone()))
             .expect("names differ");
+        let waiting_tokens = IntGaugeVec::new(
+            Opts::new(
+                "cicadagate_waiting_tokens",
+                "Tokens of accepted items without a result, and their limit, by customer and route.",
+            ),
+            &["customer", "route", "kind"],
+        )
+        .expect("constant names are valid");
+        registry
+            .register(Box::new(waiting_tokens.clone()))
+            .expect("names differ");
         Self {
             requests: counter(
                 "cicadagate_requests_total",
@@ -118,6 +131,7 @@
             ),
             request_seconds: histogram("cicadagate_request_seconds", "Seconds that requests took."),
             state,
+            waiting_tokens,
             registry,
         }
     }
@@ -158,6 +172,10 @@
             ("cicadagate_request_seconds", "Seconds that requests took."),
             ("cicadagate_requests_total", "Requests by outcome."),
             ("cicadagate_state", "Sizes of state, by kind."),
+            (
+                "cicadagate_waiting_tokens",
+                "Tokens of accepted items without a result, and their limit, by customer and route.",
+            ),
         ]
     }
 
--- a/cicadagate-node/tests/docs.rs
+++ b/cicadagate-node/tests/docs.rs
@@ -85,6 +85,10 @@
     }
     metrics.refused_messages.with_label_values(&["x"]).inc();
     metrics.set_state("x", 1);
+    metrics
+        .waiting_tokens
+        .with_label_values(&["x", "x", "x"])
+        .set(1);
     let text = String::from_utf8(metrics.render()).expect("text");
     let rendered: BTreeSet<String> = text
         .lines()
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -54,6 +54,10 @@
     AcknowledgeEarly,
     /// A queued request runs under another request's customer.
     RunForWrongCustomer,
+    /// A job is accepted although its tokens exceed the customer's limit.
+    IgnoreTokenLimit,
+    /// A refused attempt to submit a job is decided again.
+    ForgetRefusedAttempt,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/version/job_index.rs
+++ b/cicadagate-policy/src/version/job_index.rs
@@ -13,7 +13,8 @@
 Contents (bodies and outputs) are appended to content partitions first, and
 then a small record that names their [`ContentLocation`] is appended to the
 index. Every process applies the index; contents are read only by processes
-that need them. The first record of a job accepts it, the first result of an
+that need them. The first record of a job accepts it (on a route with
+a [limit of waiting tokens](super::token_limit) if it fits), the first result of an
 item in log order is its result, and the order of those records determines the
 positions at which results are listed. A repeated record or a result after the
 cancellation of the job changes nothing, but each record of a failure is
@@ -26,11 +27,19 @@
 */
 
 use {
-    crate::ids::{CustomerId, JobId, hash64},
+    super::token_limit::{self, RefusedAttempts, TokenCount},
+    crate::{
+        fault_injection::{Fault, is_injected},
+        ids::{CustomerId, JobId, hash64},
+    },
     serde::{Deserialize, Serialize},
     std::collections::{BTreeMap, BTreeSet},
 };
 
+/// Age up to which a job counts for the rate at which tokens are finished, in
+/// milliseconds.
+const FINISHED_WINDOW_MS: u64 = 20_000;
+
 /// The location of a body or an output in the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -95,35 +104,56 @@
     pub last_event: u64,
 }
 
+/// A job as submitted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Submission {
+    /// Job.
+    pub job: JobId,
+    /// Customer that submitted it.
+    pub customer: CustomerId,
+    /// The customer's name, as sent to replicas.
+    pub customer_name: String,
+    /// Name of the route of the submission.
+    pub route: String,
+    /// Host of the submission.
+    pub host: String,
+    /// Configuration version by which the job was accepted; an older one may
+    /// lack the job's route.
+    pub config_version: u64,
+    /// Time of acceptance, in milliseconds since the Unix epoch.
+    pub accepted_ms: u64,
+    /// Time at which the results are due, in milliseconds since the Unix
+    /// epoch.
+    pub due_ms: u64,
+    /// Time from which items may be abandoned, in milliseconds since the Unix
+    /// epoch.
+    pub give_up_ms: u64,
+    /// Items, in the order of the submission.
+    pub items: Vec<ItemEntry>,
+}
+
+impl Submission {
+    /// Returns the tokens of all items.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        tokens_of(&self.items)
+    }
+}
+
+fn tokens_of(items: &[ItemEntry]) -> u64 {
+    items.iter().map(|entry| u64::from(entry.tokens)).sum()
+}
+
 /// A record of the index.
+///
+/// Variants are only added at the end, since the log has records of earlier
+/// builds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub enum Record {
-    /// A job was accepted.
-    Accepted {
-        /// Job.
-        job: JobId,
-        /// Customer that submitted it.
-        customer: CustomerId,
-        /// The customer's name, as sent to replicas.
-        customer_name: String,
-        /// Name of the route of the submission.
-        route: String,
-        /// Host of the submission.
-        host: String,
-        /// Configuration version by which the job was accepted.
-        config_version: u64,
-        /// Time of acceptance, in milliseconds since the Unix epoch.
-        accepted_ms: u64,
-        /// Time at which the results are due, in milliseconds since the Unix
-        /// epoch.
-        due_ms: u64,
-        /// Time from which items may be abandoned, in milliseconds since the
-        /// Unix epoch.
-        give_up_ms: u64,
-        /// Items, in the order of the submission.
-        items: Vec<ItemEntry>,
-    },
+    /// A job was accepted on a route without a limit of waiting tokens.
+    Accepted(Submission),
     /// An item has a result.
     Finished {
         /// Item.
@@ -148,6 +178,27 @@
         /// Job.
         job: JobId,
     },
+    /// A job was submitted to a route with a limit of waiting tokens. The index
+    /// accepts it if its tokens fit.
+    Submitted {
+        /// The job.
+        submission: Submission,
+        /// Number of the request that submitted it; a refusal is final for it.
+        attempt: u64,
+        /// Most tokens that the customer may have waiting on the route.
+        token_limit: u64,
+    },
+}
+
+/// What the index says of an attempt to submit a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SubmissionState {
+    /// The job was accepted, by this attempt or another.
+    Accepted,
+    /// The attempt was refused, and no other one was accepted.
+    Refused,
+    /// The index has no record of the attempt.
+    Unknown,
 }
 
 /// The state of an item.
@@ -189,6 +240,8 @@
     /// Items with a result, in the order of their results.
     listed: Vec<u32>,
     is_ended: bool,
+    /// Tokens of the items without a result.
+    open_tokens: u64,
 }
 
 impl Job {
@@ -242,6 +295,22 @@
         !self.is_ended && self.listed.len() < self.entries.len()
     }
 
+    /// Returns the tokens of the items that wait or run at a time, in
+    /// milliseconds since the Unix epoch.
+    #[must_use]
+    pub const fn waiting_tokens(&self, now_ms: u64) -> u64 {
+        if self.is_ended || self.give_up_ms <= now_ms {
+            0
+        } else {
+            self.open_tokens
+        }
+    }
+
+    /// Returns the tokens of the items that have a result.
+    fn finished_tokens(&self) -> u64 {
+        tokens_of(&self.entries).saturating_sub(self.open_tokens)
+    }
+
     fn open_items(&self) -> impl Iterator<Item = ItemRef> + '_ {
         let job = self.id;
         let open = |state: &ItemState| matches!(state, ItemState::Open(_));
@@ -259,52 +328,129 @@
     jobs: BTreeMap<JobId, Job>,
     /// Open jobs, sorted by due time.
     open: BTreeSet<(u64, JobId)>,
+    /// Attempts to submit a job that were refused.
+    refused: RefusedAttempts,
 }
 
 impl JobIndex {
     /// Applies the next record; returns `true` if it changed anything.
     pub fn apply(&mut self, record: Record) -> bool {
         match record {
-            Record::Accepted { job, .. } if self.jobs.contains_key(&job) => false,
-            Record::Accepted {
-                job,
-                customer,
-                customer_name,
-                route,
-                host,
-                config_version,
-                accepted_ms,
-                due_ms,
-                give_up_ms,
-                items,
-            } => {
-                let state = Job {
-                    id: job,
-                    customer,
-                    customer_name,
-                    route,
-                    host,
-                    config_version,
-                    accepted_ms,
-                    due_ms,
-                    give_up_ms,
-                    states: vec![ItemState::Open(None); items.len()],
-                    entries: items,
-                    failures: BTreeMap::new(),
-                    listed: Vec::new(),
-                    is_ended: false,
-                };
-                if state.is_open() {
-                    self.open.insert((due_ms, job));
-                }
-                self.jobs.insert(job, state);
-                true
-            }
+            Record::Accepted(submission) => self.accept(submission),
             Record::Finished { item, outcome } => self.finish(item, outcome),
             Record::Saved { item, progress } => self.save(item, progress),
             Record::Failed { item } => self.note_failure(item),
             Record::Ended { job } => self.end(job),
+            Record::Submitted {
+                submission,
+                attempt,
+                token_limit,
+            } => self.decide(submission, attempt, token_limit),
+        }
+    }
+
+    fn accept(&mut self, submission: Submission) -> bool {
+        if self.jobs.contains_key(&submission.job) {
+            return false;
+        }
+        let open_tokens = submission.tokens();
+        let Submission {
+            job,
+            customer,
+            customer_name,
+            route,
+            host,
+            config_version,
+            accepted_ms,
+            due_ms,
+            give_up_ms,
+            items,
+        } = submission;
+        let state = Job {
+            id: job,
+            customer,
+            customer_name,
+            route,
+            host,
+            config_version,
+            accepted_ms,
+            due_ms,
+            give_up_ms,
+            states: vec![ItemState::Open(None); items.len()],
+            entries: items,
+            failures: BTreeMap::new(),
+            listed: Vec::new(),
+            is_ended: false,
+            open_tokens,
+        };
+        if state.is_open() {
+            self.open.insert((due_ms, job));
+        }
+        self.jobs.insert(job, state);
+        true
+    }
+
+    fn decide(&mut self, submission: Submission, attempt: u64, token_limit: u64) -> bool {
+        let is_refused =
+            self.refused.contains(attempt) && !is_injected(Fault::ForgetRefusedAttempt);
+        if is_refused || self.jobs.contains_key(&submission.job) {
+            return false;
+        }
+        // Time comes from the record, so that all processes decide alike.
+        let now_ms = submission.accepted_ms;
+        let count = self.token_count(submission.customer, &submission.route, now_ms);
+        if token_limit::check(count, submission.tokens(), token_limit).is_err() {
+            self.refused.insert(attempt);
+            return true;
+        }
+        self.accept(submission)
+    }
+
+    /// Returns what the index says of an attempt to submit a job.
+    #[must_use]
+    pub fn submission_state(&self, job: JobId, attempt: u64) -> SubmissionState {
+        if self.jobs.contains_key(&job) {
+            SubmissionState::Accepted
+        } else if self.refused.contains(attempt) {
+            SubmissionState::Refused
+        } else {
+            SubmissionState::Unknown
+        }
+    }
+
+    /// Returns the tokens of a customer on a route at a time, in milliseconds
+    /// since the Unix epoch.
+    #[must_use]
+    pub fn token_count(&self, customer: CustomerId, route: &str, now_ms: u64) -> TokenCount {
+        let mut count = TokenCount::default();
+        let counted_from = now_ms.saturating_sub(FINISHED_WINDOW_MS);
+        for job in self.jobs.values() {
+            if job.customer != customer || job.route != route {
+                continue;
+            }
+            let waiting = job.waiting_tokens(now_ms);
+            count.waiting += waiting;
+            if waiting > 0 {
+                count.due_in_ms = count.due_in_ms.max(job.due_ms.saturating_sub(now_ms));
+            }
+            if job.accepted_ms >= counted_from {
+                count.finished += job.finished_tokens();
+                let age_ms = now_ms.saturating_sub(job.accepted_ms);
+                count.elapsed_ms = count.elapsed_ms.max(age_ms);
+            }
+        }
+        count
+    }
+
+    /// Returns the waiting tokens of each customer and route with an open job.
+    #[must_use]
+    pub fn waiting_tokens(&self, now_ms: u64) -> BTreeMap<(&str, &str), u64> {
+        let mut waiting = BTreeMap::new();
+        for job in self.open_jobs() {
+            let key = (job.customer_name.as_str(), job.route.as_str());
+            *waiting.entry(key).or_default() += job.waiting_tokens(now_ms);
         }
+        waiting
     }
 
     fn finish(&mut self, item: ItemRef, outcome: Outcome) -> bool {
@@ -319,6 +465,8 @@
             return false;
         }
         *state = ItemState::Finished(outcome);
+        let tokens = job.entries[item.index as usize].tokens;
+        job.open_tokens = job.open_tokens.saturating_sub(u64::from(tokens));
         job.listed.push(item.index);
         if !job.is_open() {
             self.open.remove(&(job.due_ms, job.id));
--- a/cicadagate-policy/src/version/mod.rs
+++ b/cicadagate-policy/src/version/mod.rs
@@ -12,3 +12,4 @@
 pub mod jobs;
 pub mod reader;
 pub mod serving;
+pub mod token_limit;
--- a/cicadagate-policy/src/version/serving.rs
+++ b/cicadagate-policy/src/version/serving.rs
@@ -79,6 +79,9 @@
     /// Time from a job's submission until items may be abandoned, in
     /// milliseconds.
     pub give_up_ms: u64,
+    /// Most tokens that a customer's accepted items may have waiting, over the
+    /// whole fleet; 0 means no limit.
+    pub max_waiting_tokens: u64,
 }
 
 impl Route {
--- a/cicadagate-policy/tests/job_index.rs
+++ b/cicadagate-policy/tests/job_index.rs
@@ -5,6 +5,7 @@
         ids::{CustomerId, JobId},
         version::job_index::{
             ContentLocation, ItemEntry, ItemRef, ItemState, JobIndex, Outcome, Progress, Record,
+            Submission,
         },
     },
     quickcheck::{Arbitrary, Gen, QuickCheck},
@@ -25,12 +26,16 @@
 }
 
 fn accepted(job: u64, due_ms: u64) -> Record {
+    Record::Accepted(submission(job, due_ms))
+}
+
+fn submission(job: u64, due_ms: u64) -> Submission {
     let items = (0..ITEMS).map(|index| ItemEntry {
         id: format!("item {index}"),
         tokens: 10,
         content: place(u64::from(index)),
     });
-    Record::Accepted {
+    Submission {
         job: JobId::from_raw(job),
         customer: CustomerId::of("huka"),
         customer_name: "huka".to_owned(),
@@ -118,8 +123,8 @@
 impl Oracle {
     fn take(&mut self, record: &Record) {
         match record {
-            Record::Accepted { job, .. } => {
-                self.accepted.insert(job.raw());
+            Record::Accepted(submission) => {
+                self.accepted.insert(submission.job.raw());
             }
             Record::Finished { item, outcome } => {
                 let job = item.job.raw();
@@ -133,7 +138,10 @@
             Record::Ended { job } if self.accepted.contains(&job.raw()) => {
                 self.ended.insert(job.raw());
             }
-            Record::Saved { .. } | Record::Failed { .. } | Record::Ended { .. } => {}
+            Record::Saved { .. }
+            | Record::Failed { .. }
+            | Record::Ended { .. }
+            | Record::Submitted { .. } => {}
         }
     }
 }
--- a/cicadagate-policy/tests/serving.rs
+++ b/cicadagate-policy/tests/serving.rs
@@ -25,6 +25,7 @@
         is_resumable: false,
         due_ms: 0,
         give_up_ms: 0,
+        max_waiting_tokens: 0,
     }
 }
 
