After a restart of all, withhold bursts and work together before the first reports

A restarted process (not `bootstrap`) withholds bursts until a member that started 5 s earlier or more reports; buckets fill at their rate from its start.

A member now counts as working before its first report once its messages carry a configuration version, set when it is ready; and it reports to all at that moment. The number of members comes from the membership, not from the reports received so far. The first plan of items waits for one reporting period.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -25,6 +25,7 @@
         process::{
             batch_share::{Slots, fill_percent, plan, runner},
             membership::Health,
+            reports::period_ms,
         },
         request::sse::EventSequencer,
         time::Time,
@@ -52,9 +53,9 @@
 /// Clock skew between instances that is allowed for, in milliseconds: an
 /// instance whose clock is ahead must not abandon an item early.
 const MAX_CLOCK_SKEW_MS: u64 = 5_000;
-/// Delay between the start and the first plan, in milliseconds: before load
-/// reports arrive, each process would assign all items to itself.
-const STARTUP_DELAY_MS: u64 = 700;
+/// Least delay between the start and the first plan, in milliseconds: before
+/// the other members are known, each process would assign all items to itself.
+const MIN_STARTUP_DELAY_MS: u64 = 700;
 /// Longest time for saving outputs at shutdown.
 const HAND_OFF_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -169,7 +170,10 @@
 /// Plans items and saves outputs until the process ends.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     actix_rt::spawn(results::save_periodically(Rc::clone(&gateway)));
-    sleep(Duration::from_millis(STARTUP_DELAY_MS)).await;
+    sleep(Duration::from_millis(MIN_STARTUP_DELAY_MS)).await;
+    // Until all members have reported, their running items are not known.
+    let reported_ms = period_ms(gateway.member_count()).saturating_sub(MIN_STARTUP_DELAY_MS);
+    sleep(Duration::from_millis(reported_ms)).await;
     loop {
         sleep(PLAN_INTERVAL).await;
         stop_finished_items(&gateway);
--- a/cicadagate-gateway/src/process/jobs.rs
+++ b/cicadagate-gateway/src/process/jobs.rs
@@ -77,7 +77,7 @@
             remove_old_jobs(&gateway);
         }
         // Bounds the reads per second of all members together.
-        let members = gateway.reports.borrow().len() as u64 + 1;
+        let members = gateway.member_count() as u64;
         let interval_ms = members * 1_000 / MAX_FLEET_READS_PER_S;
         sleep(Duration::from_millis(MIN_READ_INTERVAL_MS.max(interval_ms))).await;
     }
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -169,7 +169,11 @@
             version: Offset::NONE,
             leaving: false,
         };
-        let limiter = RateLimiter::new(settings.bounds.limit_tolerance);
+        let clock = Clock::start();
+        let mut limiter = RateLimiter::new(settings.bounds.limit_tolerance);
+        if !settings.is_first_start {
+            limiter.withhold_bursts(clock.now());
+        }
         let key = settings.fleet_key.clone();
         Rc::new_cyclic(|gateway| Self {
             store: Rc::new(fleet_store::FleetStore::new(store, gateway.clone(), &key)),
@@ -193,7 +197,7 @@
             bounds: Cell::new(settings.bounds),
             peer_socket: OnceCell::new(),
             newer_config_reported: Notify::new(),
-            clock: Clock::start(),
+            clock,
             in_flight: RefCell::default(),
             phase: Cell::default(),
             open_requests: Cell::default(),
@@ -319,7 +323,7 @@
     ) -> ReplicaLoad {
         let hold_times = self.hold_times.borrow();
         let hold_ms = hold_times.get(service).map_or(0, |held| held.ms());
-        let load_remaining_percent = remaining_percent(period_ms(reports.len() + 1), hold_ms);
+        let load_remaining_percent = remaining_percent(period_ms(self.member_count()), hold_ms);
         let (own, others) = (self.own_load(endpoint), reports.load(endpoint));
         ReplicaLoad {
             is_suspect: reports.suspicion_count(endpoint) > 0,
@@ -377,6 +381,13 @@
         }
     }
 
+    /// Returns the number of gateways that are not known to have failed, this
+    /// one included.
+    #[must_use]
+    pub fn member_count(&self) -> usize {
+        self.members.borrow().alive().count() + 1
+    }
+
     /// Returns the timeouts for callers' connections.
     fn timeouts(&self) -> ConnectionTimeouts {
         self.current_config()
--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -12,7 +12,7 @@
     actix_rt::{net::UdpSocket, time::sleep},
     cicadagate_node::event,
     cicadagate_policy::{
-        ids::MemberId,
+        ids::{MemberId, Offset},
         process::{
             membership::{Health, Info, Outgoing},
             reports::{Report, period_ms},
@@ -29,6 +29,10 @@
 const READ_INTERVAL: Duration = Duration::from_secs(5);
 /// Delay after a failed store operation.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Time by which a member must have started earlier than this process to know
+/// what customers used before, in milliseconds: the processes of a fleet that is
+/// restarted as a whole start within less.
+const MIN_OLDER_MS: u64 = 5_000;
 /// Longest wait for a datagram before due work is checked, in milliseconds.
 const MAX_WAIT_MS: u64 = 100;
 
@@ -75,6 +79,7 @@
             }
             () = sleep(Duration::from_millis(wait)) => {}
         }
+        announce_readiness(&gateway, peer_socket);
         let out = gateway.members.borrow_mut().tick(gateway.now());
         peer_socket.send_all(&gateway, out);
         if peer_socket.next_report_ms.get() <= gateway.now().0 {
@@ -84,6 +89,21 @@
     }
 }
 
+/// Tells the other members once this process is ready: its own messages carry
+/// the configuration version from then on, and all members get a report at once.
+fn announce_readiness(gateway: &Rc<Gateway>, peer_socket: &PeerSocket) {
+    let is_announced = gateway.members.borrow().own_info().version > Offset::NONE;
+    if is_announced || !gateway.is_ready() {
+        return;
+    }
+    let version = gateway.config.borrow().version().unwrap_or_default();
+    gateway
+        .members
+        .borrow_mut()
+        .set_own_state(Offset(version.max(1)), false);
+    send_report(gateway, peer_socket);
+}
+
 impl PeerSocket {
     fn send_all(&self, gateway: &Gateway, out: Vec<Outgoing>) {
         for (to, message) in out {
@@ -153,6 +173,11 @@
         limiter.apply_remote_total(now, member, customer, spent);
     }
     limiter.note_reporting_member(member);
+    let members = gateway.members.borrow();
+    let started = members.member(member).map(|(info, _)| info.started);
+    if started.is_some_and(|started| started + MIN_OLDER_MS < members.own_info().started) {
+        limiter.release_bursts();
+    }
 }
 
 fn send_report(gateway: &Rc<Gateway>, peer_socket: &PeerSocket) {
@@ -162,7 +187,7 @@
         .reports
         .borrow_mut()
         .expire(now, |id| is_alive_or_suspect(&members, id));
-    let member_count = u32::try_from(gateway.reports.borrow().len() + 1).unwrap_or(u32::MAX);
+    let member_count = u32::try_from(gateway.member_count()).unwrap_or(u32::MAX);
     gateway
         .limiter
         .borrow_mut()
--- a/cicadagate-gateway/src/settings.rs
+++ b/cicadagate-gateway/src/settings.rs
@@ -85,6 +85,9 @@
     pub seeds: Vec<IpAddr>,
     /// Key that authenticates messages between gateways.
     pub fleet_key: FleetKey,
+    /// Whether the whole fleet starts for the first time, so that no customer
+    /// has used any of its limits.
+    pub is_first_start: bool,
     /// Limits set by the platform.
     pub bounds: Bounds,
 }
--- a/cicadagate-policy/src/process/rate_limit.rs
+++ b/cicadagate-policy/src/process/rate_limit.rs
@@ -32,8 +32,14 @@
 # Cost
 
 The excess in a window is the tolerance plus what the whole fleet admits in
-one reporting period. A process that has just started has no record of debts
-and may admit one burst too many.
+one reporting period. A process that has just started beside others has no
+record of debts and may admit one burst too many.
+
+If all processes are restarted together, each would admit a whole burst again,
+within the window in which the burst was used before. A restarted process
+therefore [withholds](RateLimiter::withhold_bursts) the burst until it hears
+from a member that ran before it; if there is none, buckets fill at their rate
+from the start of the process.
 */
 
 use {
@@ -126,10 +132,14 @@
 }
 
 impl Bucket {
-    fn new(now: Time, limit: Limit) -> Self {
+    /// Creates a bucket; if bursts are withheld since a time, it holds what the
+    /// rate has yielded since then.
+    fn new(now: Time, limit: Limit, withheld_since: Option<Time>) -> Self {
+        #[allow(clippy::cast_precision_loss)] // Milliseconds of a process's life.
+        let yielded = |since| limit.rate_per_s * now.since(since) as f64 / 1_000.0;
         Self {
             limit,
-            tokens: limit.burst,
+            tokens: withheld_since.map_or(limit.burst, |since| yielded(since).min(limit.burst)),
             refilled_at: now,
             admitted: AdmittedTotals::default(),
             changed_at: now,
@@ -175,6 +185,8 @@
     reported_totals: HashMap<(MemberId, CustomerId), u64>,
     /// Members that have reported at least once.
     reporting_members: HashSet<MemberId>,
+    /// Time since which bursts are withheld.
+    withheld_since: Option<Time>,
 }
 
 impl RateLimiter {
@@ -188,6 +200,22 @@
         }
     }
 
+    /// Withholds the bursts of all customers, since what was admitted before
+    /// `now` is not known.
+    pub fn withhold_bursts(&mut self, now: Time) {
+        self.withheld_since = Some(now);
+    }
+
+    /// Adds the withheld bursts, since a member reports that ran before this
+    /// process: the other members' buckets still hold the debts.
+    pub fn release_bursts(&mut self) {
+        if self.withheld_since.take().is_some() {
+            for bucket in self.buckets.values_mut() {
+                bucket.tokens = (bucket.tokens + bucket.limit.burst).min(bucket.limit.burst);
+            }
+        }
+    }
+
     /// Takes a token for a request of a customer.
     ///
     /// # Errors
@@ -205,7 +233,7 @@
         let bucket = self
             .buckets
             .entry(customer)
-            .or_insert_with(|| Bucket::new(now, limit));
+            .or_insert_with(|| Bucket::new(now, limit, self.withheld_since));
         bucket.refill(now, limit);
         if bucket.tokens - 1.0 < -self.tolerance {
             let missing = 1.0 - self.tolerance - bucket.tokens + bucket.allotted;
@@ -318,7 +346,7 @@
     pub fn ensure_bucket(&mut self, now: Time, customer: CustomerId, limit: Limit) {
         self.buckets
             .entry(customer)
-            .or_insert_with(|| Bucket::new(now, limit));
+            .or_insert_with(|| Bucket::new(now, limit, self.withheld_since));
     }
 
     /// Drops the totals of members that are gone.
--- a/cicadagate-policy/src/process/reports.rs
+++ b/cicadagate-policy/src/process/reports.rs
@@ -15,9 +15,13 @@
 receives at most [`MAX_REPORTS_PER_S`] reports a second.
 
 A member without a report for [`SILENCE_PERIODS`] periods is silent: others may
-take over its items, and its address is not advertised. This is faster than the
-failure detection of the membership and may be wrong. In that case an item runs
-twice for a moment, which is allowed and costs a slot.
+take over its items, and its address is not advertised. In a small fleet this is
+faster than the failure detection of the membership and may be wrong. In that
+case an item runs twice for a moment, which is allowed and costs a slot.
+
+A member that has not reported yet counts as working if its messages carry a
+configuration version, which it sets once it is ready. In a fleet of hundreds, reports are seconds apart, and after a
+restart of all processes none would find another one to work with for so long.
 
 # Cost
 
@@ -28,7 +32,7 @@
 use {
     super::{membership::Info, rate_limit::AdmittedTotals},
     crate::{
-        ids::{CustomerId, EndpointId, MemberId},
+        ids::{CustomerId, EndpointId, MemberId, Offset},
         time::Time,
         version::job_index::ItemRef,
     },
@@ -123,6 +127,8 @@
     received: HashMap<MemberId, ReceivedReport>,
     load: HashMap<EndpointId, InFlight>,
     suspects: HashMap<EndpointId, usize>,
+    /// Members whose last report was dropped because of its age.
+    silent: HashSet<MemberId>,
 }
 
 impl ReportTable {
@@ -134,6 +140,7 @@
             .get(&report.member)
             .is_none_or(|received| received.report.seq < report.seq);
         if is_newer {
+            self.silent.remove(&report.member);
             self.add(&report);
             let received = ReceivedReport { report, at: now };
             if let Some(old) = self.received.insert(received.report.member, received) {
@@ -163,7 +170,9 @@
             if let Some(old) = self.received.remove(&member) {
                 self.subtract(&old.report);
             }
+            self.silent.insert(member);
         }
+        self.silent.retain(|member| is_alive(*member));
     }
 
     fn add(&mut self, report: &Report) {
@@ -224,13 +233,16 @@
         self.received.is_empty()
     }
 
-    /// Returns whether a member is not silent and accepts new work.
+    /// Returns whether a member is not silent and accepts new work; `info` is
+    /// what the membership says of it.
     #[must_use]
     pub fn is_working(&self, now: Time, info: &Info) -> bool {
+        let Some(received) = self.received.get(&info.id) else {
+            let is_ready = info.version > Offset::NONE && !info.leaving;
+            return is_ready && !self.silent.contains(&info.id);
+        };
         let timeout_ms = self.silence_timeout_ms();
-        self.received.get(&info.id).is_some_and(|received| {
-            now.since(received.at) < timeout_ms && !received.report.is_leaving && !info.leaving
-        })
+        now.since(received.at) < timeout_ms && !received.report.is_leaving && !info.leaving
     }
 
     /// Returns an iterator over the reports of the members that are not silent.
--- a/cicadagate-policy/tests/rate_limit.rs
+++ b/cicadagate-policy/tests/rate_limit.rs
@@ -161,6 +161,53 @@
     assert!(worst <= bound(), "{worst} requests in a window");
 }
 
+/// Pattern: all processes are killed while a customer sends far above its rate,
+/// and are restarted a second later.
+#[test]
+fn the_bound_holds_when_all_processes_restart_under_a_hot_customer() {
+    for withholds in [true, false] {
+        let mut fleet = Fleet::new(true, 3);
+        fleet.simulate(10_000, 3_000, 120, 0);
+        for node in &mut fleet.nodes {
+            *node = RateLimiter::new(TOLERANCE_REQUESTS);
+            if withholds {
+                node.withhold_bursts(Time(14_000));
+            }
+        }
+        fleet.simulate(14_000, 6_000, 120, 0);
+        let worst = as_f64(fleet.worst_window());
+        assert_eq!(worst <= bound(), withholds, "{worst} requests in a window");
+    }
+}
+
+#[test]
+fn a_restart_beside_older_members_refuses_nobody() {
+    let mut fleet = Fleet::new(true, 5);
+    fleet.simulate(10_000, 3_000, 40, 0);
+    let mut restarted = RateLimiter::new(TOLERANCE_REQUESTS);
+    restarted.withhold_bursts(Time(13_000));
+    restarted.release_bursts();
+    fleet.nodes[4] = restarted;
+    fleet.simulate(13_000, 6_000, 40, 0);
+    assert_eq!(fleet.refused, 0);
+}
+
+#[test]
+fn withheld_bursts_fill_at_the_rate_from_the_start() {
+    let mut limiter = RateLimiter::new(0.0);
+    limiter.withhold_bursts(Time(1_000));
+    // Half a second at 44 a second.
+    let admitted = (0..100)
+        .filter(|_| limiter.admit(Time(1_500), CUSTOMER, LIMIT).is_ok())
+        .count();
+    assert_eq!(admitted, 22);
+    limiter.release_bursts();
+    let admitted = (0..100)
+        .filter(|_| limiter.admit(Time(1_500), CUSTOMER, LIMIT).is_ok())
+        .count();
+    assert_eq!(admitted, 44);
+}
+
 #[test]
 fn refused_callers_get_different_retry_times() {
     let mut limiter = RateLimiter::new(0.0);
--- a/cicadagate-policy/tests/reports.rs
+++ b/cicadagate-policy/tests/reports.rs
@@ -92,6 +92,43 @@
     assert_eq!(table.load(REPLICA), InFlight::default());
 }
 
+/// Pattern: all processes of a fleet of hundreds are restarted. Reports are
+/// seconds apart, so members work together before the first ones arrive.
+#[test]
+fn a_ready_member_works_before_its_first_report() {
+    let table = ReportTable::default();
+    let starting = Info {
+        version: Offset::NONE,
+        ..info(1)
+    };
+    assert!(!table.is_working(NOW, &starting));
+    let ready = Info {
+        version: Offset(7),
+        ..info(1)
+    };
+    assert!(table.is_working(NOW, &ready));
+    let stopping = Info {
+        leaving: true,
+        ..ready
+    };
+    assert!(!table.is_working(NOW, &stopping));
+}
+
+#[test]
+fn a_member_that_fell_silent_works_again_only_after_a_report() {
+    let mut table = ReportTable::default();
+    let ready = Info {
+        version: Offset(7),
+        ..info(1)
+    };
+    table.apply(NOW, report(1, 1, 5));
+    let much_later = NOW.plus(3 * table.silence_timeout_ms());
+    table.expire(much_later, |_| true);
+    assert!(!table.is_working(much_later, &ready));
+    table.apply(much_later, report(1, 2, 5));
+    assert!(table.is_working(much_later, &ready));
+}
+
 #[test]
 fn a_leaving_member_takes_no_new_work_but_keeps_its_items() {
     let mut table = ReportTable::default();
