--- a/cicadagate-node/src/process/join.rs
+++ b/cicadagate-node/src/process/join.rs
@@ -5,7 +5,8 @@
 yet would refuse requests wrongly, since it could reach neither the owners of
 replicas nor share holders. It is therefore not advertised, and no replica or
 share is placed on it, until it knows a majority of the processes on the
-platform's instance list. A majority may contain no share holder of a customer,
+platform's instance list, and until it has contact: a configuration taken from a
+peer comes without. A majority may contain no share holder of a customer,
 so an entry process also waits until it knows a live one of each customer. The
 list lags and may contain many processes that are gone, and all holders may be
 lost, so the wait is bounded.
@@ -49,7 +50,7 @@
 
 fn can_serve(node: &Node) -> bool {
     let is_entry = node.membership.borrow().own_info().role == Role::Entry;
-    knows_majority(node) && (!is_entry || knows_share_holders(node))
+    node.has_contact() && knows_majority(node) && (!is_entry || knows_share_holders(node))
 }
 
 fn knows_share_holders(node: &Node) -> bool {
