Look up the run rate of a service once per plan

The order of items looked the configuration up and copied the service's name for each open item in each plan, 16 times a second: with the thousands of open items of a flood that is several percent of a machine with 0.12 of a core. No change of behaviour.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -30,10 +30,7 @@
         },
         request::sse::EventSequencer,
         time::Time,
-        version::{
-            job_index::{ItemRef, ItemState},
-            serving::ServingConfig,
-        },
+        version::job_index::{ItemRef, ItemState},
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -144,6 +141,11 @@
         self.runs.borrow().keys().copied().collect()
     }
 
+    fn run_rate(&self, service: &str) -> RunRate {
+        let rates = self.run_rates.borrow();
+        rates.get(service).copied().unwrap_or_default()
+    }
+
     fn stop(&self, item: ItemRef) {
         if let Some(run) = self.runs.borrow().get(&item) {
             run.is_stopping.set(true);
@@ -160,7 +162,13 @@
                 .iter()
                 .filter(|(_, run)| run.endpoint.get() == Some(endpoint) && !run.is_stopping.get())
                 .map(|(item, _)| *item);
-            let open = |item| open_item(gateway, item, &HashSet::new());
+            let rate = gateway
+                .replicas
+                .borrow()
+                .get(endpoint)
+                .map(|replica| self.run_rate(&replica.registration.service))
+                .unwrap_or_default();
+            let open = |item| open_item(gateway, item, rate, &HashSet::new());
             let items = at_replica.filter_map(open);
             items
                 .max_by_key(|open| open.rank(now_ms))
@@ -270,9 +278,10 @@
         let due_in_ms = first_due_in_ms(gateway, &items);
         let slots = slots(gateway, &service, due_in_ms).for_batch();
         gateway.metrics.set_state("batch_slots", slots);
+        let rate = gateway.item_runner.run_rate(&service);
         let mut ordered: Vec<OpenItem> = items
             .into_iter()
-            .filter_map(|item| open_item(gateway, item, &elsewhere))
+            .filter_map(|item| open_item(gateway, item, rate, &elsewhere))
             .collect();
         item_order::sort(&mut ordered, unix_time_ms());
         let plan = plan(
@@ -302,8 +311,13 @@
 }
 
 /// Returns what this process knows of an item without a result; `None` if the
-/// item has one.
-fn open_item(gateway: &Gateway, item: ItemRef, elsewhere: &HashSet<ItemRef>) -> Option<OpenItem> {
+/// item has one. `rate` is the run rate of the item's service.
+fn open_item(
+    gateway: &Gateway,
+    item: ItemRef,
+    rate: RunRate,
+    elsewhere: &HashSet<ItemRef>,
+) -> Option<OpenItem> {
     let index = gateway.jobs.index.borrow();
     let job = index.job(item.job)?;
     let ItemState::Open(progress) = job.state(item.index)? else {
@@ -315,14 +329,7 @@
     let run = runs.get(&item).filter(|run| run.endpoint.get().is_some());
     let has_output = progress.is_some() || outputs.contains_key(&item);
     let is_elsewhere = elsewhere.contains(&item);
-    let service = gateway
-        .current_config()
-        .and_then(|config| service_of(&config, &job.route));
-    let rates = runner.run_rates.borrow();
-    let rate = service.and_then(|service| rates.get(&service).copied());
-    let whole_run_ms = rate
-        .unwrap_or_default()
-        .estimate_ms(job.item(item.index)?.tokens);
+    let whole_run_ms = rate.estimate_ms(job.item(item.index)?.tokens);
     let own_ms = outputs.get(&item).map_or(0, |output| output.ran_ms)
         + run.map_or(0, |run| gateway.now().since(run.since.get()));
     // How much others have run it is not known.
@@ -339,11 +346,6 @@
     })
 }
 
-fn service_of(config: &ServingConfig, route: &str) -> Option<String> {
-    let target = config.route_by_name(route)?.targets.first()?;
-    Some(target.service.clone())
-}
-
 fn working_members(gateway: &Gateway) -> Vec<MemberId> {
     let now = gateway.now();
     let members = gateway.members.borrow();
--- a/cicadagate-gateway/src/request/job_requests.rs
+++ b/cicadagate-gateway/src/request/job_requests.rs
@@ -141,7 +141,7 @@
     } else {
         append_with_retries(gateway, arrival, &Record::Accepted(submission))
             .await
-            .map_unlimited()
+            .without_limit()
     };
     match state {
         Submitted::Accepted => {
@@ -311,8 +311,8 @@
 }
 
 impl AppendOutcome {
-    /// Returns the outcome of a submission to a route without a limit.
-    const fn map_unlimited(self) -> Submitted {
+    /// Returns the outcome of a submission that needs no decision of the index.
+    const fn without_limit(self) -> Submitted {
         match self {
             Self::Done => Submitted::Accepted,
             Self::NotDone => Submitted::NotDone,
