--- a/cicadagate-gateway/src/request/job_requests.rs
+++ b/cicadagate-gateway/src/request/job_requests.rs
@@ -136,15 +136,15 @@
         give_up_ms: accepted_ms.saturating_add(route.give_up_ms),
         items: entries,
     };
-    let state = if route.max_waiting_tokens > 0 {
+    let outcome = if route.max_waiting_tokens > 0 {
         pending.append_limited(gateway, submission).await
     } else {
         append_with_retries(gateway, arrival, &Record::Accepted(submission))
             .await
             .without_limit()
     };
-    match state {
-        Submitted::Accepted => {
+    match outcome {
+        SubmissionOutcome::Accepted => {
             event!(
                 JOB_ACCEPTED,
                 job = id,
@@ -155,21 +155,25 @@
             );
             respond(202, "application/json", "{}")
         }
-        Submitted::OverTokenLimit => pending.refuse_over_limit(gateway, &pending.count(gateway)),
-        Submitted::NotDone => refuse(
+        SubmissionOutcome::OverTokenLimit => {
+            pending.refuse_over_limit(gateway, &pending.count(gateway))
+        }
+        SubmissionOutcome::NotDone => refuse(
             gateway,
             id,
             RequestError::StoreUnavailable,
             &route.name,
             Some(RETRY_AFTER),
         ),
-        Submitted::Unknown => refuse(gateway, id, RequestError::NoAnswer, &route.name, None),
+        SubmissionOutcome::Unknown => {
+            refuse(gateway, id, RequestError::NoAnswer, &route.name, None)
+        }
     }
 }
 
 /// Outcome of a submission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Submitted {
+enum SubmissionOutcome {
     Accepted,
     OverTokenLimit,
     /// No record of the job is in the index, and none will be.
@@ -240,7 +244,11 @@
 
     /// Appends a submission to a limited route, and reads back whether the
     /// index accepted it.
-    async fn append_limited(&self, gateway: &Rc<Gateway>, submission: Submission) -> Submitted {
+    async fn append_limited(
+        &self,
+        gateway: &Rc<Gateway>,
+        submission: Submission,
+    ) -> SubmissionOutcome {
         let attempt = gateway.next_random();
         let record = Record::Submitted {
             submission,
@@ -249,7 +257,7 @@
         };
         let outcome = append_with_retries(gateway, self.arrival, &record).await;
         if outcome == AppendOutcome::NotDone {
-            return Submitted::NotDone;
+            return SubmissionOutcome::NotDone;
         }
         let appended = gateway.now();
         loop {
@@ -257,14 +265,14 @@
             if gateway.jobs.sync(gateway, now).await.is_ok() {
                 let index = gateway.jobs.index.borrow();
                 return match index.submission_state(self.job, attempt) {
-                    SubmissionState::Accepted => Submitted::Accepted,
-                    SubmissionState::Refused => Submitted::OverTokenLimit,
+                    SubmissionState::Accepted => SubmissionOutcome::Accepted,
+                    SubmissionState::Refused => SubmissionOutcome::OverTokenLimit,
                     // The record may still be appended.
-                    SubmissionState::Unknown => Submitted::Unknown,
+                    SubmissionState::Unknown => SubmissionOutcome::Unknown,
                 };
             }
             if now.since(appended) >= APPEND_RETRY_MS {
-                return Submitted::Unknown;
+                return SubmissionOutcome::Unknown;
             }
             sleep(APPEND_DELAY).await;
         }
@@ -312,11 +320,11 @@
 
 impl AppendOutcome {
     /// Returns the outcome of a submission that needs no decision of the index.
-    const fn without_limit(self) -> Submitted {
+    const fn without_limit(self) -> SubmissionOutcome {
         match self {
-            Self::Done => Submitted::Accepted,
-            Self::NotDone => Submitted::NotDone,
-            Self::Unknown => Submitted::Unknown,
+            Self::Done => SubmissionOutcome::Accepted,
+            Self::NotDone => SubmissionOutcome::NotDone,
+            Self::Unknown => SubmissionOutcome::Unknown,
         }
     }
 }
