Bound the share of the processor that plans of batch items take

Some 60,000 items are open, and each of 195 processes, most with 0.12 of a core, went through all of them 16 times a second.

The time until the next plan is now at least 20 times what the last one took, 60 ms to 2 s; a job's service is looked up and its name copied once a job, not once an item.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -23,7 +23,7 @@
     cicadagate_policy::{
         ids::{EndpointId, MemberId},
         process::{
-            batch_share::{Slots, fill_percent, plan, runner},
+            batch_share::{Slots, fill_percent, plan, plan_interval_ms, runner},
             item_order::{self, OpenItem, RunRate},
             membership::Health,
             reports::period_ms,
@@ -42,8 +42,6 @@
     tokio::sync::Notify,
 };
 
-/// Interval between two plans.
-const PLAN_INTERVAL: Duration = Duration::from_millis(60);
 /// Shortest delay before a preempted item is started again, in milliseconds: a
 /// load peak lasts longer, and each start makes the engine process the prompt
 /// again.
@@ -212,12 +210,15 @@
     // Until all members have reported, their running items are not known.
     let reported_ms = period_ms(gateway.member_count()).saturating_sub(MIN_STARTUP_DELAY_MS);
     sleep(Duration::from_millis(reported_ms)).await;
+    let mut took_ms = 0;
     loop {
-        sleep(PLAN_INTERVAL).await;
+        sleep(Duration::from_millis(plan_interval_ms(took_ms))).await;
+        let started = gateway.now();
         stop_finished_items(&gateway);
         if gateway.is_ready() && !gateway.item_runner.is_handing_off.get() {
             plan_all(&gateway);
         }
+        took_ms = gateway.now().since(started);
     }
 }
 
@@ -254,13 +255,12 @@
             let route = config.route_by_name(&job.route);
             let has_no_route = route.is_none() && config.version() >= job.config_version;
             let service = route.and_then(|route| route.targets.first());
-            for item in index.open_items_of(job.id) {
-                if has_no_route || now_ms >= job.give_up_ms + MAX_CLOCK_SKEW_MS {
-                    to_abandon.push(item);
-                } else if let Some(target) = service {
-                    let items = by_service.entry(target.service.clone()).or_default();
-                    items.push(item);
-                }
+            let open_items = index.open_items_of(job.id);
+            if has_no_route || now_ms >= job.give_up_ms + MAX_CLOCK_SKEW_MS {
+                to_abandon.extend(open_items);
+            } else if let Some(target) = service {
+                let items = by_service.entry(target.service.clone()).or_default();
+                items.extend(open_items);
             }
         }
     }
--- a/cicadagate-policy/src/process/batch_share.rs
+++ b/cicadagate-policy/src/process/batch_share.rs
@@ -52,6 +52,28 @@
 /// applies, in milliseconds: about twice the run time of an item.
 pub const DEADLINE_WINDOW_MS: u64 = 9_000;
 
+/// Shortest time between two plans, in milliseconds.
+pub const MIN_PLAN_INTERVAL_MS: u64 = 60;
+/// Longest time between two plans, in milliseconds.
+pub const MAX_PLAN_INTERVAL_MS: u64 = 2_000;
+/// Time between two plans, as a multiple of the time that the last one took: the
+/// plans of a flood of jobs must leave the processor to online requests.
+const PLAN_INTERVAL_FACTOR: u64 = 20;
+
+/// Returns the time until the next plan, in milliseconds, after one that took
+/// `took_ms`.
+#[must_use]
+pub const fn plan_interval_ms(took_ms: u64) -> u64 {
+    let interval_ms = took_ms * PLAN_INTERVAL_FACTOR;
+    if interval_ms < MIN_PLAN_INTERVAL_MS {
+        MIN_PLAN_INTERVAL_MS
+    } else if interval_ms > MAX_PLAN_INTERVAL_MS {
+        MAX_PLAN_INTERVAL_MS
+    } else {
+        interval_ms
+    }
+}
+
 /// Returns the share of the slots that online and batch work may fill together,
 /// in percent.
 ///
--- a/cicadagate-policy/tests/flood_of_jobs.rs
+++ b/cicadagate-policy/tests/flood_of_jobs.rs
@@ -6,7 +6,10 @@
 use {
     cicadagate_policy::{
         ids::JobId,
-        process::item_order::{OpenItem, RunRate, sort},
+        process::{
+            batch_share::{MAX_PLAN_INTERVAL_MS, MIN_PLAN_INTERVAL_MS, plan_interval_ms},
+            item_order::{OpenItem, RunRate, sort},
+        },
         version::job_index::ItemRef,
     },
     std::collections::{BTreeMap, BTreeSet},
@@ -158,3 +161,15 @@
     let estimate = rate.estimate_ms(1_000);
     assert!((3_900..=4_000).contains(&estimate), "{estimate}");
 }
+
+/// Pattern: tens of thousands of items are open on instances with an eighth of a
+/// core, and a plan over all of them takes long.
+#[test]
+fn plans_leave_the_processor_to_online_requests() {
+    assert_eq!(plan_interval_ms(0), MIN_PLAN_INTERVAL_MS);
+    assert_eq!(plan_interval_ms(1), MIN_PLAN_INTERVAL_MS);
+    assert_eq!(plan_interval_ms(1_000), MAX_PLAN_INTERVAL_MS);
+    for took_ms in 0..100 {
+        assert!(took_ms * 20 <= plan_interval_ms(took_ms));
+    }
+}
