Count the members once for the choice of a replica, not once per replica

The remaining share of the others' load was computed for each candidate. It is computed once for each choice.

--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -312,23 +312,29 @@
         }
     }
 
+    /// Returns the share of the other members' online requests of a service that
+    /// still run when their next reports arrive, in percent.
+    #[must_use]
+    pub fn remaining_percent(&self, service: &str) -> u64 {
+        let hold_times = self.hold_times.borrow();
+        let hold_ms = hold_times.get(service).map_or(0, |held| held.ms());
+        remaining_percent(period_ms(self.member_count()), hold_ms)
+    }
+
     /// Returns the estimated load and the state of a replica, for placing an
-    /// online request.
+    /// online request. `remaining_percent` is that of its service.
     #[must_use]
     pub fn online_load_estimate(
         &self,
         reports: &ReportTable,
-        service: &str,
+        remaining_percent: u64,
         endpoint: EndpointId,
     ) -> ReplicaLoad {
-        let hold_times = self.hold_times.borrow();
-        let hold_ms = hold_times.get(service).map_or(0, |held| held.ms());
-        let load_remaining_percent = remaining_percent(period_ms(self.member_count()), hold_ms);
         let (own, others) = (self.own_load(endpoint), reports.load(endpoint));
         ReplicaLoad {
             is_suspect: reports.suspicion_count(endpoint) > 0,
             is_connected: self.pool.has_idle(endpoint),
-            ..ReplicaLoad::for_online(own, others, load_remaining_percent)
+            ..ReplicaLoad::for_online(own, others, remaining_percent)
         }
     }
 
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -269,9 +269,10 @@
         let now = gateway.now();
         let replicas = gateway.replicas.borrow();
         let reports = gateway.reports.borrow();
+        let remaining = gateway.remaining_percent(&self.service);
         let chosen =
             replicas.choose(now, &self.service, excluded, gateway.next_random(), |id| {
-                gateway.online_load_estimate(&reports, &self.service, id)
+                gateway.online_load_estimate(&reports, remaining, id)
             })?;
         Some(Candidate {
             registration: Rc::clone(&chosen.registration),
