Log the framing of responses and an event left incomplete; count body ends

REQUEST_DONE and REQUEST_BROKEN have framing and partial_event_bytes now, and cicadagate_body_ends_total counts responses, online and of items, by what ended them. No decision changes.

--- a/cicadagate-gateway/src/connection/exchange.rs
+++ b/cicadagate-gateway/src/connection/exchange.rs
@@ -176,7 +176,49 @@
     pub body: Body,
 }
 
-enum Framing {
+/// What marks the end of a response body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// The response has no body.
+    None,
+    /// Its length is announced.
+    Length,
+    /// A last chunk.
+    Chunked,
+    /// The end of the connection.
+    Close,
+}
+
+impl BodyFraming {
+    /// Returns the name for logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::Close => "close",
+        }
+    }
+
+    fn of(head: &ResponseHead, method: &Method) -> Self {
+        let is_bodiless = method == Method::HEAD
+            || head.status.is_informational()
+            || matches!(head.status.as_u16(), 204 | 304);
+        if is_bodiless {
+            Self::None
+        } else if head.headers.contains_key(header::TRANSFER_ENCODING) {
+            Self::Chunked
+        } else if head.headers.contains_key(header::CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Close
+        }
+    }
+}
+
+/// Reader of the rest of a body.
+enum Remainder {
     /// The response has no body, or its body has ended.
     Ended,
     /// The body has a length or is chunked.
@@ -188,7 +230,8 @@
 /// The body of a response. Dropping it before its end closes the connection.
 pub struct Body {
     conn: Option<Connection>,
-    framing: Framing,
+    framing: BodyFraming,
+    remainder: Remainder,
     unsent: BytesMut,
     pool_handle: PoolHandle,
     keep_alive_timeout: Option<Duration>,
@@ -219,17 +262,18 @@
         let is_mismatched = echo.is_some_and(|echo| echo.as_bytes() != req.id.1.as_bytes());
         let keep_alive_timeout = keep_alive_timeout(&head.headers);
         let is_kept = codec.keep_alive();
-        let framing = framing(codec, &head, &req.method);
+        let framing = BodyFraming::of(&head, &req.method);
         let mut body = Body {
             conn: Some(conn),
             framing,
+            remainder: remainder(codec, framing),
             unsent,
             pool_handle: pool_handle.clone(),
             keep_alive_timeout,
             is_kept,
         };
         if !is_mismatched {
-            if matches!(body.framing, Framing::Ended) {
+            if matches!(body.remainder, Remainder::Ended) {
                 body.return_to_pool();
             }
             return Ok(ReplicaResponse { head, body });
@@ -247,21 +291,15 @@
     Err(ExchangeError::MismatchedId)
 }
 
-/// Returns the framing of a response body. The codec treats a response without
-/// a length and without chunks as one without a body, but in HTTP its body ends
+/// Returns the reader of a response body. The codec treats a response without a
+/// length and without chunks as one without a body, but in HTTP its body ends
 /// with the connection.
-fn framing(codec: ClientCodec, head: &ResponseHead, method: &Method) -> Framing {
-    let is_bodiless = method == Method::HEAD
-        || head.status.is_informational()
-        || matches!(head.status.as_u16(), 204 | 304);
-    let is_delimited = head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING);
-    match codec.message_type() {
-        _ if is_bodiless => Framing::Ended,
-        _ if !is_delimited => Framing::UntilClose,
-        MessageType::None => Framing::Ended,
-        MessageType::Payload | MessageType::Stream => {
-            Framing::Delimited(codec.into_payload_codec())
+fn remainder(codec: ClientCodec, framing: BodyFraming) -> Remainder {
+    match (framing, codec.message_type()) {
+        (BodyFraming::Close, _) => Remainder::UntilClose,
+        (BodyFraming::None, _) | (_, MessageType::None) => Remainder::Ended,
+        (_, MessageType::Payload | MessageType::Stream) => {
+            Remainder::Delimited(codec.into_payload_codec())
         }
     }
 }
@@ -346,6 +384,12 @@
 }
 
 impl Body {
+    /// Returns what marks the body's end.
+    #[must_use]
+    pub const fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
     /// Returns the next bytes, or `None` at the body's end.
     ///
     /// # Errors
@@ -365,16 +409,16 @@
     async fn read_chunk(&mut self) -> Option<Result<Bytes>> {
         loop {
             let conn = self.conn.as_mut()?;
-            match &mut self.framing {
-                Framing::Ended => return None,
-                Framing::UntilClose if !conn.buf.is_empty() => {
+            match &mut self.remainder {
+                Remainder::Ended => return None,
+                Remainder::UntilClose if !conn.buf.is_empty() => {
                     return Some(Ok(conn.buf.split().freeze()));
                 }
-                Framing::UntilClose => {}
-                Framing::Delimited(codec) => match codec.decode(&mut conn.buf) {
+                Remainder::UntilClose => {}
+                Remainder::Delimited(codec) => match codec.decode(&mut conn.buf) {
                     Ok(Some(Some(chunk))) => return Some(Ok(chunk)),
                     Ok(Some(None)) => {
-                        self.framing = Framing::Ended;
+                        self.remainder = Remainder::Ended;
                         return None;
                     }
                     Ok(None) => {}
@@ -385,9 +429,9 @@
                 },
             }
             match transfer(conn, &mut self.unsent).await {
-                Ok(0) if matches!(self.framing, Framing::UntilClose) => {
+                Ok(0) if matches!(self.remainder, Remainder::UntilClose) => {
                     self.is_kept = false;
-                    self.framing = Framing::Ended;
+                    self.remainder = Remainder::Ended;
                     return None;
                 }
                 Ok(0) => {
--- a/cicadagate-gateway/src/connection/mod.rs
+++ b/cicadagate-gateway/src/connection/mod.rs
@@ -6,6 +6,6 @@
 mod pool;
 
 pub use {
-    exchange::{Body, ExchangeError, ReplicaRequest, ReplicaResponse, Result},
+    exchange::{Body, BodyFraming, ExchangeError, ReplicaRequest, ReplicaResponse, Result},
     pool::{Pool, Reuse},
 };
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -395,9 +395,13 @@
     loop {
         let chunk = match timeout(IDLE_TIMEOUT, body.chunk()).await {
             Ok(None) if parser.has_partial_event() => {
+                gateway.count_body_end("within an event");
                 return RunOutcome::Interrupted("stream ended mid-event".to_owned());
             }
-            Ok(None) => return RunOutcome::Done,
+            Ok(None) => {
+                gateway.count_body_end(body.framing().as_str());
+                return RunOutcome::Done;
+            }
             Ok(Some(Ok(chunk))) => chunk,
             Ok(Some(Err(err))) => return RunOutcome::Interrupted(err.to_string()),
             Err(_) => return RunOutcome::Interrupted("idle timeout".to_owned()),
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -297,6 +297,11 @@
         }
     }
 
+    /// Counts a response of a replica by what ended it.
+    pub fn count_body_end(&self, end: &str) {
+        self.metrics.body_ends.with_label_values(&[end]).inc();
+    }
+
     /// Returns the load of a service over the whole fleet.
     #[must_use]
     pub fn service_load(&self, service: &str) -> ServiceLoad {
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -533,12 +533,15 @@
                 None => head.set_body(BoxBody::new(BodyStream::new(relay))),
             };
         }
+        let framing = response.body.framing();
         match buffer_body(gateway, &request, response.body).await {
             BufferedBody::Complete(body) => {
                 let done = relay::CompletedResponse {
                     status: head.status().as_u16(),
                     bytes: body.len(),
                     first_ms: gateway.now().since(request.arrival),
+                    framing,
+                    partial_event_bytes: 0,
                 };
                 relay::record_done(gateway, &request, &target, done);
                 return head.set_body(body.boxed());
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -13,13 +13,16 @@
 use {
     super::forward::{AttemptTarget, PendingRequest, SendOutcome},
     crate::{
-        connection::Body,
+        connection::{Body, BodyFraming},
         process::{Gateway, RequestGuard},
     },
     actix_rt::time::timeout,
     bytes::{Bytes, BytesMut},
     cicadagate_node::event,
-    cicadagate_policy::request::sse::{EventParser, EventSequencer, SequenceCheck},
+    cicadagate_policy::{
+        request::sse::{EventParser, EventSequencer, SequenceCheck},
+        version::serving::RouteKind,
+    },
     futures_util::stream::{Stream, unfold},
     snafu::Snafu,
     std::{pin::Pin, rc::Rc, time::Duration},
@@ -49,9 +52,13 @@
     gateway: Rc<Gateway>,
     request: PendingRequest,
     body: Option<Body>,
+    framing: BodyFraming,
     target: AttemptTarget,
     prefix: Option<Bytes>,
     events: Option<ResumableEvents>,
+    /// Events of a stream that may not be resumed, to log whether it ended
+    /// within one.
+    observed: Option<EventParser>,
     /// Why the current replica's stream can't be used any further.
     failure: Option<&'static str>,
     sent_bytes: usize,
@@ -72,13 +79,17 @@
             parser: EventParser::default(),
             sequencer: EventSequencer::resume_after(request.last_event),
         });
+        let observed = (request.route.kind == RouteKind::Streaming && events.is_none())
+            .then(EventParser::default);
         Self {
             gateway: Rc::clone(gateway),
             request,
+            framing: body.framing(),
             body: Some(body),
             target,
             prefix: None,
             events,
+            observed,
             failure: None,
             sent_bytes: 0,
             first_ms: 0,
@@ -146,6 +157,8 @@
                         status: 200,
                         bytes: self.sent_bytes,
                         first_ms: self.first_ms,
+                        framing: self.framing,
+                        partial_event_bytes: self.partial_event_bytes(),
                     };
                     record_done(&self.gateway, &self.request, &self.target, done);
                     return None;
@@ -175,8 +188,20 @@
             .is_some_and(|events| events.parser.has_partial_event())
     }
 
+    /// Returns how much of an event has arrived that is not complete, in bytes.
+    fn partial_event_bytes(&self) -> usize {
+        let resumable = self.events.as_ref().map(|events| &events.parser);
+        let parser = resumable.or(self.observed.as_ref());
+        parser.map_or(0, EventParser::partial_len)
+    }
+
     /// Returns the bytes that may be passed on after a chunk was received.
     fn filter_chunk(&mut self, chunk: Bytes) -> Bytes {
+        if let Some(observed) = &mut self.observed
+            && observed.feed(&chunk).is_ok()
+        {
+            while observed.next_event().is_some() {}
+        }
         let Some(events) = &mut self.events else {
             return chunk;
         };
@@ -228,6 +253,7 @@
                     replica = target.registration.id.as_str(),
                     after_event = last.unwrap_or_default()
                 );
+                self.framing = response.body.framing();
                 self.body = Some(response.body);
                 self.target = target;
                 Ok(())
@@ -253,9 +279,12 @@
             replica = self.target.registration.id.as_str(),
             attempts = self.request.attempts.number(),
             sent_bytes = self.sent_bytes,
+            framing = self.framing.as_str(),
+            partial_event_bytes = self.partial_event_bytes(),
             took_ms = self.gateway.now().since(self.request.arrival),
             reason
         );
+        self.gateway.count_body_end("cut short");
         ResponseCutShort {
             reason: reason.to_owned(),
         }
@@ -284,6 +313,10 @@
     /// Time from the request's arrival until the first bytes of the response
     /// are passed on to the caller, in milliseconds.
     pub(super) first_ms: u64,
+    /// What marked the end of the response.
+    pub(super) framing: BodyFraming,
+    /// Bytes after the last complete event of a stream.
+    pub(super) partial_event_bytes: usize,
 }
 
 /// Records and logs a response that was passed on completely, or that is
@@ -299,6 +332,11 @@
     let seconds = Duration::from_millis(took_ms).as_secs_f64();
     gateway.metrics.request_seconds.observe(seconds);
     gateway.metrics.requests.with_label_values(&["done"]).inc();
+    gateway.count_body_end(if done.partial_event_bytes > 0 {
+        "within an event"
+    } else {
+        done.framing.as_str()
+    });
     event!(
         REQUEST_DONE,
         request = request.id.as_str(),
@@ -311,6 +349,8 @@
         status = done.status,
         attempts = request.attempts.number(),
         bytes = done.bytes,
+        framing = done.framing.as_str(),
+        partial_event_bytes = done.partial_event_bytes,
         first_ms = done.first_ms,
         took_ms
     );
--- a/cicadagate-node/src/metrics.rs
+++ b/cicadagate-node/src/metrics.rs
@@ -23,6 +23,8 @@
     pub refusals: IntCounterVec,
     /// Attempts by outcome.
     pub attempts: IntCounterVec,
+    /// Bodies of replicas' responses by what ended them.
+    pub body_ends: IntCounterVec,
     /// Bytes of messages to other processes over TCP, by direction.
     pub peer_bytes: IntCounterVec,
     /// Bytes of datagrams, by direction.
@@ -100,6 +102,11 @@
                 "Attempts by outcome.",
                 "outcome",
             ),
+            body_ends: counter(
+                "cicadagate_body_ends_total",
+                "Bodies of replicas' responses by what ended them.",
+                "end",
+            ),
             peer_bytes: counter(
                 "cicadagate_peer_bytes_total",
                 "Bytes between processes over TCP, by direction.",
@@ -147,6 +154,10 @@
     pub fn describe() -> Vec<(&'static str, &'static str)> {
         vec![
             ("cicadagate_attempts_total", "Attempts by outcome."),
+            (
+                "cicadagate_body_ends_total",
+                "Bodies of replicas' responses by what ended them.",
+            ),
             (
                 "cicadagate_datagram_bytes_total",
                 "Bytes of datagrams, by direction.",
--- a/cicadagate-node/tests/docs.rs
+++ b/cicadagate-node/tests/docs.rs
@@ -83,6 +83,7 @@
     ] {
         counter.with_label_values(&["x"]).inc();
     }
+    metrics.body_ends.with_label_values(&["x"]).inc();
     metrics.refused_messages.with_label_values(&["x"]).inc();
     metrics.set_state("x", 1);
     metrics
--- a/cicadagate-policy/src/request/sse.rs
+++ b/cicadagate-policy/src/request/sse.rs
@@ -97,6 +97,12 @@
         !self.buf.is_empty()
     }
 
+    /// Returns the number of bytes that have not been returned as events.
+    #[must_use]
+    pub fn partial_len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns the length of the first complete event in the buffer.
     fn find_end(&mut self) -> Option<usize> {
         let buf = &self.buf[..];
