Do not complete a response whose stream ended within an event

Cause: the end of the response body counted as the end of the stream. The relay knew events only on resumable routes; on others it passed bytes on, and a replica that crashes may close its connection in order. A body without a length and chunks ends like that, so nothing failed and the caller's last chunk was written.

Change: on each streaming route the relay passes on complete events only and cuts the response short if the body ends within one, in any framing. Bytes of a stream that may not be resumed are not reordered or dropped. Responses with another status than success, and those of other routes, are not taken for events any more.

Ruled out: a truncated length or chunked framing that is missed (a_response_that_ends_before_its_announced_end_is_not_complete passed before).

--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -403,8 +403,14 @@
                 return RunOutcome::Done;
             }
             Ok(Some(Ok(chunk))) => chunk,
-            Ok(Some(Err(err))) => return RunOutcome::Interrupted(err.to_string()),
-            Err(_) => return RunOutcome::Interrupted("idle timeout".to_owned()),
+            Ok(Some(Err(err))) => {
+                gateway.count_body_end("failed");
+                return RunOutcome::Interrupted(err.to_string());
+            }
+            Err(_) => {
+                gateway.count_body_end("failed");
+                return RunOutcome::Interrupted("idle timeout".to_owned());
+            }
         };
         if parser.feed(&chunk).is_err() {
             return RunOutcome::Interrupted("event exceeds the maximum size".to_owned());
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -522,7 +522,7 @@
         };
         let head = response_from_replica(gateway, &response);
         if request.route.kind == RouteKind::Streaming && response.head.status.is_success() {
-            let relay = Relay::new(gateway, request, response.body, target, guard);
+            let relay = Relay::new(gateway, request, response.body, target, guard).with_events();
             return head.set_body(BoxBody::new(BodyStream::new(relay.into_stream())));
         }
         let length = content_length(&response);
@@ -541,7 +541,6 @@
                     bytes: body.len(),
                     first_ms: gateway.now().since(request.arrival),
                     framing,
-                    partial_event_bytes: 0,
                 };
                 relay::record_done(gateway, &request, &target, done);
                 return head.set_body(body.boxed());
@@ -551,6 +550,7 @@
                 return head.set_body(BoxBody::new(BodyStream::new(relay.into_stream())));
             }
             BufferedBody::Failed(reason) => {
+                gateway.count_body_end("failed");
                 request.record_attempt_failure(gateway, &target, &reason);
                 if let Some(SendOutcome::Failed(request_error)) =
                     request.after_failure(gateway, Progress::MaybeRun, RequestError::NoAnswer)
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -1,10 +1,12 @@
 /*!
 Streams a response body to the caller.
 
-If a stream may be resumed, only complete events are passed on, so that it can
-be resumed at another replica within the same response. Other bodies are passed
-on chunk by chunk. A response that can't be completed is cut short, which the
-caller detects by HTTP's framing.
+Of an event stream only complete events are passed on. A stream that ends within
+an event was cut short, whatever its framing says: a replica that crashes may
+close its connection in order, and a stream without a length or chunks ends like
+that. If the route allows it, such a stream is resumed at another replica within
+the same response. Other bodies are passed on chunk by chunk. A response that
+can't be completed is cut short, which the caller detects by HTTP's framing.
 
 Dropping the body, as the server does when the caller disconnects, closes the
 connection to the replica, which ends the work there.
@@ -19,10 +21,7 @@
     actix_rt::time::timeout,
     bytes::{Bytes, BytesMut},
     cicadagate_node::event,
-    cicadagate_policy::{
-        request::sse::{EventParser, EventSequencer, SequenceCheck},
-        version::serving::RouteKind,
-    },
+    cicadagate_policy::request::sse::{EventParser, EventSequencer, SequenceCheck},
     futures_util::stream::{Stream, unfold},
     snafu::Snafu,
     std::{pin::Pin, rc::Rc, time::Duration},
@@ -42,9 +41,11 @@
 
 type ChunkStream = Pin<Box<dyn Stream<Item = Result<Bytes, ResponseCutShort>>>>;
 
-struct ResumableEvents {
+/// The events of a stream.
+struct StreamEvents {
     parser: EventParser,
-    sequencer: EventSequencer,
+    /// Order of the events, if the stream may be resumed.
+    sequencer: Option<EventSequencer>,
 }
 
 /// Streams a response body, resuming it at another replica if necessary.
@@ -55,10 +56,7 @@
     framing: BodyFraming,
     target: AttemptTarget,
     prefix: Option<Bytes>,
-    events: Option<ResumableEvents>,
-    /// Events of a stream that may not be resumed, to log whether it ended
-    /// within one.
-    observed: Option<EventParser>,
+    events: Option<StreamEvents>,
     /// Why the current replica's stream can't be used any further.
     failure: Option<&'static str>,
     sent_bytes: usize,
@@ -75,12 +73,6 @@
         target: AttemptTarget,
         guard: RequestGuard,
     ) -> Self {
-        let events = request.route.is_resumable.then(|| ResumableEvents {
-            parser: EventParser::default(),
-            sequencer: EventSequencer::resume_after(request.last_event),
-        });
-        let observed = (request.route.kind == RouteKind::Streaming && events.is_none())
-            .then(EventParser::default);
         Self {
             gateway: Rc::clone(gateway),
             request,
@@ -88,8 +80,7 @@
             body: Some(body),
             target,
             prefix: None,
-            events,
-            observed,
+            events: None,
             failure: None,
             sent_bytes: 0,
             first_ms: 0,
@@ -98,6 +89,18 @@
         }
     }
 
+    /// Treats the body as a stream of events.
+    pub(super) fn with_events(mut self) -> Self {
+        let request = &self.request;
+        let sequencer =
+            (request.route.is_resumable).then(|| EventSequencer::resume_after(request.last_event));
+        self.events = Some(StreamEvents {
+            parser: EventParser::default(),
+            sequencer,
+        });
+        self
+    }
+
     /// Adds bytes that have already been read, to be passed on first.
     pub(super) fn with_prefix(mut self, prefix: Bytes) -> Self {
         self.prefix = Some(prefix);
@@ -125,7 +128,7 @@
                 return Some(Err(err));
             }
             let left_ms = self.request.deadline.since(self.gateway.now());
-            let may_resume = self.events.is_some() && self.sent_bytes > 0;
+            let may_resume = self.is_resumable() && self.sent_bytes > 0;
             let wait_ms = if may_resume {
                 IDLE_TIMEOUT_MS.min(left_ms)
             } else {
@@ -150,7 +153,10 @@
                         return Some(Ok(self.record_sent(bytes)));
                     }
                 }
-                None if self.has_partial_event() => self.failure = Some("stream ended mid-event"),
+                None if self.has_partial_event() => {
+                    self.gateway.count_body_end("within an event");
+                    self.failure = Some("stream ended mid-event");
+                }
                 None => {
                     self.is_ended = true;
                     let done = CompletedResponse {
@@ -158,12 +164,12 @@
                         bytes: self.sent_bytes,
                         first_ms: self.first_ms,
                         framing: self.framing,
-                        partial_event_bytes: self.partial_event_bytes(),
                     };
                     record_done(&self.gateway, &self.request, &self.target, done);
                     return None;
                 }
                 Some(Err(reason)) => {
+                    self.gateway.count_body_end("failed");
                     if let Err(err) = self.resume(&reason).await {
                         return Some(Err(err));
                     }
@@ -182,6 +188,12 @@
         bytes
     }
 
+    fn is_resumable(&self) -> bool {
+        self.events
+            .as_ref()
+            .is_some_and(|events| events.sequencer.is_some())
+    }
+
     fn has_partial_event(&self) -> bool {
         self.events
             .as_ref()
@@ -190,18 +202,13 @@
 
     /// Returns how much of an event has arrived that is not complete, in bytes.
     fn partial_event_bytes(&self) -> usize {
-        let resumable = self.events.as_ref().map(|events| &events.parser);
-        let parser = resumable.or(self.observed.as_ref());
-        parser.map_or(0, EventParser::partial_len)
+        self.events
+            .as_ref()
+            .map_or(0, |events| events.parser.partial_len())
     }
 
     /// Returns the bytes that may be passed on after a chunk was received.
     fn filter_chunk(&mut self, chunk: Bytes) -> Bytes {
-        if let Some(observed) = &mut self.observed
-            && observed.feed(&chunk).is_ok()
-        {
-            while observed.next_event().is_some() {}
-        }
         let Some(events) = &mut self.events else {
             return chunk;
         };
@@ -211,7 +218,11 @@
             return out.freeze();
         }
         while let Some(event) = events.parser.next_event() {
-            match events.sequencer.accept(event.id) {
+            let check = match &mut events.sequencer {
+                Some(sequencer) => sequencer.accept(event.id),
+                None => SequenceCheck::Pass,
+            };
+            match check {
                 SequenceCheck::Pass => out.extend_from_slice(&event.raw),
                 SequenceCheck::Drop => {}
                 SequenceCheck::Gap => {
@@ -237,11 +248,15 @@
             replica = self.target.registration.id.as_str(),
             reason
         );
-        let Some(events) = &mut self.events else {
+        let Some(StreamEvents {
+            parser,
+            sequencer: Some(sequencer),
+        }) = &mut self.events
+        else {
             return Err(self.cut_short(reason));
         };
-        events.parser = EventParser::default();
-        let last = events.sequencer.last();
+        *parser = EventParser::default();
+        let last = sequencer.last();
         if !self.request.record_interruption(&self.gateway, last) {
             return Err(self.cut_short(reason));
         }
@@ -284,7 +299,6 @@
             took_ms = self.gateway.now().since(self.request.arrival),
             reason
         );
-        self.gateway.count_body_end("cut short");
         ResponseCutShort {
             reason: reason.to_owned(),
         }
@@ -315,8 +329,6 @@
     pub(super) first_ms: u64,
     /// What marked the end of the response.
     pub(super) framing: BodyFraming,
-    /// Bytes after the last complete event of a stream.
-    pub(super) partial_event_bytes: usize,
 }
 
 /// Records and logs a response that was passed on completely, or that is
@@ -332,11 +344,7 @@
     let seconds = Duration::from_millis(took_ms).as_secs_f64();
     gateway.metrics.request_seconds.observe(seconds);
     gateway.metrics.requests.with_label_values(&["done"]).inc();
-    gateway.count_body_end(if done.partial_event_bytes > 0 {
-        "within an event"
-    } else {
-        done.framing.as_str()
-    });
+    gateway.count_body_end(done.framing.as_str());
     event!(
         REQUEST_DONE,
         request = request.id.as_str(),
@@ -350,7 +358,6 @@
         attempts = request.attempts.number(),
         bytes = done.bytes,
         framing = done.framing.as_str(),
-        partial_event_bytes = done.partial_event_bytes,
         first_ms = done.first_ms,
         took_ms
     );
