Accept blank lines after the last event of a stream

A complete resumable stream with a blank line after its last event was cut short, and an item with such a stream was run again and again: bytes after the last event counted as the start of another one. Now only bytes of a line do; blank lines are passed on at the end, so that the caller gets the replica's whole body.

--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -158,6 +158,9 @@
                     self.failure = Some("stream ended mid-event");
                 }
                 None => {
+                    if let Some(rest) = self.take_end() {
+                        return Some(Ok(self.record_sent(rest)));
+                    }
                     self.is_ended = true;
                     let done = CompletedResponse {
                         status: 200,
@@ -200,6 +203,12 @@
             .is_some_and(|events| events.parser.has_partial_event())
     }
 
+    /// Takes the blank lines after the last event, if there are any.
+    fn take_end(&mut self) -> Option<Bytes> {
+        let rest = self.events.as_mut()?.parser.take_end()?;
+        (!rest.is_empty()).then_some(rest)
+    }
+
     /// Returns how much of an event has arrived that is not complete, in bytes.
     fn partial_event_bytes(&self) -> usize {
         self.events
--- a/cicadagate-policy/src/request/sse.rs
+++ b/cicadagate-policy/src/request/sse.rs
@@ -90,11 +90,17 @@
         Some(Event { raw, id })
     }
 
-    /// Returns `true` if bytes are buffered that have not been returned as
-    /// events.
+    /// Returns `true` if the bytes buffered are the start of an event that is
+    /// not complete. Blank lines are not.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
-        !self.buf.is_empty()
+        !is_blank(&self.buf)
+    }
+
+    /// Takes the blank lines after the last event of a stream that has ended,
+    /// or returns `None` if it ended within an event.
+    pub fn take_end(&mut self) -> Option<Bytes> {
+        (!self.has_partial_event()).then(|| self.buf.split().freeze())
     }
 
     /// Returns the number of bytes that have not been returned as events.
@@ -123,6 +129,11 @@
     }
 }
 
+/// Returns whether bytes hold nothing but ends of lines.
+fn is_blank(bytes: &[u8]) -> bool {
+    bytes.iter().all(|byte| b"\r\n".contains(byte))
+}
+
 fn lines(raw: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
     raw.split(|byte| *byte == b'\n')
         .map(|line| line.strip_suffix(b"\r").unwrap_or(line))
--- a/cicadagate-policy/tests/events.rs
+++ b/cicadagate-policy/tests/events.rs
@@ -93,3 +93,35 @@
     assert!(parser.next_event().is_none());
     assert!(parser.has_partial_event());
 }
+
+// Guards against complete streams that count as cut short for blank lines after
+// their last event, and against the opposite.
+#[test]
+fn a_stream_ends_within_an_event_if_a_line_of_it_is_left() {
+    let cases = [
+        ("", true),
+        ("\n", true),
+        ("data: 1\n\n", true),
+        ("data: 1\n\n\n\n", true),
+        ("data: 1\r\n\r\n\r\n", true),
+        ("data: 1\n", false),
+        ("data: 1\r\n", false),
+        ("data: 1\n\ndata: 2", false),
+        ("data: 1\n\n\nid", false),
+        (":", false),
+    ];
+    for (stream, is_complete) in cases {
+        let mut parser = EventParser::default();
+        parser.feed(stream.as_bytes()).expect("short");
+        let mut seen: Vec<u8> = Vec::new();
+        while let Some(event) = parser.next_event() {
+            seen.extend_from_slice(&event.raw);
+        }
+        assert_eq!(parser.has_partial_event(), !is_complete, "{stream:?}");
+        let end = parser.take_end();
+        assert_eq!(end.is_some(), is_complete, "{stream:?}");
+        seen.extend_from_slice(&end.unwrap_or_default());
+        let is_whole = seen == stream.as_bytes();
+        assert_eq!(is_whole, is_complete, "{stream:?}");
+    }
+}
