Take a stream without events for cut short if only its connection ended

The end of a connection proves nothing before the first event.

A stream that is resumed after its very last event by a replica that sends neither length nor chunks can't be told from a crash: it is tried again within its attempts.

--- a/cicadagate-gateway/src/connection/exchange.rs
+++ b/cicadagate-gateway/src/connection/exchange.rs
@@ -201,6 +201,12 @@
         }
     }
 
+    /// Returns whether the body itself marks its end.
+    #[must_use]
+    pub const fn marks_end(self) -> bool {
+        !matches!(self, Self::Close)
+    }
+
     fn of(head: &ResponseHead, method: &Method) -> Self {
         let is_bodiless = method == Method::HEAD
             || head.status.is_informational()
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -394,13 +394,17 @@
     let mut parser = EventParser::default();
     loop {
         let chunk = match timeout(IDLE_TIMEOUT, body.chunk()).await {
-            Ok(None) if parser.has_partial_event() => {
-                gateway.count_body_end("within an event");
-                return RunOutcome::Interrupted("stream ended mid-event".to_owned());
-            }
             Ok(None) => {
-                gateway.count_body_end(body.framing().as_str());
-                return RunOutcome::Done;
+                let end = parser.end(body.framing().marks_end());
+                let name = match &end {
+                    Ok(_) => body.framing().as_str(),
+                    Err(reason) => reason.as_str(),
+                };
+                gateway.count_body_end(name);
+                return match end {
+                    Ok(_) => RunOutcome::Done,
+                    Err(reason) => RunOutcome::Interrupted(reason.as_str().to_owned()),
+                };
             }
             Ok(Some(Ok(chunk))) => chunk,
             Ok(Some(Err(err))) => {
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -21,7 +21,7 @@
     actix_rt::time::timeout,
     bytes::{Bytes, BytesMut},
     cicadagate_node::event,
-    cicadagate_policy::request::sse::{EventParser, EventSequencer, SequenceCheck},
+    cicadagate_policy::request::sse::{EventParser, EventSequencer, SequenceCheck, StreamCutShort},
     futures_util::stream::{Stream, unfold},
     snafu::Snafu,
     std::{pin::Pin, rc::Rc, time::Duration},
@@ -153,13 +153,15 @@
                         return Some(Ok(self.record_sent(bytes)));
                     }
                 }
-                None if self.has_partial_event() => {
-                    self.gateway.count_body_end("within an event");
-                    self.failure = Some("stream ended mid-event");
-                }
                 None => {
-                    if let Some(rest) = self.take_end() {
-                        return Some(Ok(self.record_sent(rest)));
+                    match self.end_events() {
+                        Ok(rest) if rest.is_empty() => {}
+                        Ok(rest) => return Some(Ok(self.record_sent(rest))),
+                        Err(reason) => {
+                            self.gateway.count_body_end(reason.as_str());
+                            self.failure = Some(reason.as_str());
+                            continue;
+                        }
                     }
                     self.is_ended = true;
                     let done = CompletedResponse {
@@ -197,16 +199,12 @@
             .is_some_and(|events| events.sequencer.is_some())
     }
 
-    fn has_partial_event(&self) -> bool {
+    /// Checks the end of a stream and returns what is left of it to pass on.
+    fn end_events(&mut self) -> Result<Bytes, StreamCutShort> {
+        let is_marked = self.framing.marks_end();
         self.events
-            .as_ref()
-            .is_some_and(|events| events.parser.has_partial_event())
-    }
-
-    /// Takes the blank lines after the last event, if there are any.
-    fn take_end(&mut self) -> Option<Bytes> {
-        let rest = self.events.as_mut()?.parser.take_end()?;
-        (!rest.is_empty()).then_some(rest)
+            .as_mut()
+            .map_or(Ok(Bytes::new()), |events| events.parser.end(is_marked))
     }
 
     /// Returns how much of an event has arrived that is not complete, in bytes.
--- a/cicadagate-policy/src/request/sse.rs
+++ b/cicadagate-policy/src/request/sse.rs
@@ -12,6 +12,11 @@
 is passed on unchanged, and its id marks the point from which the stream can
 be resumed. Events up to that point are dropped, so a replica that starts too
 early does no harm. One that starts too late is detected as a gap.
+
+A stream that ends within an event was cut short, whatever the framing of its
+body says. If only the end of its connection ends it, so was a stream without any
+event. One that ends after an event counts as complete, since nothing tells the
+two apart.
 */
 
 use bytes::{Bytes, BytesMut};
@@ -56,12 +61,33 @@
     buf: BytesMut,
     /// Length of the part of `buf` that holds no end of an event.
     scanned_len: usize,
+    has_returned_event: bool,
 }
 
 /// The error for an event that does not end within [`MAX_EVENT_BYTES`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EventTooLong;
 
+/// Why a stream whose body has ended is not complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamCutShort {
+    /// Its last event is not complete.
+    WithinEvent,
+    /// It has no event, and only the end of its connection ended it.
+    BeforeFirstEvent,
+}
+
+impl StreamCutShort {
+    /// Returns the reason for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::WithinEvent => "stream ended within an event",
+            Self::BeforeFirstEvent => "connection ended before the first event",
+        }
+    }
+}
+
 impl EventParser {
     /// Appends bytes of the stream.
     ///
@@ -81,6 +107,7 @@
     pub fn next_event(&mut self) -> Option<Event> {
         let end = self.find_end()?;
         self.scanned_len = 0;
+        self.has_returned_event = true;
         let raw = self.buf.split_to(end).freeze();
         let id = lines(&raw)
             .filter_map(|line| field(line, b"id"))
@@ -97,10 +124,21 @@
         !is_blank(&self.buf)
     }
 
-    /// Takes the blank lines after the last event of a stream that has ended,
-    /// or returns `None` if it ended within an event.
-    pub fn take_end(&mut self) -> Option<Bytes> {
-        (!self.has_partial_event()).then(|| self.buf.split().freeze())
+    /// Checks the end of the stream's body, and returns the blank lines after
+    /// its last event. `is_marked` says whether the body's framing marks its
+    /// end; the end of the connection alone does not.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream was cut short.
+    pub fn end(&mut self, is_marked: bool) -> Result<Bytes, StreamCutShort> {
+        if self.has_partial_event() {
+            return Err(StreamCutShort::WithinEvent);
+        }
+        if !is_marked && !self.has_returned_event {
+            return Err(StreamCutShort::BeforeFirstEvent);
+        }
+        Ok(self.buf.split().freeze())
     }
 
     /// Returns the number of bytes that have not been returned as events.
--- a/cicadagate-policy/tests/events.rs
+++ b/cicadagate-policy/tests/events.rs
@@ -118,8 +118,14 @@
             seen.extend_from_slice(&event.raw);
         }
         assert_eq!(parser.has_partial_event(), !is_complete, "{stream:?}");
-        let end = parser.take_end();
-        assert_eq!(end.is_some(), is_complete, "{stream:?}");
+        let has_events = !seen.is_empty();
+        let end = parser.end(true);
+        assert_eq!(end.is_ok(), is_complete, "{stream:?}");
+        assert_eq!(
+            parser.end(false).is_ok(),
+            is_complete && has_events,
+            "{stream:?}"
+        );
         seen.extend_from_slice(&end.unwrap_or_default());
         let is_whole = seen == stream.as_bytes();
         assert_eq!(is_whole, is_complete, "{stream:?}");
