--- a/cicadagate-gateway/src/lib.rs
+++ b/cicadagate-gateway/src/lib.rs
@@ -16,11 +16,9 @@
 
 * [`platform`]: traits for the platform's store and encodings.
 * [`process`]: state and tasks of the process.
-* [`connection`]: connections to replicas.
 * [`request`]: requests, and requests about batch jobs.
 */
 
-pub mod connection;
 pub mod platform;
 pub mod process;
 pub mod request;
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -8,7 +8,6 @@
         results::{abandon, finish},
     },
     crate::{
-        connection::{ReplicaRequest, ReplicaResponse, Reuse},
         process::{
             Gateway, contents,
             slots::{SlotOutcome, acquire},
@@ -20,7 +19,11 @@
         header::{self, HeaderMap, HeaderName, HeaderValue},
     },
     actix_rt::time::{sleep, timeout},
-    cicadagate_node::{clock::unix_time_ms, event},
+    cicadagate_node::{
+        clock::unix_time_ms,
+        connection::http_client::{ReplicaRequest, ReplicaResponse, Reuse},
+        event,
+    },
     cicadagate_policy::{
         process::{
             replicas::{Registration, Replica},
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -36,7 +36,6 @@
 use {
     self::queries::PendingQueries,
     crate::{
-        connection::{ExchangeError, Pool},
         platform::{Codec, Store},
         request,
         settings::{Bounds, Settings},
@@ -44,7 +43,10 @@
     actix_rt::net::{TcpListener, UdpSocket},
     cicadagate_node::{
         clock::{Clock, unix_time_ms},
-        connection::http::{ConnectionTimeouts, serve_with},
+        connection::{
+            http::{ConnectionTimeouts, serve_with},
+            http_client::{ExchangeError, Pool},
+        },
         event,
         metrics::Metrics,
         trace::random_bytes,
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -16,12 +16,9 @@
         headers::{content_length, forwarded_headers, response_from_replica, set_replica_headers},
         relay::{self, Relay},
     },
-    crate::{
-        connection::{Body, ReplicaRequest, ReplicaResponse, Reuse},
-        process::{
-            Gateway, InFlightGuard, RequestGuard,
-            slots::{SlotOutcome, acquire, acquire_without_grant},
-        },
+    crate::process::{
+        Gateway, InFlightGuard, RequestGuard,
+        slots::{SlotOutcome, acquire, acquire_without_grant},
     },
     actix_http::{
         Method, Request, StatusCode,
@@ -30,7 +27,10 @@
     },
     actix_rt::time::timeout,
     bytes::{Bytes, BytesMut},
-    cicadagate_node::event,
+    cicadagate_node::{
+        connection::http_client::{Body, ReplicaRequest, ReplicaResponse, Reuse},
+        event,
+    },
     cicadagate_policy::{
         ids::EndpointId,
         process::{replicas::Registration, slot_ledger::Purpose},
--- a/cicadagate-gateway/src/request/headers.rs
+++ b/cicadagate-gateway/src/request/headers.rs
@@ -4,11 +4,12 @@
 
 use {
     super::{Response, admission::header_text},
-    crate::{connection::ReplicaResponse, process::Gateway},
+    crate::process::Gateway,
     actix_http::{
         HttpMessage as _, Request,
         header::{self, HeaderMap, HeaderName, HeaderValue},
     },
+    cicadagate_node::connection::http_client::ReplicaResponse,
     cicadagate_policy::process::replicas::Registration,
 };
 
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -14,13 +14,13 @@
 
 use {
     super::forward::{AttemptTarget, PendingRequest, SendOutcome},
-    crate::{
-        connection::{Body, BodyFraming},
-        process::{Gateway, RequestGuard},
-    },
+    crate::process::{Gateway, RequestGuard},
     actix_rt::time::timeout,
     bytes::{Bytes, BytesMut},
-    cicadagate_node::event,
+    cicadagate_node::{
+        connection::http_client::{Body, BodyFraming},
+        event,
+    },
     cicadagate_policy::request::sse::{EventParser, EventSequencer, SequenceCheck, StreamCutShort},
     futures_util::stream::{Stream, unfold},
     snafu::Snafu,
--- a/cicadagate-gateway/src/connection/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -239,7 +239,8 @@
     framing: BodyFraming,
     remainder: Remainder,
     unsent: BytesMut,
-    pool_handle: PoolHandle,
+    /// Where the connection goes after the response, if it may be reused.
+    pool_handle: Option<PoolHandle>,
     keep_alive_timeout: Option<Duration>,
     /// Whether the connection may be reused after the response (HTTP
     /// keep-alive).
@@ -254,10 +255,21 @@
     }
 }
 
+/// Sends a request on a connection of its own and reads the head of its
+/// response.
+///
+/// # Errors
+///
+/// Returns an error if there is no response; the error says whether the request
+/// may have run.
+pub async fn send_once(addr: SocketAddr, req: &ReplicaRequest) -> Result<ReplicaResponse> {
+    exchange(Connection::open(addr).await?, None, req).await
+}
+
 /// Sends a request on a connection and reads the head of its response.
 pub(super) async fn exchange(
     mut conn: Connection,
-    pool_handle: PoolHandle,
+    pool_handle: Option<PoolHandle>,
     req: &ReplicaRequest,
 ) -> Result<ReplicaResponse> {
     let mut codec = ClientCodec::default();
@@ -456,8 +468,9 @@
         let Some(conn) = self.conn.take() else {
             return;
         };
-        if self.is_kept && conn.buf.is_empty() && self.unsent.is_empty() {
-            self.pool_handle.put_back(conn, self.keep_alive_timeout);
+        let is_reusable = self.is_kept && conn.buf.is_empty() && self.unsent.is_empty();
+        if let Some(pool_handle) = self.pool_handle.as_ref().filter(|_| is_reusable) {
+            pool_handle.put_back(conn, self.keep_alive_timeout);
         }
     }
 }
--- a/cicadagate-gateway/src/connection/pool.rs
+++ b/cicadagate-node/src/connection/http_client/pool.rs
@@ -138,7 +138,7 @@
             idle_list: Rc::clone(&idle_list),
             now: Rc::clone(&self.now),
         };
-        let outcome = exchange(conn, handle, req).await;
+        let outcome = exchange(conn, Some(handle), req).await;
         if is_reused && matches!(outcome, Err(ExchangeError::Broken { .. })) {
             idle_list.borrow_mut().clear();
             self.ignore_announced_until
