--- a/cicadagate-dispatch/src/request/mod.rs
+++ b/cicadagate-dispatch/src/request/mod.rs
@@ -14,6 +14,7 @@
     },
     cicadagate_node::{
         clock::unix_time_ms,
+        connection::http_client::ExchangeError,
         event,
         trace::{Span, TraceContext},
     },
@@ -24,6 +25,8 @@
 
 /// Timeout for connecting to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which an idle connection to an engine is kept.
+const ENGINE_KEEP_ALIVE: Duration = Duration::from_secs(15);
 
 /// Why a running attempt is stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,33 +37,25 @@
     Cancel,
 }
 
-/// HTTP clients for endpoints.
+/// HTTP client for engines, whose own end marker ends a response. Responses of
+/// services have none, so these are read with
+/// [`http_client`](cicadagate_node::connection::http_client).
 pub(crate) struct Clients {
     engines: Client,
-    services: Client,
 }
 
 impl Clients {
     pub fn new() -> Self {
-        let client = |keep_alive: Duration| {
-            let connector = Connector::new()
-                .timeout(CONNECT_TIMEOUT)
-                .conn_keep_alive(keep_alive)
-                .limit(0);
-            Client::builder()
-                .connector(connector)
-                .disable_timeout()
-                .disable_redirects()
-                .finish()
-        };
-        Self {
-            engines: client(Duration::from_secs(15)),
-            // If a service closes an idle connection while a request is sent on
-            // it, it is unknown whether the request ran. That is not
-            // acceptable for non-idempotent requests, so each request to a
-            // service gets its own connection.
-            services: client(Duration::ZERO),
-        }
+        let connector = Connector::new()
+            .timeout(CONNECT_TIMEOUT)
+            .conn_keep_alive(ENGINE_KEEP_ALIVE)
+            .limit(0);
+        let engines = Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .finish();
+        Self { engines }
     }
 }
 
@@ -256,6 +251,15 @@
     failed_maybe_run(&err.to_string())
 }
 
+/// Converts an error of an exchange with a service into an outcome.
+fn exchange_error(err: &ExchangeError) -> Outcome {
+    if err.may_have_run() {
+        failed_maybe_run(&err.to_string())
+    } else {
+        Outcome::Refused(RefusalReason::Unreachable)
+    }
+}
+
 /// Returns the outcome of an attempt that failed after it may have run.
 fn failed_maybe_run(detail: &str) -> Outcome {
     Outcome::Failed {
--- a/cicadagate-dispatch/src/request/service.rs
+++ b/cicadagate-dispatch/src/request/service.rs
@@ -4,13 +4,13 @@
 */
 
 use {
-    super::{Attempt, Outcome, failed_maybe_run, send_error},
-    awc::http::{
+    super::{Attempt, Outcome, exchange_error, failed_maybe_run},
+    actix_http::{
         Method,
-        header::{HeaderMap, HeaderName, HeaderValue},
+        header::{self, HeaderMap, HeaderName, HeaderValue},
     },
-    cicadagate_wire::peer::FromServer,
-    futures_util::StreamExt,
+    cicadagate_node::connection::http_client::{ReplicaRequest, send_once},
+    cicadagate_wire::peer::{FromServer, Submit},
     std::{net::SocketAddr, str::FromStr},
 };
 
@@ -32,24 +32,17 @@
     /// Sends the request to a service and relays its response.
     pub(super) async fn run_service(&self, addr: SocketAddr) -> Outcome {
         let submit = &self.pending.submit;
-        let method = Method::from_str(&submit.method).unwrap_or(Method::GET);
-        let url = format!("http://{addr}{}", submit.path);
-        let client = &self.dispatcher.clients.services;
-        let mut request = client.request(method, url).no_decompress();
-        for (name, value) in &submit.headers {
-            let name = HeaderName::from_str(name);
-            if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
-                request.headers_mut().append(name, value);
-            }
-        }
-        let request = request
-            .insert_header(("x-request-id", submit.id.to_string()))
-            .insert_header(("traceparent", submit.traceparent.as_str()));
-        let mut res = match request.send_body(submit.body.clone()).await {
+        // If a service closes an idle connection while a request is sent on it,
+        // it is unknown whether the request ran. That is not acceptable for
+        // non-idempotent requests, so each request to a service gets its own
+        // connection.
+        let res = match send_once(addr, &service_request(addr, submit)).await {
             Ok(res) => res,
-            Err(err) => return send_error(&err),
+            Err(err) => return exchange_error(&err),
         };
-        let (status, headers) = (res.status().as_u16(), relayed_headers(res.headers()));
+        let status = res.head.status.as_u16();
+        let headers = relayed_headers(&res.head.headers);
+        let mut body = res.body;
         self.pending.recorded.borrow_mut().head = Some((status, headers.clone()));
         let (id, attempt) = (submit.id, submit.attempt);
         let head = FromServer::Head {
@@ -60,7 +53,7 @@
         };
         // The head is held back until the first chunk has arrived. An attempt
         // that fails before that chunk has then relayed nothing.
-        let mut next_chunk = res.next().await;
+        let mut next_chunk = body.chunk().await;
         if matches!(next_chunk, Some(Err(_))) {
             return failed_maybe_run("service broke off its answer");
         }
@@ -70,12 +63,46 @@
                 return failed_maybe_run("service broke off its answer");
             };
             self.send_piece(chunk);
-            next_chunk = res.next().await;
+            next_chunk = body.chunk().await;
         }
         self.end(String::new(), 0)
     }
 }
 
+/// Creates the request to a service, without headers that are not valid.
+fn service_request(addr: SocketAddr, submit: &Submit) -> ReplicaRequest {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &submit.headers {
+        let name = HeaderName::from_str(name);
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            headers.append(name, value);
+        }
+    }
+    let own_headers = [
+        (header::HOST, addr.to_string()),
+        (
+            HeaderName::from_static("x-request-id"),
+            submit.id.to_string(),
+        ),
+        (
+            HeaderName::from_static("traceparent"),
+            submit.traceparent.clone(),
+        ),
+    ];
+    for (name, value) in own_headers {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            headers.insert(name, value);
+        }
+    }
+    ReplicaRequest {
+        method: Method::from_str(&submit.method).unwrap_or(Method::GET),
+        target: submit.path.clone(),
+        headers,
+        body: submit.body.clone(),
+        id: None,
+    }
+}
+
 fn relayed_headers(headers: &HeaderMap) -> Vec<(String, String)> {
     headers
         .iter()
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -367,7 +367,7 @@
         target: task.content.path.clone(),
         headers,
         body: task.content.body.clone(),
-        id: (names.request_id.clone(), task.id.clone()),
+        id: Some((names.request_id.clone(), task.id.clone())),
     }
 }
 
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -216,7 +216,7 @@
             target: self.target.clone(),
             headers,
             body: self.body.clone(),
-            id: (names.request_id.clone(), self.id.clone()),
+            id: Some((names.request_id.clone(), self.id.clone())),
         }
     }
 
--- a/cicadagate-lab/src/load/caller.rs
+++ b/cicadagate-lab/src/load/caller.rs
@@ -7,8 +7,14 @@
 */
 
 use {
+    actix_http::{
+        Method,
+        header::{HeaderMap, HeaderName, HeaderValue},
+    },
+    actix_rt::time::timeout,
     awc::Client,
     bytes::Bytes,
+    cicadagate_node::connection::http_client::{ReplicaRequest, send_once},
     cicadagate_standin::engine::{prompt_hash, token_text},
     futures_util::StreamExt,
     serde_json::{Value, json},
@@ -143,7 +149,8 @@
         path: &str,
         call_id: &str,
     ) -> Result<(u16, Value), String> {
-        call_service(self.post(entry, path).insert_header(("x-call-id", call_id))).await
+        self.call_service(entry, path, &[("x-call-id", call_id)])
+            .await
     }
 
     /// Calls a plain service with an idempotency key.
@@ -157,8 +164,47 @@
         path: &str,
         key: &str,
     ) -> Result<(u16, Value), String> {
-        let request = self.post(entry, path).insert_header(("x-call-id", key));
-        call_service(request.insert_header(("idempotency-key", key))).await
+        self.call_service(entry, path, &[("x-call-id", key), ("idempotency-key", key)])
+            .await
+    }
+
+    /// Calls a plain service with headers and returns status and body.
+    ///
+    /// Uses the client that reports a body that was cut short.
+    async fn call_service(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+        headers: &[(&'static str, &str)],
+    ) -> Result<(u16, Value), String> {
+        let (host, bearer) = (entry.to_string(), format!("Bearer {}", self.key));
+        let own_headers = [("host", host.as_str()), ("authorization", bearer.as_str())];
+        let mut header_map = HeaderMap::new();
+        for (name, value) in own_headers.iter().chain(headers) {
+            let value = HeaderValue::from_str(value).map_err(|err| err.to_string())?;
+            header_map.insert(HeaderName::from_static(name), value);
+        }
+        let request = ReplicaRequest {
+            method: Method::POST,
+            target: path.to_owned(),
+            headers: header_map,
+            body: Bytes::from_static(b"hello"),
+            id: None,
+        };
+        let exchange = async {
+            let mut res = send_once(entry, &request)
+                .await
+                .map_err(|err| err.to_string())?;
+            let mut body = Vec::new();
+            while let Some(chunk) = res.body.chunk().await {
+                body.extend_from_slice(&chunk.map_err(|err| err.to_string())?);
+            }
+            let body = serde_json::from_slice(&body).unwrap_or_default();
+            Ok((res.head.status.as_u16(), body))
+        };
+        timeout(TIMEOUT, exchange)
+            .await
+            .unwrap_or_else(|_| Err("no response in time".to_owned()))
     }
 
     /// Uploads a batch file and returns its id.
@@ -272,17 +318,6 @@
     }
 }
 
-/// Calls a plain service and returns status and body.
-async fn call_service(request: awc::ClientRequest) -> Result<(u16, Value), String> {
-    let mut res = request
-        .send_body("hello")
-        .await
-        .map_err(|err| err.to_string())?;
-    let status = res.status().as_u16();
-    let body = res.body().await.map_err(|err| err.to_string())?;
-    Ok((status, serde_json::from_slice(&body).unwrap_or_default()))
-}
-
 type SendResult<S> = Result<awc::ClientResponse<S>, awc::error::SendRequestError>;
 
 async fn json_response<S>(sent: SendResult<S>) -> Result<Value, String>
--- a/cicadagate-lab/tests/online.rs
+++ b/cicadagate-lab/tests/online.rs
@@ -133,6 +133,29 @@
     });
 }
 
+/// Guards against responses of plain services that were cut short and that
+/// callers get as complete.
+#[test]
+fn a_cut_response_of_a_service_is_not_complete() {
+    run(async {
+        let setup = start(small_spec("service-cut")).await;
+        let entry = setup.fleet.entries()[0];
+        setup
+            .fleet
+            .inject_endpoint_faults("permits-1", &json!({"cut_answers": 3}))
+            .await
+            .expect("ordered");
+        for number in 0..3 {
+            let call = format!("permit-{number}");
+            let called = setup.caller.service(entry, "/permits/new", &call).await;
+            let is_complete = called.as_ref().is_ok_and(|(status, _)| *status == 200);
+            assert!(!is_complete, "{call}: {called:?}");
+        }
+        let called = setup.caller.service(entry, "/permits/new", "last").await;
+        assert_eq!(called.expect("a response").0, 200);
+    });
+}
+
 /// An API key is accepted in each form, and no form of it is forwarded to an
 /// endpoint.
 #[test]
--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -117,8 +117,9 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
-    /// Response header that may echo the request's id, and the id.
-    pub id: (HeaderName, String),
+    /// Response header that may echo the request's id, and the id. A response
+    /// with another id is discarded.
+    pub id: Option<(HeaderName, String)>,
 }
 
 /// A connection to a replica.
@@ -276,8 +277,10 @@
     let mut unsent = encode(&mut codec, req)?;
     for _ in 0..MAX_RESPONSES_READ {
         let head = read_head(&mut conn, &mut codec, &mut unsent).await?;
-        let echo = head.headers.get(&req.id.0);
-        let is_mismatched = echo.is_some_and(|echo| echo.as_bytes() != req.id.1.as_bytes());
+        let is_mismatched = req.id.as_ref().is_some_and(|(name, id)| {
+            let echo = head.headers.get(name);
+            echo.is_some_and(|echo| echo.as_bytes() != id.as_bytes())
+        });
         let keep_alive_timeout = keep_alive_timeout(&head.headers);
         let is_kept = codec.keep_alive();
         let framing = BodyFraming::of(&head, &req.method);
--- a/cicadagate-standin/src/service.rs
+++ b/cicadagate-standin/src/service.rs
@@ -4,7 +4,7 @@
 `/control/calls` returns the number of calls for each `x-call-id`, and how many
 calls contained an API key. `POST /control/faults` with `{"lose_answers": n}`
 executes the next `n` calls but breaks their connections instead of sending a
-response.
+response; with `{"cut_answers": n}` it breaks them in the middle of the response.
 */
 
 use {
@@ -13,7 +13,9 @@
         HttpMessage as _, Request, Response,
         body::{BodyStream, BoxBody, MessageBody},
     },
+    bytes::Bytes,
     cicadagate_node::connection::http::{read_body, respond, respond_json},
+    futures_util::stream::{StreamExt as _, iter, once},
     serde::Deserialize,
     serde_json::json,
     std::{
@@ -31,18 +33,23 @@
 struct Service {
     calls: RefCell<BTreeMap<String, u64>>,
     leaked_keys: Cell<u64>,
-    lose_answers: Cell<u64>,
+    faults: Cell<Faults>,
     call_ms: u64,
 }
 
+/// How many of the next calls have each fault.
+#[derive(Clone, Copy, Debug, Default)]
 #[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, default)]
 struct Faults {
     lose_answers: u64,
+    cut_answers: u64,
 }
 
 /// Maximum length of a request body, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Time for the start of a response to be sent before the rest fails.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
 
 /// Serves the service until the process ends.
 ///
@@ -73,7 +80,7 @@
         }
         "/control/faults" => match serde_json::from_slice::<Faults>(&body) {
             Ok(faults) => {
-                service.lose_answers.set(faults.lose_answers);
+                service.faults.set(faults);
                 respond(200, "text/plain", "set\n")
             }
             Err(err) => respond(400, "text/plain", format!("{err}\n")),
@@ -98,16 +105,22 @@
         *count
     };
     actix_rt::time::sleep(Duration::from_millis(service.call_ms)).await;
-    if service.lose_answers.get() > 0 {
-        service.lose_answers.set(service.lose_answers.get() - 1);
-        return broken_response();
+    let mut faults = service.faults.get();
+    if faults.lose_answers > 0 {
+        faults.lose_answers -= 1;
+        service.faults.set(faults);
+        return broken_response(None);
     }
     let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
     let echo = String::from_utf8_lossy(body);
-    respond_json(
-        200,
-        &json!({"call": id, "count": count, "path": path, "echo": echo}),
-    )
+    let body = json!({"call": id, "count": count, "path": path, "echo": echo});
+    if faults.cut_answers > 0 {
+        faults.cut_answers -= 1;
+        service.faults.set(faults);
+        let start = body.to_string().into_bytes();
+        return broken_response(Some(Bytes::from(start[..start.len() / 2].to_vec())));
+    }
+    respond_json(200, &body)
 }
 
 /// Returns whether a request contains an API key in any of its accepted forms.
@@ -127,10 +140,14 @@
     in_query || in_cookie || in_value || names.iter().any(|name| headers.contains_key(*name))
 }
 
-/// Returns a response whose body fails, which closes the connection.
-fn broken_response() -> Response<BoxBody> {
-    let failing_body = futures_util::stream::once(async {
-        Err::<bytes::Bytes, io::Error>(io::Error::other("response lost by an injected fault"))
+/// Returns a response whose body fails after its start, which closes the
+/// connection.
+fn broken_response(start: Option<Bytes>) -> Response<BoxBody> {
+    let failing_end = once(async {
+        // The server drops what it has not sent yet when the body fails.
+        actix_rt::time::sleep(FLUSH_TIME).await;
+        Err(io::Error::other("response lost by an injected fault"))
     });
-    Response::ok().set_body(BodyStream::new(Box::pin(failing_body)).boxed())
+    let chunks = iter(start.map(Ok)).chain(failing_end);
+    Response::ok().set_body(BodyStream::new(Box::pin(chunks)).boxed())
 }
