--- a/cicadagate-gateway/src/platform.rs
+++ b/cicadagate-gateway/src/platform.rs
@@ -159,6 +159,8 @@
     pub not_run: HeaderName,
     /// On a response: the replica's signature.
     pub signature: HeaderName,
+    /// Parts of the request's prompt.
+    pub prompt_parts: HeaderName,
     /// Longest wait of a request for results, in milliseconds.
     pub wait_ms: HeaderName,
 }
@@ -236,6 +238,10 @@
     /// Returns what is invalid.
     fn registration(&self, id: &str, value: &[u8]) -> std::result::Result<Registration, String>;
 
+    /// Decodes the header of prompt parts, and returns the ids of the parts
+    /// that requests may share: all but the last one.
+    fn shared_prompt_parts(&self, value: &str) -> Vec<u64>;
+
     /// Recognizes a request about an accepted job.
     fn parse_job_request(&self, method: &Method, path: &str, query: &str) -> Option<JobRequest>;
 
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -52,7 +52,7 @@
         trace::random_bytes,
     },
     cicadagate_policy::{
-        ids::{EndpointId, MemberId, Offset, hash64},
+        ids::{EndpointId, MemberId, Offset, PromptPart, hash64},
         process::{
             membership::{Info, Membership, Role},
             rate_limit::RateLimiter,
@@ -95,6 +95,8 @@
 /// File descriptors reserved for connections to replicas and the store, and
 /// for files.
 const RESERVED_DESCRIPTORS: usize = 1_200;
+/// Most parts of a prompt that are considered.
+const MAX_PROMPT_PARTS: usize = 16;
 /// Interval between checks of idle connections and unreachable replicas.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -299,6 +301,19 @@
         }
     }
 
+    /// Returns the parts of a prompt that requests of a service may share.
+    /// `value` is the header that lists them.
+    #[must_use]
+    pub fn prompt_parts(&self, service: &str, value: &str) -> Vec<PromptPart> {
+        let ids = self.codec.shared_prompt_parts(value);
+        let mut parts: Vec<PromptPart> = ids
+            .into_iter()
+            .map(|id| PromptPart::new(service, id))
+            .collect();
+        parts.truncate(MAX_PROMPT_PARTS);
+        parts
+    }
+
     /// Counts a response of a replica by what ended it.
     pub fn count_body_end(&self, end: &str) {
         self.metrics.body_ends.with_label_values(&[end]).inc();
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -32,7 +32,7 @@
         event,
     },
     cicadagate_policy::{
-        ids::EndpointId,
+        ids::{EndpointId, PromptPart},
         process::{replicas::Registration, slot_ledger::Purpose},
         request::{
             attempt::{Attempts, Progress, RetryDecision},
@@ -69,6 +69,8 @@
     target: String,
     headers: HeaderMap,
     body: Bytes,
+    /// Parts of the prompt that other requests may share.
+    pub(super) prompt_parts: Vec<PromptPart>,
     tried: Vec<EndpointId>,
     refusals: usize,
 }
@@ -171,12 +173,15 @@
         let attempts = Attempts::new(route.is_repeatable(), deadline)
             .with_max_run_attempts(route.max_attempts.max(1));
         let last_event = header_text(req, &names.last_event_id).parse().ok();
+        let service = service_of(&route, &id);
+        let prompt_parts = gateway.prompt_parts(&service, &header_text(req, &names.prompt_parts));
         let target = req
             .uri()
             .path_and_query()
             .map_or("/", |target| target.as_str());
         Self {
-            service: service_of(&route, &id),
+            service,
+            prompt_parts,
             method: req.method().clone(),
             target: target.to_owned(),
             headers: forwarded_headers(gateway, req),
@@ -418,6 +423,7 @@
             ATTEMPT_FAILED,
             request = self.id.as_str(),
             replica = target.registration.id.as_str(),
+            prompt_parts: = PartList(&self.prompt_parts),
             after_ms = gateway.now().since(target.since),
             reason: = reason
         );
@@ -469,6 +475,19 @@
     }
 }
 
+/// Display of prompt parts in logs.
+pub(crate) struct PartList<'a>(pub &'a [PromptPart]);
+
+impl std::fmt::Display for PartList<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for (at, part) in self.0.iter().enumerate() {
+            let separator = if at == 0 { "" } else { "," };
+            write!(f, "{separator}{part}")?;
+        }
+        Ok(())
+    }
+}
+
 /// Logs, when dropped, that the caller left before its response began.
 struct DisconnectLogger {
     gateway: Rc<Gateway>,
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -13,7 +13,7 @@
 */
 
 use {
-    super::forward::{AttemptTarget, PendingRequest, SendOutcome},
+    super::forward::{AttemptTarget, PartList, PendingRequest, SendOutcome},
     crate::process::{Gateway, RequestGuard},
     actix_rt::time::timeout,
     bytes::{Bytes, BytesMut},
@@ -253,6 +253,7 @@
             ATTEMPT_FAILED,
             request = self.request.id.as_str(),
             replica = self.target.registration.id.as_str(),
+            prompt_parts: = PartList(&self.request.prompt_parts),
             reason
         );
         let Some(StreamEvents {
--- a/cicadagate-policy/src/ids.rs
+++ b/cicadagate-policy/src/ids.rs
@@ -103,6 +103,37 @@
     FileId, b"file"
 );
 
+/// A part of the prompts of a service's requests, which several of them may
+/// share.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct PromptPart {
+    service: u64,
+    part: u64,
+}
+
+impl PromptPart {
+    /// Creates the part with an id at a service.
+    #[must_use]
+    pub fn new(service: &str, part: u64) -> Self {
+        let service = hash64(&[b"service", service.as_bytes()]);
+        Self { service, part }
+    }
+
+    /// Returns a hash of the part, for placing.
+    #[must_use]
+    pub const fn hash(self) -> u64 {
+        mix64(self.service, self.part)
+    }
+}
+
+impl fmt::Display for PromptPart {
+    /// Writes the part's id as callers send it, in hexadecimal.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.part)
+    }
+}
+
 /// Identifier of a request, unique across the fleet. A caller that sends the
 /// request again uses the same one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
