Skip interim responses of replicas; bound what is discarded

A 1xx response was passed on to the caller as the response, and the rest of a response to another request was read to its end, however long. Interim responses are skipped now, eight at most, and 1 MiB of a foreign response is discarded at most before the connection is given up.

endless_bytes_end_with_their_connection_and_are_no_response plays bytes without end in a head and in a body on each kind of route. It failed before for interim responses (status 100 reached the caller); the other seven cases passed: heads end at 128 KiB, events at 1 MiB, the rest with the caller's deadline.

--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -24,7 +24,7 @@
 use {
     super::pool::PoolHandle,
     actix_http::{
-        ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, Version,
+        ConnectionType, Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Version,
         body::BodySize,
         h1::{ClientCodec, ClientPayloadCodec, Message as Frame, MessageType},
         header::{self, HeaderMap, HeaderName},
@@ -56,6 +56,11 @@
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 /// Most responses read for one request, including those to other requests.
 const MAX_RESPONSES_READ: usize = 4;
+/// Most interim (1xx) responses skipped before a response.
+const MAX_INTERIM_RESPONSES: usize = 8;
+/// Most bytes of a response to another request that are read and discarded, to
+/// get to the next response.
+const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
 
 /// Why an exchange failed.
 #[derive(Debug)]
@@ -286,7 +291,7 @@
     let mut codec = ClientCodec::default();
     let mut unsent = encode(&mut codec, req)?;
     for _ in 0..MAX_RESPONSES_READ {
-        let head = read_head(&mut conn, &mut codec, &mut unsent).await?;
+        let head = read_final_head(&mut conn, &mut codec, &mut unsent).await?;
         let is_mismatched = req.id.as_ref().is_some_and(|(name, id)| {
             let echo = head.headers.get(name);
             echo.is_some_and(|echo| echo.as_bytes() != id.as_bytes())
@@ -309,8 +314,12 @@
             }
             return Ok(ReplicaResponse { head, body });
         }
+        let mut discarded = 0;
         while let Some(chunk) = body.read_chunk().await {
-            chunk?;
+            discarded += chunk?.len();
+            if discarded > MAX_DISCARDED_BYTES {
+                return Err(ExchangeError::MismatchedId);
+            }
         }
         let Some(reusable) = body.conn.take().filter(|_| body.is_kept) else {
             return Err(ExchangeError::MismatchedId);
@@ -359,6 +368,28 @@
     Ok(out)
 }
 
+/// Reads the head of the response, after interim responses.
+async fn read_final_head(
+    conn: &mut Connection,
+    codec: &mut ClientCodec,
+    unsent: &mut BytesMut,
+) -> Result<ResponseHead> {
+    for _ in 0..=MAX_INTERIM_RESPONSES {
+        let head = read_head(conn, codec, unsent).await?;
+        if !head.status.is_informational() {
+            return Ok(head);
+        }
+        // No request asks for another protocol.
+        if head.status == StatusCode::SWITCHING_PROTOCOLS {
+            break;
+        }
+        *codec = ClientCodec::default();
+    }
+    Err(ExchangeError::Malformed {
+        reason: "no final response after interim ones".to_owned(),
+    })
+}
+
 async fn read_head(
     conn: &mut Connection,
     codec: &mut ClientCodec,
