Bound the bytes of an item's run

An item whose replica sent events without end ran for ever, and its output grew without bound. A run ends after 4 MiB now, what it added is dropped, and the item is run again.

an_item_with_endless_events_is_run_again_with_bounded_memory failed before (no result in 15 s), passes now.

--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -55,6 +55,9 @@
 /// maybe at another replica. An engine sends several events a second.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Most bytes of a run: many times the longest output.
+const MAX_RUN_BYTES: usize = 4 * 1024 * 1024;
+
 /// Everything needed to run an item.
 pub(super) struct Task {
     pub(super) item: ItemRef,
@@ -444,6 +447,7 @@
 ) -> RunOutcome {
     let mut body = response.body;
     let mut parser = EventParser::default();
+    let mut received = 0;
     loop {
         let chunk = match timeout(IDLE_TIMEOUT, body.chunk()).await {
             Ok(None) => {
@@ -473,6 +477,13 @@
                 return RunOutcome::Interrupted("idle timeout".to_owned());
             }
         };
+        received += chunk.len();
+        if received > MAX_RUN_BYTES {
+            gateway.count_body_end("failed");
+            // What such a run has added is no output.
+            gateway.item_runner.outputs.borrow_mut().remove(&item);
+            return RunOutcome::Interrupted("run exceeds the maximum size".to_owned());
+        }
         if parser.feed(&chunk).is_err() {
             return RunOutcome::Interrupted("event exceeds the maximum size".to_owned());
         }
