--- a/cicadactl/src/explain.rs
+++ b/cicadactl/src/explain.rs
@@ -34,7 +34,7 @@
 const CONTEXT_MS: u64 = 3_000;
 /// Events that are shown as context: changes of a process's state and of its
 /// view of the fleet.
-const CONTEXT_EVENTS: [&str; 16] = [
+const CONTEXT_EVENTS: [&str; 18] = [
     "STARTED",
     "STOPPING",
     "STOPPED",
@@ -49,6 +49,8 @@
     "REPLICA_REMOVED",
     "REPLICA_UNREACHABLE",
     "REPLICA_REACHED",
+    "PROMPT_QUARANTINED",
+    "PROMPT_RELEASED",
     "APPEND_FAILED",
     "LOG_LINES_DROPPED",
 ];
@@ -245,6 +247,11 @@
             let refused = count(lines, "ATTEMPT_FAILED");
             format!("no replica took it; {refused} refused or were not reached")
         }
+        ("prompt_quarantined", ..) => lines
+            .iter()
+            .rev()
+            .find(|line| line.name == "QUARANTINED")
+            .map_or_else(|| format!("refused: {code}"), quarantine_cause),
         ("too_many_tokens", ..) => lines
             .iter()
             .rev()
@@ -255,6 +262,14 @@
     }
 }
 
+fn quarantine_cause(line: &LogLine) -> String {
+    format!(
+        "replicas crashed under part {} of its prompt; such requests are refused for another {} s",
+        line.str_field("prompt_part"),
+        line.int_field("left_ms") / 1_000,
+    )
+}
+
 fn over_token_limit(line: &LogLine) -> String {
     format!(
         "the job's {} tokens do not fit: {} of at most {} of customer {} wait on route {}, \
