Stop sending requests to a replica that says in a response that it is leaving

The header Server-Leaving in the head of any response (streams from their first byte, plain ones, errors, refusals, items) takes the replica out of use at once: that incarnation and earlier ones, whatever its entry says later. A request or item that has got a slot meanwhile goes elsewhere; idle connections to it are closed.

Not built: news to peers, responses to other requests that are discarded, own binaries, the soak's check, metrics by source; docs follow with these.

--- a/cicadagate-gateway/src/platform.rs
+++ b/cicadagate-gateway/src/platform.rs
@@ -157,6 +157,8 @@
     pub expected_replica: HeaderName,
     /// On a response: the replica did not run the request.
     pub not_run: HeaderName,
+    /// On a response: the replica is leaving.
+    pub leaving: HeaderName,
     /// On a response: the replica's signature.
     pub signature: HeaderName,
     /// Parts of the request's prompt.
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -25,12 +25,8 @@
         event,
     },
     cicadagate_policy::{
-        ids::PromptPart,
-        process::{
-            replicas::{Registration, Replica},
-            reports::InFlight,
-            slot_ledger::Purpose,
-        },
+        ids::{EndpointId, PromptPart},
+        process::{replicas::Registration, reports::InFlight, slot_ledger::Purpose},
         request::sse::{EventParser, EventSequencer, SequenceCheck},
         time::Time,
         version::{
@@ -258,22 +254,23 @@
     config.route_by_name(name).cloned()
 }
 
+fn choose_replica(
+    gateway: &Gateway,
+    task: &Task,
+    now: Time,
+) -> Option<(EndpointId, Rc<Registration>)> {
+    let service = &task.route.target(&task.id)?.service;
+    let replicas = gateway.replicas.borrow();
+    let reports = gateway.reports.borrow();
+    let replica = replicas.choose(now, service, &[], gateway.next_random(), |id| {
+        gateway.batch_load_estimate(&reports, id)
+    })?;
+    Some((replica.endpoint, Rc::clone(&replica.registration)))
+}
+
 async fn run_once(gateway: &Rc<Gateway>, task: &Task, run: &ItemRun) -> RunOutcome {
     let now = gateway.now();
-    let service = task
-        .route
-        .target(&task.id)
-        .map(|target| target.service.clone());
-    let chosen = {
-        let replicas = gateway.replicas.borrow();
-        let reports = gateway.reports.borrow();
-        let service = service.unwrap_or_default();
-        let chosen = replicas.choose(now, &service, &[], gateway.next_random(), |id| {
-            gateway.batch_load_estimate(&reports, id)
-        });
-        chosen.map(|replica: &Replica| (replica.endpoint, Rc::clone(&replica.registration)))
-    };
-    let Some((endpoint, registration)) = chosen else {
+    let Some((endpoint, registration)) = choose_replica(gateway, task, now) else {
         return RunOutcome::Interrupted("no replica available".to_owned());
     };
     let prompt_parts = task.prompt_parts(gateway, &registration.service);
@@ -290,6 +287,9 @@
             return RunOutcome::NoSlot(load);
         }
     };
+    if !gateway.replicas.borrow().is_usable(endpoint) {
+        return RunOutcome::Interrupted("replica is leaving".to_owned());
+    }
     run.endpoint.set(Some(endpoint));
     run.since.set(gateway.now());
     let after = gateway
@@ -325,6 +325,7 @@
             return RunOutcome::Interrupted("no response within timeout".to_owned());
         }
     };
+    gateway.note_head(&task.id, &registration, &response.head);
     let status = response.head.status;
     if status != StatusCode::OK {
         let outcome = classify_response(gateway, &response);
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -10,9 +10,13 @@
 use {
     super::{Gateway, fleet_store::StoreReachability},
     crate::platform::{KeyedRecord, StoreError},
+    actix_http::ResponseHead,
     actix_rt::time::sleep,
     cicadagate_node::event,
-    cicadagate_policy::{ids::EndpointId, process::replicas::ReplicaChange},
+    cicadagate_policy::{
+        ids::EndpointId,
+        process::replicas::{Registration, ReplicaChange},
+    },
     std::{collections::HashSet, rc::Rc, time::Duration},
 };
 
@@ -125,11 +129,30 @@
     }
 }
 
+impl Gateway {
+    /// Records what the head of a replica's response says of the replica.
+    pub fn note_head(&self, request: &str, replica: &Registration, head: &ResponseHead) {
+        if !head.headers.contains_key(&self.codec.headers().leaving) {
+            return;
+        }
+        let change = self.replicas.borrow_mut().note_leaving(replica);
+        if change == ReplicaChange::Draining {
+            event!(
+                REPLICA_DRAINING,
+                replica = replica.id.as_str(),
+                source = "response",
+                request
+            );
+        }
+        self.pool.close_idle(EndpointId::of(&replica.id));
+    }
+}
+
 fn handle_change(gateway: &Rc<Gateway>, id: &str, change: ReplicaChange) {
     match change {
         ReplicaChange::None => return,
         ReplicaChange::Added => event!(REPLICA_ADDED, replica = id),
-        ReplicaChange::Draining => event!(REPLICA_DRAINING, replica = id),
+        ReplicaChange::Draining => event!(REPLICA_DRAINING, replica = id, source = "registration"),
         ReplicaChange::Lapsed => event!(REPLICA_LAPSED, replica = id),
         ReplicaChange::Removed => event!(REPLICA_REMOVED, replica = id, reason = "entry is gone"),
     }
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -324,6 +324,11 @@
             if self.quarantine_left(gateway).is_some() {
                 return SendOutcome::Failed(self.resolve_error(RequestError::Quarantined));
             }
+            // It may have said so while the slot was requested.
+            if !gateway.replicas.borrow().is_usable(target.endpoint) {
+                self.tried.push(target.endpoint);
+                continue;
+            }
             let now = gateway.now();
             self.tried.push(target.endpoint);
             let number = self.attempts.begin();
@@ -381,6 +386,7 @@
         response: ReplicaResponse,
         target: AttemptTarget,
     ) -> Option<SendOutcome> {
+        gateway.note_head(&self.id, &target.registration, &response.head);
         let names = gateway.codec.headers();
         let status = response.head.status;
         let is_refusal = response.head.headers.contains_key(&names.not_run)
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -12,7 +12,9 @@
 
 An entry that can't be decoded names no replica and does not affect others. A
 replica that reports itself as draining, or whose entry is removed, gets no
-new requests from then on. The exception is an entry that is removed while the
+new requests from then on. So does one that says in a response that it is leaving:
+that incarnation, and any earlier one of the same id, stays out of use whatever
+its entry says later, since entries may be older than the response. The exception is an entry that is removed while the
 store is unreachable or has been so within [`LAPSED_RETENTION_MS`]: its replica
 is kept until that time is over, since live replicas register again within it.
 
@@ -55,6 +57,9 @@
 /// Maximum time that a replica is avoided after a failure, in milliseconds.
 pub const MAX_AVOID_MS: u64 = 4_000;
 
+/// Most replicas that are remembered as leaving.
+pub const MAX_LEAVING: usize = 4_096;
+
 /// A replica's registration, as written by the replica itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Registration {
@@ -135,6 +140,9 @@
 pub struct ReplicaSet {
     replicas: BTreeMap<EndpointId, Replica>,
     by_service: HashMap<String, Vec<EndpointId>>,
+    /// Replicas that said in a response that they are leaving, with the start
+    /// time of the latest incarnation that did.
+    leaving: HashMap<EndpointId, u64>,
     store_unreachable_since: Option<Time>,
     store_recovered_at: Option<Time>,
 }
@@ -164,9 +172,9 @@
         if old.is_some_and(|old| !old.lapsed && *old.registration == registration) {
             return ReplicaChange::None;
         }
-        let is_draining = registration.is_draining;
+        let is_draining = !self.takes_requests(&registration);
         let was_usable = old.is_some_and(|old| {
-            !old.registration.is_draining
+            self.takes_requests(&old.registration)
                 && old.registration.started_ms == registration.started_ms
                 && old.registration.addr == registration.addr
         });
@@ -192,6 +200,38 @@
         }
     }
 
+    /// Records that an incarnation of a replica said in a response that it is
+    /// leaving.
+    pub fn note_leaving(&mut self, registration: &Registration) -> ReplicaChange {
+        let endpoint = EndpointId::of(&registration.id);
+        let was_usable = self.is_usable(endpoint);
+        if self.leaving.len() >= MAX_LEAVING && !self.leaving.contains_key(&endpoint) {
+            let replicas = &self.replicas;
+            self.leaving.retain(|known, _| replicas.contains_key(known));
+        }
+        let started_ms = self.leaving.entry(endpoint).or_default();
+        *started_ms = (*started_ms).max(registration.started_ms);
+        if !was_usable || self.is_usable(endpoint) {
+            return ReplicaChange::None;
+        }
+        self.rebuild_index();
+        ReplicaChange::Draining
+    }
+
+    /// Returns whether a replica may be sent new requests.
+    #[must_use]
+    pub fn is_usable(&self, endpoint: EndpointId) -> bool {
+        self.replicas
+            .get(&endpoint)
+            .is_some_and(|replica| self.takes_requests(&replica.registration))
+    }
+
+    fn takes_requests(&self, registration: &Registration) -> bool {
+        let leaving = self.leaving.get(&EndpointId::of(&registration.id));
+        let is_leaving = leaving.is_some_and(|started_ms| registration.started_ms <= *started_ms);
+        !registration.is_draining && !is_leaving
+    }
+
     /// Handles the removal of a replica's entry.
     pub fn remove(&mut self, now: Time, id: &str) -> ReplicaChange {
         let keeps_lapsed = self.keeps_lapsed(now);
@@ -245,7 +285,7 @@
     fn rebuild_index(&mut self) {
         self.by_service.clear();
         for replica in self.replicas.values() {
-            if !replica.registration.is_draining {
+            if self.takes_requests(&replica.registration) {
                 self.by_service
                     .entry(replica.registration.service.clone())
                     .or_default()
--- a/cicadagate-policy/tests/replicas.rs
+++ b/cicadagate-policy/tests/replicas.rs
@@ -190,3 +190,35 @@
     assert!((50..200).contains(&with_one_free), "{with_one_free} of 400");
     assert_eq!(choices_of_connected(8, 0), 0, "it has no free slot");
 }
+
+// Guards against requests to a replica that said in a response that it is
+// leaving, whatever its entry says meanwhile or later.
+#[test]
+fn a_replica_that_says_it_is_leaving_stays_out_of_use_until_another_incarnation() {
+    let mut set = set(1);
+    let leaving = registration("i0");
+    assert_eq!(set.note_leaving(&leaving), ReplicaChange::Draining);
+    assert_eq!(set.note_leaving(&leaving), ReplicaChange::None);
+    assert_eq!(choose(&set, NOW, 1), None);
+    // Read again, changed, lapsed and back, removed and back.
+    assert_eq!(set.register(leaving.clone()), ReplicaChange::None);
+    let mut changed = leaving.clone();
+    changed.slots = 9;
+    assert_eq!(set.register(changed), ReplicaChange::None);
+    set.set_store_reachable(NOW, false);
+    let _ = set.remove(NOW, "i0");
+    assert_eq!(set.register(leaving.clone()), ReplicaChange::None);
+    set.set_store_reachable(NOW, true);
+    let _ = set.remove(NOW.plus(LAPSED_RETENTION_MS), "i0");
+    assert_eq!(set.register(leaving.clone()), ReplicaChange::None);
+    assert_eq!(choose(&set, NOW, 1), None);
+    // An entry of an earlier incarnation, read late.
+    let mut earlier = leaving.clone();
+    earlier.started_ms -= 1;
+    assert_eq!(set.register(earlier), ReplicaChange::None);
+    assert_eq!(choose(&set, NOW, 1), None);
+    let mut next = leaving;
+    next.started_ms += 1;
+    assert_eq!(set.register(next), ReplicaChange::Added);
+    assert!(choose(&set, NOW, 1).is_some());
+}
