Read-through: terms of the quarantine, one job a file in the request module

Terms of the field instead of those of a court; the reading of short bodies and the checks against the quarantine have files of their own, the logger of disconnects stands beside the relay that takes over from it. A crash that several members report is attributed once. No other change of behaviour.

--- a/cicadagate-gateway/src/process/quarantine.rs
+++ b/cicadagate-gateway/src/process/quarantine.rs
@@ -34,7 +34,7 @@
 #[derive(Serialize, Deserialize)]
 struct StoredPart {
     part: PromptPart,
-    companions: Vec<PromptPart>,
+    co_occurring: Vec<PromptPart>,
     /// End of the quarantine, in milliseconds since the Unix epoch.
     until_unix_ms: u64,
 }
@@ -102,9 +102,9 @@
         QuarantineChange::Begun(quarantined, crashes) => event!(
             PROMPT_QUARANTINED,
             prompt_part: = quarantined.part,
-            companions = quarantined.companions.len(),
+            co_occurring = quarantined.co_occurring.len(),
             crashes = *crashes,
-            source = if *crashes > 0 { "own decision" } else { "told" },
+            source = if *crashes > 0 { "decided here" } else { "other member or store" },
             left_ms = quarantined.left_ms
         ),
         QuarantineChange::Ended(part) => event!(PROMPT_RELEASED, prompt_part: = part),
@@ -117,7 +117,7 @@
 async fn write(gateway: Rc<Gateway>, part: PromptPart, quarantined: Option<QuarantinedPart>) {
     let stored = quarantined.map(|quarantined| StoredPart {
         part,
-        companions: quarantined.companions,
+        co_occurring: quarantined.co_occurring,
         until_unix_ms: unix_time_ms() + quarantined.left_ms,
     });
     let value = match stored.as_ref().map(postcard::to_stdvec).transpose() {
@@ -177,7 +177,7 @@
 fn adopt(gateway: &Gateway, stored: StoredPart) {
     let quarantined = QuarantinedPart {
         part: stored.part,
-        companions: stored.companions,
+        co_occurring: stored.co_occurring,
         left_ms: stored.until_unix_ms.saturating_sub(unix_time_ms()),
     };
     let now = gateway.now();
--- a/cicadagate-gateway/src/request/admission.rs
+++ b/cicadagate-gateway/src/request/admission.rs
@@ -6,7 +6,7 @@
     super::{
         RequestError, Response,
         forward::{self, PendingRequest},
-        job_requests,
+        job_requests, quarantine,
     },
     crate::process::{Gateway, RequestGuard, limits},
     actix_http::{HttpMessage as _, Request, header},
@@ -129,7 +129,7 @@
     prompt_parts: &str,
 ) -> Result<(), (RequestError, Duration)> {
     let customer = context.customer.as_deref();
-    forward::check_quarantine(gateway, id, route, prompt_parts)
+    quarantine::check(gateway, id, &forward::service_of(route, id), prompt_parts)
         .map_err(|delay| (RequestError::Quarantined, delay))?;
     // A request that is refused because of the load takes no token.
     forward::check_load(gateway, id, route, customer)
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -13,8 +13,10 @@
     super::{
         RequestError, Response,
         admission::{RequestContext, header_text, refuse},
+        buffer::{self, BufferedBody, MAX_BUFFERED_BYTES},
         headers::{content_length, forwarded_headers, response_from_replica, set_replica_headers},
-        relay::{self, Relay},
+        quarantine::{self, PartList},
+        relay::{self, DisconnectLogger, Relay},
     },
     crate::process::{
         Gateway, InFlightGuard, RequestGuard,
@@ -26,9 +28,9 @@
         header::{HeaderMap, HeaderValue},
     },
     actix_rt::time::timeout,
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     cicadagate_node::{
-        connection::http_client::{Body, ReplicaRequest, ReplicaResponse, Reuse},
+        connection::http_client::{ReplicaRequest, ReplicaResponse, Reuse},
         event,
     },
     cicadagate_policy::{
@@ -44,9 +46,6 @@
     std::{rc::Rc, time::Duration},
 };
 
-/// Longest response that is buffered until it is complete, so that the request
-/// can be retried if it is cut short. Longer ones are streamed.
-const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 /// Replicas that may refuse a request before the caller is told to retry later.
 const MAX_REFUSALS: usize = 3;
 /// Replicas at which a slot is requested before the request is queued at the
@@ -119,7 +118,7 @@
 }
 
 /// Returns the service to which a request is routed.
-fn service_of(route: &Route, id: &str) -> String {
+pub(super) fn service_of(route: &Route, id: &str) -> String {
     let target = route.target(id);
     target
         .map(|target| target.service.clone())
@@ -157,24 +156,6 @@
     })
 }
 
-/// Refuses a request with a quarantined part of its prompt.
-pub(super) fn check_quarantine(
-    gateway: &Gateway,
-    id: &str,
-    route: &Route,
-    prompt_parts: &str,
-) -> Result<(), Duration> {
-    let parts = gateway.prompt_parts(&service_of(route, id), prompt_parts);
-    quarantine_left(gateway, id, &parts).map_or(Ok(()), Err)
-}
-
-fn quarantine_left(gateway: &Gateway, id: &str, parts: &[PromptPart]) -> Option<Duration> {
-    let found = gateway.quarantine.borrow().find(gateway.now(), parts);
-    let (part, left_ms) = found?;
-    event!(QUARANTINED, request = id, prompt_part: = part, left_ms);
-    Some(Duration::from_millis(left_ms))
-}
-
 impl PendingRequest {
     #[allow(clippy::too_many_arguments)] // Separate results of the admission.
     pub(super) fn new(
@@ -246,7 +227,7 @@
     /// Returns the time until the request may be sent, if a part of its prompt
     /// is quarantined.
     fn quarantine_left(&self, gateway: &Gateway) -> Option<Duration> {
-        quarantine_left(gateway, &self.id, &self.prompt_parts)
+        quarantine::time_left(gateway, &self.id, &self.prompt_parts)
     }
 
     /// Records how long the request occupied its replica's slot.
@@ -513,54 +494,15 @@
     }
 }
 
-/// Display of prompt parts in logs.
-pub(crate) struct PartList<'a>(pub &'a [PromptPart]);
-
-impl std::fmt::Display for PartList<'_> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        for (at, part) in self.0.iter().enumerate() {
-            let separator = if at == 0 { "" } else { "," };
-            write!(f, "{separator}{part}")?;
-        }
-        Ok(())
-    }
-}
-
-/// Logs, when dropped, that the caller left before its response began.
-struct DisconnectLogger {
-    gateway: Rc<Gateway>,
-    id: String,
-    arrival: Time,
-    has_response: bool,
-}
-
-impl Drop for DisconnectLogger {
-    fn drop(&mut self) {
-        if !self.has_response {
-            event!(
-                CALLER_LEFT,
-                request = self.id.as_str(),
-                sent_bytes = 0,
-                took_ms = self.gateway.now().since(self.arrival)
-            );
-        }
-    }
-}
-
 /// Sends a request to replicas and returns the response for the caller.
 pub(super) async fn serve(
     gateway: &Rc<Gateway>,
     request: PendingRequest,
     guard: RequestGuard,
 ) -> Response {
-    let mut disconnect_logger = DisconnectLogger {
-        gateway: Rc::clone(gateway),
-        id: request.id.clone(),
-        arrival: request.arrival,
-        has_response: false,
-    };
+    let disconnect_logger = DisconnectLogger::new(gateway, &request);
     let res = forward_request(gateway, request, guard).await;
-    disconnect_logger.has_response = true;
+    disconnect_logger.note_response();
     res
 }
 
@@ -591,7 +533,7 @@
             };
         }
         let framing = response.body.framing();
-        match buffer_body(gateway, &request, response.body).await {
+        match buffer::read(gateway, request.deadline, response.body).await {
             BufferedBody::Complete(body) => {
                 let done = relay::CompletedResponse {
                     status: head.status().as_u16(),
@@ -622,45 +564,6 @@
     }
 }
 
-enum BufferedBody {
-    Complete(Bytes),
-    TooLong(Bytes, Body),
-    Failed {
-        reason: String,
-        /// Whether the replica closed the connection.
-        is_closed: bool,
-    },
-}
-
-/// Reads a response body up to [`MAX_BUFFERED_BYTES`], until the deadline.
-async fn buffer_body(gateway: &Gateway, request: &PendingRequest, mut body: Body) -> BufferedBody {
-    let read = async {
-        let mut buffer = BytesMut::new();
-        while let Some(chunk) = body.chunk().await {
-            match chunk {
-                Ok(chunk) => buffer.extend_from_slice(&chunk),
-                Err(err) => {
-                    return BufferedBody::Failed {
-                        reason: err.to_string(),
-                        is_closed: err.is_closed_by_peer(),
-                    };
-                }
-            }
-            if buffer.len() > MAX_BUFFERED_BYTES {
-                return BufferedBody::TooLong(buffer.freeze(), body);
-            }
-        }
-        BufferedBody::Complete(buffer.freeze())
-    };
-    let left = Duration::from_millis(request.deadline.since(gateway.now()));
-    timeout(left, read)
-        .await
-        .unwrap_or_else(|_| BufferedBody::Failed {
-            reason: "deadline exceeded".to_owned(),
-            is_closed: false,
-        })
-}
-
 fn respond_failed(
     gateway: &Rc<Gateway>,
     request: &PendingRequest,
--- a/cicadagate-gateway/src/request/mod.rs
+++ b/cicadagate-gateway/src/request/mod.rs
@@ -6,16 +6,20 @@
 run and may be retried, the response says when.
 
 * `admission`: route, API key, load and rate limit.
+* `buffer`: reads short responses before they are passed on.
 * `forward`: attempts at replicas.
 * `headers`: headers of requests to replicas and of their responses.
+* `quarantine`: checks against the quarantined parts of prompts.
 * `relay`: streams a response body to the caller.
 * `job_requests`: submissions of jobs, and requests about accepted jobs.
 */
 
 mod admission;
+mod buffer;
 mod forward;
 mod headers;
 mod job_requests;
+mod quarantine;
 mod relay;
 
 pub use headers::{is_hop_by_hop, set_replica_headers};
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -13,7 +13,10 @@
 */
 
 use {
-    super::forward::{AttemptTarget, PartList, PendingRequest, SendOutcome},
+    super::{
+        forward::{AttemptTarget, PendingRequest, SendOutcome},
+        quarantine::PartList,
+    },
     crate::process::{Gateway, RequestGuard},
     actix_rt::time::timeout,
     bytes::{Bytes, BytesMut},
@@ -21,7 +24,10 @@
         connection::http_client::{Body, BodyFraming},
         event,
     },
-    cicadagate_policy::request::sse::{EventParser, EventSequencer, SequenceCheck, StreamCutShort},
+    cicadagate_policy::{
+        request::sse::{EventParser, EventSequencer, SequenceCheck, StreamCutShort},
+        time::Time,
+    },
     futures_util::stream::{Stream, unfold},
     snafu::Snafu,
     std::{pin::Pin, rc::Rc, time::Duration},
@@ -336,6 +342,43 @@
     }
 }
 
+/// Logs, when dropped, that the caller left before its response began.
+pub(super) struct DisconnectLogger {
+    gateway: Rc<Gateway>,
+    id: String,
+    arrival: Time,
+    has_response: bool,
+}
+
+impl DisconnectLogger {
+    pub(super) fn new(gateway: &Rc<Gateway>, request: &PendingRequest) -> Self {
+        Self {
+            gateway: Rc::clone(gateway),
+            id: request.id.clone(),
+            arrival: request.arrival,
+            has_response: false,
+        }
+    }
+
+    /// Records that the response begins: from then on [`Relay`] logs.
+    pub(super) fn note_response(mut self) {
+        self.has_response = true;
+    }
+}
+
+impl Drop for DisconnectLogger {
+    fn drop(&mut self) {
+        if !self.has_response {
+            event!(
+                CALLER_LEFT,
+                request = self.id.as_str(),
+                sent_bytes = 0,
+                took_ms = self.gateway.now().since(self.arrival)
+            );
+        }
+    }
+}
+
 /// A response that was received completely from a replica.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CompletedResponse {
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -59,9 +59,10 @@
     /// A refused attempt to submit a job is decided again.
     ForgetRefusedAttempt,
     /// A member does not tell the others which replicas crashed.
-    KeepCrashesToOneself,
-    /// What ran at a replica that a quarantined prompt part crashed is suspected.
-    SuspectExplained,
+    SkipCrashReports,
+    /// A crash that is attributed to a quarantined prompt part counts against
+    /// other parts.
+    CountAttributedCrashes,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/process/quarantine.rs
+++ b/cicadagate-policy/src/process/quarantine.rs
@@ -12,20 +12,19 @@
 # Choice
 
 Each member keeps the crashes that it and others saw: which replica ended, and
-the parts of the prompt of a request that it had then. A completed request proves
-its parts sound, so only crashes after the last completion count. A part is
-quarantined if it was at enough replicas that ended ([`Proof`]). Two conditions
-keep an outage of all replicas from convicting what happened to run there: other
-requests of the service must have completed since, and members are given
-[`SETTLE_MS`] to object that the part has completed with them. A part that has
-completed before needs more proof. A replica that ended under a quarantined part
-is no proof against what else it ran.
-
-The parts that all requests with the part had in common are kept as its
-companions, and a request is refused only if it has all of them that have not
-completed without it. If two parts
-always come together, requests that have one of them still run; the first that
-completes proves its own parts sound, and the quarantine narrows to the other.
+the parts of the prompt of a request that it had then. A completed request shows
+that its parts are sound, so only crashes after the last completion count. A part
+is quarantined if it was at enough replicas that ended ([`Criteria`]). Two
+conditions keep an outage of all replicas from affecting the parts that happened
+to run there: other requests of the service must have completed since, and
+members have [`SETTLE_MS`] to report completions of the part. A part that has
+completed before must have crashed more replicas. Crashes of replicas that ran a
+quarantined part are attributed to it and do not count against other parts.
+
+The parts that all crashed requests with the part had in common are its
+co-occurring parts. A request is refused only if it has all of them, except those
+that have completed. If two parts always come together, requests with only one of
+them still run, and the first that completes shows that its own parts are sound.
 
 A quarantine ends after [`QUARANTINE_MS`], or as soon as a request with the part
 completes anywhere. After its end a single crash renews it.
@@ -47,9 +46,9 @@
     std::collections::{HashMap, VecDeque},
 };
 
-/// What it takes to quarantine a part.
+/// Conditions for the quarantine of a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Proof {
+pub struct Criteria {
     /// Replicas that must have ended under the part.
     pub crashes: usize,
     /// Other requests of the service that must have completed here since the
@@ -57,18 +56,18 @@
     pub other_completions: u64,
 }
 
-/// Proof against a part of which no completion is known.
-pub const PROOF: Proof = Proof {
+/// Criteria for a part of which no completion is known.
+pub const CRITERIA: Criteria = Criteria {
     crashes: 3,
     other_completions: 2,
 };
-/// Proof against a part that has completed before.
-pub const PROOF_IF_COMPLETED: Proof = Proof {
+/// Criteria for a part that has completed before.
+pub const CRITERIA_IF_COMPLETED: Criteria = Criteria {
     crashes: 8,
     other_completions: 50,
 };
-/// Proof against a part whose quarantine has ended.
-pub const PROOF_OF_RELAPSE: Proof = Proof {
+/// Criteria for a part whose quarantine has ended.
+pub const CRITERIA_AFTER_QUARANTINE: Criteria = Criteria {
     crashes: 1,
     other_completions: 2,
 };
@@ -83,7 +82,7 @@
 pub const MESSAGE_INTERVAL_MS: u64 = 100;
 /// How often each entry is sent, since datagrams may be lost.
 pub const RESENDS: u8 = 3;
-/// Crashes at which a part is suspected enough for members to object.
+/// Crashes of a part from which on members report its completions.
 const MIN_SUSPECTED_CRASHES: usize = 2;
 /// Most suspected parts that are kept.
 pub const MAX_SUSPECTS: usize = 4_096;
@@ -91,8 +90,8 @@
 pub const MAX_COMPLETED: usize = 8_192;
 /// Most crashes that are kept of a suspected part.
 const MAX_CRASHES: usize = 64;
-/// Most ended replicas that are remembered as explained.
-const MAX_EXPLAINED: usize = 1_024;
+/// Most crashed replicas that are remembered as attributed to a part.
+const MAX_ATTRIBUTED: usize = 1_024;
 /// Most entries of each kind in a message, so that it fits into a datagram.
 const MAX_ENTRIES: usize = 24;
 
@@ -126,7 +125,7 @@
     /// The part.
     pub part: PromptPart,
     /// Parts, itself included, that a request must have to be refused.
-    pub companions: Vec<PromptPart>,
+    pub co_occurring: Vec<PromptPart>,
     /// Time until the quarantine ends, in milliseconds.
     pub left_ms: u64,
 }
@@ -156,15 +155,15 @@
 #[derive(Clone, Debug)]
 struct Suspect {
     crashes: Vec<(Incarnation, Time)>,
-    companions: Vec<PromptPart>,
+    co_occurring: Vec<PromptPart>,
     /// Completions of the service before the first of the crashes.
     completions_before: u64,
-    has_objected: bool,
+    has_reported_completion: bool,
 }
 
 #[derive(Clone, Debug)]
 struct Quarantined {
-    companions: Vec<PromptPart>,
+    co_occurring: Vec<PromptPart>,
     until: Time,
 }
 
@@ -180,9 +179,8 @@
 pub struct Quarantine {
     suspects: HashMap<PromptPart, Suspect>,
     quarantined: HashMap<PromptPart, Quarantined>,
-    /// Replicas that ended under a quarantined part, oldest first: what else
-    /// they ran is not suspected for it.
-    explained: VecDeque<Incarnation>,
+    /// Replicas whose crash is attributed to a quarantined part, oldest first.
+    attributed: VecDeque<Incarnation>,
     /// Last known completion of each part.
     completed: HashMap<PromptPart, Time>,
     /// Requests that completed here, by service.
@@ -200,7 +198,7 @@
         parts.iter().find_map(|part| {
             let quarantined = self.quarantined.get(part)?;
             let is_met = |it: &PromptPart| parts.contains(it) || self.is_sound(*it);
-            let has_all = quarantined.companions.iter().all(is_met);
+            let has_all = quarantined.co_occurring.iter().all(is_met);
             let left_ms = quarantined.until.since(now);
             (has_all && left_ms > 0).then_some((*part, left_ms))
         })
@@ -244,7 +242,7 @@
             let is_companion = self
                 .quarantined
                 .values()
-                .any(|quarantined| quarantined.companions.contains(part));
+                .any(|quarantined| quarantined.co_occurring.contains(part));
             if is_suspected || is_companion {
                 self.push(Entry::Completed(*part, now));
             }
@@ -256,7 +254,7 @@
     /// Records a crash that this member saw.
     pub fn note_crash(&mut self, now: Time, crash: Crash) {
         self.add_crash(now, now, &crash);
-        if !is_injected(Fault::KeepCrashesToOneself) {
+        if !is_injected(Fault::SkipCrashReports) {
             self.push(Entry::Crash(crash, now));
         }
     }
@@ -268,7 +266,7 @@
         for (part, age_ms) in message.completed {
             changes.extend(self.clear(now, part, at(age_ms)));
             if let Some(suspect) = self.suspects.get_mut(&part) {
-                suspect.has_objected = true;
+                suspect.has_reported_completion = true;
             }
         }
         for (crash, age_ms) in message.crashes {
@@ -314,41 +312,41 @@
         self.quarantined
             .retain(|_, quarantined| now.since(quarantined.until) < QUARANTINE_MS);
         let mut changes = Vec::new();
-        // The part with the most crashes goes first, since it may explain those
-        // of others.
-        while let Some(crashes) = self.most_crashes_of_convicted(now) {
+        // The part with the most crashes goes first, since crashes of other parts
+        // may be attributed to it.
+        while let Some(crashes) = self.most_crashes_of_due(now) {
             let due: Vec<PromptPart> = self
                 .suspects
                 .iter()
                 .filter(|(part, suspect)| {
-                    suspect.crashes.len() == crashes && self.is_convicted(now, **part, suspect)
+                    suspect.crashes.len() == crashes && self.meets_criteria(now, **part, suspect)
                 })
                 .map(|(part, _)| *part)
                 .collect();
             for part in due {
-                changes.extend(self.convict(now, part));
+                changes.extend(self.quarantine_part(now, part));
             }
-            self.drop_explained_crashes();
+            self.drop_attributed_crashes();
         }
         changes
     }
 
-    fn most_crashes_of_convicted(&self, now: Time) -> Option<usize> {
+    fn most_crashes_of_due(&self, now: Time) -> Option<usize> {
         self.suspects
             .iter()
-            .filter(|(part, suspect)| self.is_convicted(now, **part, suspect))
+            .filter(|(part, suspect)| self.meets_criteria(now, **part, suspect))
             .map(|(_, suspect)| suspect.crashes.len())
             .max()
     }
 
-    fn convict(&mut self, now: Time, part: PromptPart) -> Option<QuarantineChange> {
+    fn quarantine_part(&mut self, now: Time, part: PromptPart) -> Option<QuarantineChange> {
         let suspect = self.suspects.remove(&part)?;
         let replicas = suspect.crashes.iter().map(|(replica, _)| *replica);
-        self.explained.extend(replicas);
+        self.attributed.extend(replicas);
         let is_kept = |it: &PromptPart| *it == part || !self.is_sound(*it);
         let quarantined = QuarantinedPart {
             part,
-            companions: suspect.companions.into_iter().filter(is_kept).collect(),
+            co_occurring: suspect.co_occurring.into_iter().filter(is_kept).collect(),
             left_ms: QUARANTINE_MS,
         };
         self.insert(now, &quarantined);
@@ -356,30 +354,30 @@
         Some(QuarantineChange::Begun(quarantined, suspect.crashes.len()))
     }
 
-    fn drop_explained_crashes(&mut self) {
-        if is_injected(Fault::SuspectExplained) {
+    fn drop_attributed_crashes(&mut self) {
+        if is_injected(Fault::CountAttributedCrashes) {
             return;
         }
-        let excess = self.explained.len().saturating_sub(MAX_EXPLAINED);
-        self.explained.drain(..excess);
-        let explained = &self.explained;
+        let excess = self.attributed.len().saturating_sub(MAX_ATTRIBUTED);
+        self.attributed.drain(..excess);
+        let attributed = &self.attributed;
         self.suspects.retain(|_, suspect| {
             suspect
                 .crashes
-                .retain(|(replica, _)| !explained.contains(replica));
+                .retain(|(replica, _)| !attributed.contains(replica));
             !suspect.crashes.is_empty()
         });
     }
 
-    fn is_convicted(&self, now: Time, part: PromptPart, suspect: &Suspect) -> bool {
+    fn meets_criteria(&self, now: Time, part: PromptPart, suspect: &Suspect) -> bool {
         let is_counted = |at: &Time| (SETTLE_MS..EVIDENCE_MS).contains(&now.since(*at));
         let crashes = suspect.crashes.iter().filter(|(_, at)| is_counted(at));
         let proof = if self.quarantined.contains_key(&part) {
-            PROOF_OF_RELAPSE
+            CRITERIA_AFTER_QUARANTINE
         } else if self.completed.contains_key(&part) {
-            PROOF_IF_COMPLETED
+            CRITERIA_IF_COMPLETED
         } else {
-            PROOF
+            CRITERIA
         };
         let completions = self.completions.get(&part.service()).copied();
         let others = completions.unwrap_or_default() - suspect.completions_before;
@@ -389,7 +387,7 @@
     fn insert(&mut self, now: Time, quarantined: &QuarantinedPart) {
         self.suspects.remove(&quarantined.part);
         let entry = Quarantined {
-            companions: quarantined.companions.clone(),
+            co_occurring: quarantined.co_occurring.clone(),
             until: now.plus(quarantined.left_ms),
         };
         self.quarantined.insert(quarantined.part, entry);
@@ -423,14 +421,15 @@
     }
 
     fn add_crash(&mut self, now: Time, at: Time, crash: &Crash) {
-        if self.find(now, &crash.parts).is_some() {
-            self.explained.push_back(crash.replica);
-            self.drop_explained_crashes();
+        let is_new = !self.attributed.contains(&crash.replica);
+        if is_new && self.find(now, &crash.parts).is_some() {
+            self.attributed.push_back(crash.replica);
+            self.drop_attributed_crashes();
         }
         for part in &crash.parts {
             self.narrow(*part, &crash.parts);
         }
-        if self.explained.contains(&crash.replica) && !is_injected(Fault::SuspectExplained) {
+        if self.attributed.contains(&crash.replica) && !is_injected(Fault::CountAttributedCrashes) {
             return;
         }
         for part in &crash.parts {
@@ -441,11 +440,11 @@
         }
     }
 
-    /// Drops the companions of a quarantined part that a crashed request with
-    /// it did not have.
+    /// Drops the co-occurring parts of a quarantined part that a crashed request
+    /// with it did not have.
     fn narrow(&mut self, part: PromptPart, parts: &[PromptPart]) {
         if let Some(quarantined) = self.quarantined.get_mut(&part) {
-            quarantined.companions.retain(|it| parts.contains(it));
+            quarantined.co_occurring.retain(|it| parts.contains(it));
         }
     }
 
@@ -456,11 +455,11 @@
         let completions = self.completions.get(&part.service()).copied();
         let suspect = self.suspects.entry(part).or_insert_with(|| Suspect {
             crashes: Vec::new(),
-            companions: crash.parts.clone(),
+            co_occurring: crash.parts.clone(),
             completions_before: completions.unwrap_or_default(),
-            has_objected: false,
+            has_reported_completion: false,
         });
-        suspect.companions.retain(|it| crash.parts.contains(it));
+        suspect.co_occurring.retain(|it| crash.parts.contains(it));
         let is_known = suspect
             .crashes
             .iter()
@@ -471,9 +470,15 @@
             }
             suspect.crashes.push((crash.replica, at));
         }
-        let objects = suspect.crashes.len() >= MIN_SUSPECTED_CRASHES && !suspect.has_objected;
-        if let Some(last) = self.completed.get(&part).copied().filter(|_| objects) {
-            suspect.has_objected = true;
+        let reports_completion =
+            suspect.crashes.len() >= MIN_SUSPECTED_CRASHES && !suspect.has_reported_completion;
+        if let Some(last) = self
+            .completed
+            .get(&part)
+            .copied()
+            .filter(|_| reports_completion)
+        {
+            suspect.has_reported_completion = true;
             self.push(Entry::Completed(part, last));
         }
     }
@@ -514,7 +519,7 @@
                         .quarantined
                         .extend(quarantined.map(|it| QuarantinedPart {
                             part: *part,
-                            companions: it.companions.clone(),
+                            co_occurring: it.co_occurring.clone(),
                             left_ms: it.until.since(now),
                         }));
                 }
--- a/cicadagate-policy/tests/quarantine.rs
+++ b/cicadagate-policy/tests/quarantine.rs
@@ -5,7 +5,7 @@
     fault_injection::{Fault, inject},
     ids::{EndpointId, PromptPart, mix64},
     process::quarantine::{
-        Crash, Incarnation, MAX_SUSPECTS, PROOF, QUARANTINE_MS, Quarantine, QuarantineMessage,
+        CRITERIA, Crash, Incarnation, MAX_SUSPECTS, QUARANTINE_MS, Quarantine, QuarantineMessage,
         QuarantinedPart, SETTLE_MS,
     },
     time::Time,
@@ -177,8 +177,8 @@
 }
 
 #[test]
-fn detects_members_that_keep_crashes_to_themselves() {
-    inject(Some(Fault::KeepCrashesToOneself));
+fn detects_skipped_crash_reports() {
+    inject(Some(Fault::SkipCrashReports));
     let runs = (0..3).map(|seed| crash_under_one_part(195, 8, seed).0);
     assert!(runs.max() > Some(MAX_RUNS));
 }
@@ -187,14 +187,14 @@
 /// at one more; returns which of the two are quarantined.
 fn run_beside_a_crashing_part() -> (bool, bool) {
     let (mut member, now) = (Quarantine::default(), Time(1_000));
-    let crashes = PROOF.crashes as u64;
+    let crashes = CRITERIA.crashes as u64;
     for replica in 0..=crashes {
         member.note_crash(now, crash(replica, &[part(1), part(BAD)]));
         if replica < crashes {
             member.note_crash(now, crash(replica, &[part(2), part(3)]));
         }
     }
-    for _ in 0..PROOF.other_completions {
+    for _ in 0..CRITERIA.other_completions {
         let _ = member.note_completed(now, &[part(7)]);
     }
     let now = now.plus(SETTLE_MS);
@@ -213,8 +213,8 @@
 }
 
 #[test]
-fn detects_suspicion_of_what_ran_beside_a_crashing_part() {
-    inject(Some(Fault::SuspectExplained));
+fn detects_counted_attributed_crashes() {
+    inject(Some(Fault::CountAttributedCrashes));
     assert_eq!(run_beside_a_crashing_part(), (true, true));
 }
 
@@ -251,7 +251,7 @@
 fn a_part_that_always_came_with_a_crashing_one_is_served_and_cleared() {
     let mut member = Quarantine::default();
     let mut now = Time(1_000);
-    for replica in 0..PROOF.crashes as u64 {
+    for replica in 0..CRITERIA.crashes as u64 {
         member.note_crash(now, crash(replica, &[part(1), part(BAD)]));
         let _ = member.note_completed(now, &[part(7)]);
         now = now.plus(SETTLE_MS);
@@ -272,29 +272,32 @@
 
 #[test]
 fn a_quarantine_ends_with_its_time_or_a_completion_and_a_crash_renews_it() {
-    let convict = |member: &mut Quarantine, now: Time| {
-        for replica in 0..PROOF.crashes as u64 {
+    let quarantine_bad = |member: &mut Quarantine, now: Time| {
+        for replica in 0..CRITERIA.crashes as u64 {
             member.note_crash(now, crash(replica, &[part(BAD)]));
         }
-        for _ in 0..PROOF.other_completions {
+        for _ in 0..CRITERIA.other_completions {
             let _ = member.note_completed(now, &[part(7)]);
         }
-        assert!(member.decide(now).is_empty(), "others may still object");
+        assert!(
+            member.decide(now).is_empty(),
+            "others may still report completions"
+        );
         assert_eq!(member.decide(now.plus(SETTLE_MS)).len(), 1);
     };
     let mut member = Quarantine::default();
-    convict(&mut member, Time(1_000));
+    quarantine_bad(&mut member, Time(1_000));
     let end = Time(1_000).plus(SETTLE_MS + QUARANTINE_MS);
     assert!(member.find(Time(end.0 - 1), &[part(BAD)]).is_some());
     assert!(member.find(end, &[part(BAD)]).is_none());
     member.note_crash(end, crash(9, &[part(BAD)]));
-    for _ in 0..PROOF.other_completions {
+    for _ in 0..CRITERIA.other_completions {
         let _ = member.note_completed(end, &[part(7)]);
     }
     assert_eq!(member.decide(end.plus(SETTLE_MS)).len(), 1, "renewed");
 
     let mut member = Quarantine::default();
-    convict(&mut member, Time(1_000));
+    quarantine_bad(&mut member, Time(1_000));
     let now = Time(2_000);
     let changes = member.note_completed(now, &[part(BAD)]);
     assert_eq!(changes.len(), 1);
@@ -329,20 +332,20 @@
 #[test]
 fn a_member_where_the_part_has_completed_does_not_take_a_quarantine_over() {
     let now = Time(5_000);
-    let told = || QuarantinedPart {
+    let quarantined = || QuarantinedPart {
         part: part(BAD),
-        companions: vec![part(BAD)],
+        co_occurring: vec![part(BAD)],
         left_ms: u64::MAX,
     };
     let mut knows_better = Quarantine::default();
     let _ = knows_better.note_completed(now, &[part(BAD)]);
-    assert!(knows_better.adopt(now, told()).is_none());
-    let objection = knows_better.next_message(now).expect("an objection");
+    assert!(knows_better.adopt(now, quarantined()).is_none());
+    let report = knows_better.next_message(now).expect("a report");
     let mut other = Quarantine::default();
-    assert!(other.adopt(now, told()).is_some());
+    assert!(other.adopt(now, quarantined()).is_some());
     let left_ms = other.find(now, &[part(BAD)]).map(|(_, left_ms)| left_ms);
     assert_eq!(left_ms, Some(QUARANTINE_MS), "at most the usual time");
-    let _ = other.apply(now, objection);
+    let _ = other.apply(now, report);
     assert!(other.is_empty(now));
 }
 
