Do not hold items back for a quarantined prompt part

Items run for seconds, so that crashes of replicas meet them more often than online requests, and few of them complete; parts that only items have can be quarantined wrongly, and what is held back can't complete and clear them.

Items are neither refused nor evidence of crashes now; their completions still clear parts.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -125,9 +125,6 @@
     failures: RefCell<HashMap<ItemRef, u32>>,
     /// Time before which a preempted item must not be started again.
     restart_after: RefCell<HashMap<ItemRef, Time>>,
-    /// Time until which an item with a quarantined part in its prompt is held
-    /// back.
-    held_until: RefCell<HashMap<ItemRef, Time>>,
     /// Time of runs, by service.
     run_rates: RefCell<HashMap<String, RunRate>>,
     /// Time of the last preemption.
@@ -240,8 +237,6 @@
     outputs.retain(|item, _| index.is_item_open(*item));
     let mut restart_after = gateway.item_runner.restart_after.borrow_mut();
     restart_after.retain(|item, _| index.is_item_open(*item));
-    let mut held_until = gateway.item_runner.held_until.borrow_mut();
-    held_until.retain(|item, until| gateway.now() < *until && index.is_item_open(*item));
     let mut failures = gateway.item_runner.failures.borrow_mut();
     failures.retain(|item, _| index.is_item_open(*item));
 }
@@ -275,9 +270,7 @@
                 let rate = gateway.item_runner.run_rate(&target.service);
                 let open = |item| open_item(gateway, job, item, rate, &elsewhere);
                 let items = by_service.entry(target.service.clone()).or_default();
-                let held = gateway.item_runner.held_until.borrow();
-                let to_run = job.open_items().filter(|item| !held.contains_key(item));
-                items.extend(to_run.filter_map(open));
+                items.extend(job.open_items().filter_map(open));
             }
         }
     }
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -44,9 +44,6 @@
 const REFUSALS_PER_LOG: u32 = 20;
 /// Delay before a slot is requested again.
 const SLOT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Longest time between checks whether a part of an item's prompt is still
-/// quarantined.
-const QUARANTINE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Time without a response or data after which a run is ended and retried,
 /// maybe at another replica. An engine sends several events a second.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -98,10 +95,6 @@
     NoSlot(InFlight),
     /// The run was interrupted or refused, which is no failure of the item.
     Interrupted(String),
-    /// The replica closed the connection before the end of the output.
-    Closed(String),
-    /// A part of the item's prompt is quarantined for this time.
-    Quarantined(Duration),
 }
 
 pub(super) async fn run_item(gateway: &Rc<Gateway>, item: ItemRef, run: &ItemRun) {
@@ -144,26 +137,14 @@
                 sleep(SLOT_RETRY_DELAY).await;
                 continue;
             }
-            RunOutcome::Interrupted(reason) | RunOutcome::Closed(reason) => {
+            RunOutcome::Interrupted(reason) => {
                 event!(ITEM_RETRIED, item: = ItemName(item), id = task.id.as_str(), reason);
             }
-            RunOutcome::Quarantined(left) => {
-                let until = gateway
-                    .now()
-                    .plus(as_ms(left.min(QUARANTINE_CHECK_INTERVAL)));
-                let mut held_until = gateway.item_runner.held_until.borrow_mut();
-                held_until.insert(item, until);
-                return;
-            }
         }
         sleep(RETRY_DELAY).await;
     }
 }
 
-fn as_ms(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Records a failed run, also in the index for instances that run the item
 /// later; returns the number of failed runs.
 async fn count_failure(gateway: &Rc<Gateway>, item: ItemRef) -> u32 {
@@ -273,12 +254,6 @@
     let Some((endpoint, registration)) = choose_replica(gateway, task, now) else {
         return RunOutcome::Interrupted("no replica available".to_owned());
     };
-    let prompt_parts = task.prompt_parts(gateway, &registration.service);
-    let quarantined = gateway.quarantine.borrow().find(now, &prompt_parts);
-    if let Some((part, left_ms)) = quarantined {
-        event!(QUARANTINED, id = task.id.as_str(), prompt_part: = part, left_ms);
-        return RunOutcome::Quarantined(Duration::from_millis(left_ms));
-    }
     let reserve = gateway.item_runner.reserve(now);
     let _slot = match acquire(gateway, endpoint, Purpose::Batch { reserve }).await {
         SlotOutcome::Granted(guard) | SlotOutcome::OwnerTimedOut(guard) => guard,
@@ -315,9 +290,6 @@
         Ok(Ok(response)) => response,
         Ok(Err(err)) => {
             gateway.note_failed(endpoint, &err);
-            if err.is_closed_by_peer() {
-                gateway.note_crash(&registration, &prompt_parts);
-            }
             return RunOutcome::Interrupted(err.to_string());
         }
         Err(_) => {
@@ -341,15 +313,8 @@
     };
     let outcome = read_events(gateway, task.item, response).await;
     drop(run_time);
-    let outcome = match outcome {
-        RunOutcome::Closed(reason) => {
-            gateway.note_crash(&registration, &prompt_parts);
-            RunOutcome::Interrupted(reason)
-        }
-        outcome => outcome,
-    };
     if matches!(outcome, RunOutcome::Done) {
-        gateway.note_completed(&prompt_parts);
+        gateway.note_completed(&task.prompt_parts(gateway, &registration.service));
         note_run_rate(gateway, task, &registration.service);
     }
     if matches!(outcome, RunOutcome::Interrupted(_)) {
@@ -460,18 +425,13 @@
                 gateway.count_body_end(name);
                 return match end {
                     Ok(_) => RunOutcome::Done,
-                    Err(reason) => RunOutcome::Closed(reason.as_str().to_owned()),
+                    Err(reason) => RunOutcome::Interrupted(reason.as_str().to_owned()),
                 };
             }
             Ok(Some(Ok(chunk))) => chunk,
             Ok(Some(Err(err))) => {
                 gateway.count_body_end("failed");
-                let reason = err.to_string();
-                return if err.is_closed_by_peer() {
-                    RunOutcome::Closed(reason)
-                } else {
-                    RunOutcome::Interrupted(reason)
-                };
+                return RunOutcome::Interrupted(err.to_string());
             }
             Err(_) => {
                 gateway.count_body_end("failed");
