Quarantine: keep co-occurring parts in one way, look at suspects once

A part that had completed was passed over at each look-up, and its completions were sent to all members again each time while the quarantine lasted. It is dropped from the co-occurring parts when it completes, so the look-up compares only and a completion is told once. The decision collects the parts that are due in one pass instead of two.

--- a/cicadagate-policy/src/process/quarantine.rs
+++ b/cicadagate-policy/src/process/quarantine.rs
@@ -167,6 +167,12 @@
     until: Time,
 }
 
+impl Quarantined {
+    fn is_active(&self, now: Time) -> bool {
+        now < self.until
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Entry {
     Crash(Crash, Time),
@@ -197,23 +203,23 @@
     pub fn find(&self, now: Time, parts: &[PromptPart]) -> Option<(PromptPart, u64)> {
         parts.iter().find_map(|part| {
             let quarantined = self.quarantined.get(part)?;
-            let is_met = |it: &PromptPart| parts.contains(it) || self.is_sound(*it);
-            let has_all = quarantined.co_occurring.iter().all(is_met);
-            let left_ms = quarantined.until.since(now);
-            (has_all && left_ms > 0).then_some((*part, left_ms))
+            let has_all = quarantined.co_occurring.iter().all(|it| parts.contains(it));
+            (has_all && quarantined.is_active(now)).then(|| (*part, quarantined.until.since(now)))
         })
     }
 
-    /// Returns whether a request with a part is known to have completed.
-    fn is_sound(&self, part: PromptPart) -> bool {
-        self.completed.contains_key(&part)
+    /// Returns those parts that a request must have together with `part`: itself
+    /// and the ones of which no completion is known.
+    fn unproven(&self, part: PromptPart, co_occurring: Vec<PromptPart>) -> Vec<PromptPart> {
+        let is_kept = |it: &PromptPart| *it == part || !self.completed.contains_key(it);
+        co_occurring.into_iter().filter(is_kept).collect()
     }
 
     /// Returns the number of parts that are quarantined.
     #[must_use]
     pub fn len(&self, now: Time) -> usize {
         let active = self.quarantined.values();
-        active.filter(|it| it.until.since(now) > 0).count()
+        active.filter(|it| it.is_active(now)).count()
     }
 
     /// Returns whether no part is quarantined.
@@ -239,11 +245,11 @@
                 .suspects
                 .get(part)
                 .is_some_and(|suspect| suspect.crashes.len() >= MIN_SUSPECTED_CRASHES);
-            let is_companion = self
+            let is_co_occurring = self
                 .quarantined
                 .values()
                 .any(|quarantined| quarantined.co_occurring.contains(part));
-            if is_suspected || is_companion {
+            if is_suspected || is_co_occurring {
                 self.push(Entry::Completed(*part, now));
             }
             changes.extend(self.clear(now, *part, now));
@@ -291,14 +297,13 @@
             self.push(entry);
             return None;
         }
-        let is_known = self
-            .quarantined
-            .get(&part)
-            .is_some_and(|known| known.until.since(now) > 0);
+        let known = self.quarantined.get(&part);
+        let is_known = known.is_some_and(|known| known.is_active(now));
         if is_known || quarantined.left_ms == 0 {
             return None;
         }
         quarantined.left_ms = quarantined.left_ms.min(QUARANTINE_MS);
+        quarantined.co_occurring = self.unproven(part, quarantined.co_occurring);
         self.insert(now, &quarantined);
         Some(QuarantineChange::Begun(quarantined, 0))
     }
@@ -314,39 +319,30 @@
         let mut changes = Vec::new();
         // The part with the most crashes goes first, since crashes of other parts
         // may be attributed to it.
-        while let Some(crashes) = self.most_crashes_of_due(now) {
-            let due: Vec<PromptPart> = self
+        loop {
+            let due: Vec<(PromptPart, usize)> = self
                 .suspects
                 .iter()
-                .filter(|(part, suspect)| {
-                    suspect.crashes.len() == crashes && self.meets_criteria(now, **part, suspect)
-                })
-                .map(|(part, _)| *part)
+                .filter(|(part, suspect)| self.meets_criteria(now, **part, suspect))
+                .map(|(part, suspect)| (*part, suspect.crashes.len()))
                 .collect();
-            for part in due {
+            let Some(most) = due.iter().map(|(_, crashes)| *crashes).max() else {
+                return changes;
+            };
+            for (part, _) in due.into_iter().filter(|(_, crashes)| *crashes == most) {
                 changes.extend(self.quarantine_part(now, part));
             }
             self.drop_attributed_crashes();
         }
-        changes
-    }
-
-    fn most_crashes_of_due(&self, now: Time) -> Option<usize> {
-        self.suspects
-            .iter()
-            .filter(|(part, suspect)| self.meets_criteria(now, **part, suspect))
-            .map(|(_, suspect)| suspect.crashes.len())
-            .max()
     }
 
     fn quarantine_part(&mut self, now: Time, part: PromptPart) -> Option<QuarantineChange> {
         let suspect = self.suspects.remove(&part)?;
         let replicas = suspect.crashes.iter().map(|(replica, _)| *replica);
         self.attributed.extend(replicas);
-        let is_kept = |it: &PromptPart| *it == part || !self.is_sound(*it);
         let quarantined = QuarantinedPart {
             part,
-            co_occurring: suspect.co_occurring.into_iter().filter(is_kept).collect(),
+            co_occurring: self.unproven(part, suspect.co_occurring),
             left_ms: QUARANTINE_MS,
         };
         self.insert(now, &quarantined);
@@ -372,7 +368,7 @@
     fn meets_criteria(&self, now: Time, part: PromptPart, suspect: &Suspect) -> bool {
         let is_counted = |at: &Time| (SETTLE_MS..EVIDENCE_MS).contains(&now.since(*at));
         let crashes = suspect.crashes.iter().filter(|(_, at)| is_counted(at));
-        let proof = if self.quarantined.contains_key(&part) {
+        let criteria = if self.quarantined.contains_key(&part) {
             CRITERIA_AFTER_QUARANTINE
         } else if self.completed.contains_key(&part) {
             CRITERIA_IF_COMPLETED
@@ -381,7 +377,7 @@
         };
         let completions = self.completions.get(&part.service()).copied();
         let others = completions.unwrap_or_default() - suspect.completions_before;
-        crashes.count() >= proof.crashes && others >= proof.other_completions
+        crashes.count() >= criteria.crashes && others >= criteria.other_completions
     }
 
     fn insert(&mut self, now: Time, quarantined: &QuarantinedPart) {
@@ -404,6 +400,9 @@
             }
         }
         self.limit_completed(now);
+        for quarantined in self.quarantined.values_mut() {
+            quarantined.co_occurring.retain(|it| *it != part);
+        }
         let removed = self.quarantined.remove(&part);
         removed.map(|_| QuarantineChange::Ended(part))
     }
