Gateway: decide where a request goes once, record failed exchanges in one way

The service of a request was looked up three times and its prompt parts decoded twice, in the admission and for its attempts; Destination is made once. The pair of calls after a failed exchange stood twice and its second half three times. A request refused for its prompt while it was being sent logged QUARANTINED twice. A check for interim responses was dead, since these are skipped before. Prompt parts beyond the sixteenth and the last one are not decoded any more only to be dropped.

--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -311,13 +311,10 @@
     /// `value` is the header that lists them.
     #[must_use]
     pub fn prompt_parts(&self, service: &str, value: &str) -> Vec<PromptPart> {
-        let ids = self.codec.shared_prompt_parts(value);
-        let mut parts: Vec<PromptPart> = ids
-            .into_iter()
+        let ids = self.codec.shared_prompt_parts(value).into_iter();
+        ids.take(MAX_PROMPT_PARTS)
             .map(|id| PromptPart::new(service, id))
-            .collect();
-        parts.truncate(MAX_PROMPT_PARTS);
-        parts
+            .collect()
     }
 
     /// Counts a response of a replica by what ended it.
--- a/cicadagate-gateway/src/request/admission.rs
+++ b/cicadagate-gateway/src/request/admission.rs
@@ -15,6 +15,7 @@
         event,
     },
     cicadagate_policy::{
+        ids::PromptPart,
         process::rate_limit::Limit,
         time::Time,
         version::serving::{Customer, Identity, Route, RouteKind, ServingConfig},
@@ -38,6 +39,28 @@
     pub(super) host: String,
 }
 
+/// Where a request goes, and what of its prompt other requests may share.
+pub(super) struct Destination {
+    pub(super) route: Rc<Route>,
+    pub(super) service: String,
+    pub(super) prompt_parts: Vec<PromptPart>,
+}
+
+impl Destination {
+    fn new(gateway: &Gateway, req: &Request, route: Rc<Route>, id: &str) -> Self {
+        let target = route.target(id);
+        let service = target
+            .map(|target| target.service.clone())
+            .unwrap_or_default();
+        let value = header_text(req, &gateway.codec.headers().prompt_parts);
+        Self {
+            prompt_parts: gateway.prompt_parts(&service, &value),
+            route,
+            service,
+        }
+    }
+}
+
 /// Serves a request, or refuses it.
 pub(super) async fn serve(
     gateway: &Rc<Gateway>,
@@ -63,10 +86,9 @@
     if id.is_empty() {
         return refuse(gateway, &id, RequestError::Malformed, &route.name, None);
     }
-    let prompt_parts = header_text(&req, &gateway.codec.headers().prompt_parts);
+    let destination = Destination::new(gateway, &req, Rc::clone(&route), &id);
     if route.kind != RouteKind::Batch
-        && let Err((request_error, delay)) =
-            admit(gateway, &id, &context, &route, &prompt_parts).await
+        && let Err((request_error, delay)) = admit(gateway, &id, &context, &destination).await
     {
         return refuse(gateway, &id, request_error, &route.name, Some(delay));
     }
@@ -83,7 +105,16 @@
         return job_requests::submit(gateway, &id, &context, &route, &body).await;
     }
     let deadline = deadline(gateway, &req, &route, arrival);
-    let request = PendingRequest::new(gateway, &req, id, &context, route, body, arrival, deadline);
+    let request = PendingRequest::new(
+        gateway,
+        &req,
+        id,
+        &context,
+        destination,
+        body,
+        arrival,
+        deadline,
+    );
     forward::serve(gateway, request, guard).await
 }
 
@@ -125,14 +156,13 @@
     gateway: &Rc<Gateway>,
     id: &str,
     context: &RequestContext,
-    route: &Route,
-    prompt_parts: &str,
+    destination: &Destination,
 ) -> Result<(), (RequestError, Duration)> {
     let customer = context.customer.as_deref();
-    quarantine::check(gateway, id, &forward::service_of(route, id), prompt_parts)
+    quarantine::check(gateway, id, &destination.prompt_parts)
         .map_err(|delay| (RequestError::Quarantined, delay))?;
     // A request that is refused because of the load takes no token.
-    forward::check_load(gateway, id, route, customer)
+    forward::check_load(gateway, id, destination, customer)
         .map_err(|delay| (RequestError::Overloaded, delay))?;
     take_token(gateway, id, customer)
         .await
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -12,7 +12,7 @@
 use {
     super::{
         RequestError, Response,
-        admission::{RequestContext, header_text, refuse},
+        admission::{Destination, RequestContext, header_text, refuse},
         buffer::{self, BufferedBody, MAX_BUFFERED_BYTES},
         headers::{content_length, forwarded_headers, response_from_replica, set_replica_headers},
         quarantine::{self, PartList},
@@ -30,7 +30,7 @@
     actix_rt::time::timeout,
     bytes::Bytes,
     cicadagate_node::{
-        connection::http_client::{ReplicaRequest, ReplicaResponse, Reuse},
+        connection::http_client::{ExchangeError, ReplicaRequest, ReplicaResponse, Reuse},
         event,
     },
     cicadagate_policy::{
@@ -117,23 +117,15 @@
     Failed(RequestError),
 }
 
-/// Returns the service to which a request is routed.
-pub(super) fn service_of(route: &Route, id: &str) -> String {
-    let target = route.target(id);
-    target
-        .map(|target| target.service.clone())
-        .unwrap_or_default()
-}
-
 /// Refuses a request that would wait too long for a slot.
 pub(super) fn check_load(
     gateway: &Gateway,
     id: &str,
-    route: &Route,
+    destination: &Destination,
     customer: Option<&Customer>,
 ) -> Result<(), Duration> {
-    let service = service_of(route, id);
-    let service_load = gateway.service_load(&service);
+    let Destination { route, service, .. } = destination;
+    let service_load = gateway.service_load(service);
     let burst_left = customer.map_or(100, |customer| {
         gateway.limiter.borrow().burst_left(customer.id)
     });
@@ -145,7 +137,7 @@
         event!(
             OVERLOADED,
             request = id,
-            service,
+            service = service.as_str(),
             online = service_load.online,
             slots = service_load.slots,
             hold_ms = service_load.slot_hold_ms,
@@ -163,17 +155,20 @@
         req: &Request,
         id: String,
         context: &RequestContext,
-        route: Rc<Route>,
+        destination: Destination,
         body: Bytes,
         arrival: Time,
         deadline: Time,
     ) -> Self {
+        let Destination {
+            route,
+            service,
+            prompt_parts,
+        } = destination;
         let names = gateway.codec.headers();
         let attempts = Attempts::new(route.is_repeatable(), deadline)
             .with_max_run_attempts(route.max_attempts.max(1));
         let last_event = header_text(req, &names.last_event_id).parse().ok();
-        let service = service_of(&route, &id);
-        let prompt_parts = gateway.prompt_parts(&service, &header_text(req, &names.prompt_parts));
         let target = req
             .uri()
             .path_and_query()
@@ -224,12 +219,6 @@
         }
     }
 
-    /// Returns the time until the request may be sent, if a part of its prompt
-    /// is quarantined.
-    fn quarantine_left(&self, gateway: &Gateway) -> Option<Duration> {
-        quarantine::time_left(gateway, &self.id, &self.prompt_parts)
-    }
-
     /// Records how long the request occupied its replica's slot.
     pub(super) fn record_hold_time(&self, gateway: &Gateway, since: Time) {
         let held_ms = gateway.now().since(since);
@@ -302,7 +291,7 @@
             let Some(target) = self.take_slot(gateway).await else {
                 return SendOutcome::Failed(self.resolve_error(RequestError::NoReplica));
             };
-            if self.quarantine_left(gateway).is_some() {
+            if quarantine::check(gateway, &self.id, &self.prompt_parts).is_err() {
                 return SendOutcome::Failed(self.resolve_error(RequestError::Quarantined));
             }
             // It may have said so while the slot was requested.
@@ -346,10 +335,7 @@
                     } else {
                         Progress::NotSent
                     };
-                    gateway.note_failed(target.endpoint, &err);
-                    if err.is_closed_by_peer() {
-                        gateway.note_crash(&target.registration, &self.prompt_parts);
-                    }
+                    self.note_exchange_failed(gateway, &target, &err);
                     self.log_failure(gateway, &target, &err);
                     self.after_failure(gateway, progress, RequestError::NoAnswer)
                 }
@@ -410,6 +396,24 @@
         Some(SendOutcome::Response(Box::new(response), target))
     }
 
+    /// Records that an exchange failed, and whether the replica ended it.
+    pub(super) fn note_exchange_failed(
+        &self,
+        gateway: &Gateway,
+        target: &AttemptTarget,
+        err: &ExchangeError,
+    ) {
+        gateway.note_failed(target.endpoint, err);
+        if err.is_closed_by_peer() {
+            self.note_crash(gateway, target);
+        }
+    }
+
+    /// Records that a replica ended while it had the request.
+    pub(super) fn note_crash(&self, gateway: &Gateway, target: &AttemptTarget) {
+        gateway.note_crash(&target.registration, &self.prompt_parts);
+    }
+
     fn record_attempt_failure(
         &self,
         gateway: &Gateway,
@@ -551,7 +555,7 @@
             BufferedBody::Failed { reason, is_closed } => {
                 gateway.count_body_end("failed");
                 if is_closed {
-                    gateway.note_crash(&target.registration, &request.prompt_parts);
+                    request.note_crash(gateway, &target);
                 }
                 request.record_attempt_failure(gateway, &target, &reason);
                 if let Some(SendOutcome::Failed(request_error)) =
@@ -572,7 +576,9 @@
     let now = gateway.now();
     let retry_after = match request_error {
         RequestError::NoReplica => Some(RETRY_AFTER),
-        RequestError::Quarantined => request.quarantine_left(gateway).or(Some(RETRY_AFTER)),
+        RequestError::Quarantined => {
+            quarantine::time_left(gateway, &request.prompt_parts).or(Some(RETRY_AFTER))
+        }
         _ => None,
     };
     if retry_after.is_some() {
--- a/cicadagate-gateway/src/request/quarantine.rs
+++ b/cicadagate-gateway/src/request/quarantine.rs
@@ -9,29 +9,26 @@
     std::{fmt, time::Duration},
 };
 
-/// Checks a request with the value of its header of prompt parts.
+/// Checks a request against the quarantined parts.
 ///
 /// # Errors
 ///
-/// Returns the time until it may be sent, if a part of its prompt is
+/// Returns the time until the request may be sent, if a part of its prompt is
 /// quarantined.
-pub(super) fn check(
-    gateway: &Gateway,
-    id: &str,
-    service: &str,
-    prompt_parts: &str,
-) -> Result<(), Duration> {
-    let parts = gateway.prompt_parts(service, prompt_parts);
-    time_left(gateway, id, &parts).map_or(Ok(()), Err)
+pub(super) fn check(gateway: &Gateway, id: &str, parts: &[PromptPart]) -> Result<(), Duration> {
+    let found = gateway.quarantine.borrow().find(gateway.now(), parts);
+    let Some((part, left_ms)) = found else {
+        return Ok(());
+    };
+    event!(QUARANTINED, request = id, prompt_part: = part, left_ms);
+    Err(Duration::from_millis(left_ms))
 }
 
-/// Returns the time until a request may be sent, if a part of its prompt is
-/// quarantined.
-pub(super) fn time_left(gateway: &Gateway, id: &str, parts: &[PromptPart]) -> Option<Duration> {
+/// Returns the time until a request with these parts may be sent, if one of them
+/// is quarantined.
+pub(super) fn time_left(gateway: &Gateway, parts: &[PromptPart]) -> Option<Duration> {
     let found = gateway.quarantine.borrow().find(gateway.now(), parts);
-    let (part, left_ms) = found?;
-    event!(QUARANTINED, request = id, prompt_part: = part, left_ms);
-    Some(Duration::from_millis(left_ms))
+    found.map(|(_, left_ms)| Duration::from_millis(left_ms))
 }
 
 /// Display of prompt parts in logs.
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -144,10 +144,8 @@
                 None => None,
                 Some(body) => match timeout(Duration::from_millis(wait_ms), body.chunk()).await {
                     Ok(Some(Err(err))) => {
-                        self.gateway.note_failed(self.target.endpoint, &err);
-                        if err.is_closed_by_peer() {
-                            self.note_crash();
-                        }
+                        self.request
+                            .note_exchange_failed(&self.gateway, &self.target, &err);
                         Some(Err(err.to_string()))
                     }
                     Ok(chunk) => chunk.map(|chunk| chunk.map_err(|err| err.to_string())),
@@ -168,7 +166,7 @@
                         Ok(rest) => return Some(Ok(self.record_sent(rest))),
                         Err(reason) => {
                             self.gateway.count_body_end(reason.as_str());
-                            self.note_crash();
+                            self.request.note_crash(&self.gateway, &self.target);
                             self.failure = Some(reason.as_str());
                             continue;
                         }
@@ -203,11 +201,6 @@
         bytes
     }
 
-    fn note_crash(&self) {
-        let parts = &self.request.prompt_parts;
-        self.gateway.note_crash(&self.target.registration, parts);
-    }
-
     fn is_resumable(&self) -> bool {
         self.events
             .as_ref()
--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -12,8 +12,8 @@
 
 A connection carries one request at a time. The request is written while the
 response is read, so that an early response is not blocked by a long request
-body. A response that echoes another request's id is read to its end and
-discarded. A connection is reused only if the request was written completely,
+body. A response that echoes another request's id is read to its end, if that is
+not far, and discarded; interim responses are skipped. A connection is reused only if the request was written completely,
 the response ended by its own framing, and nothing followed it.
 
 The kernel detects peers that are gone: TCP keep-alive probes and a timeout for
@@ -224,9 +224,7 @@
     }
 
     fn of(head: &ResponseHead, method: &Method) -> Self {
-        let is_bodiless = method == Method::HEAD
-            || head.status.is_informational()
-            || matches!(head.status.as_u16(), 204 | 304);
+        let is_bodiless = method == Method::HEAD || matches!(head.status.as_u16(), 204 | 304);
         if is_bodiless {
             Self::None
         } else if head.headers.contains_key(header::TRANSFER_ENCODING) {
