List refusals of sound requests after an outage of all replicas as known red

Found by reading the change again: the test of outages passes with its two sequences, but of 30 sequences with 11 members 5 of 90 windows exceed its bound (2 or more of 300 refused; 20 of 27,000 over all). A trial that decided only every 50 ms, to look at the suspects less often, made the test fail in its first sequence and was reverted.

--- a/cicadagate-policy/tests/quarantine.rs
+++ b/cicadagate-policy/tests/quarantine.rs
@@ -218,33 +218,47 @@
     assert_eq!(run_beside_a_crashing_part(), (true, true));
 }
 
+/// Checks that at most one in 200 sound requests is refused in the three seconds
+/// after each of three outages in which `down` of the replicas crash.
+fn check_outages(members: usize, replicas: usize, down: usize, seed: u64) {
+    let mut fleet = Fleet::new(members, seed);
+    let per_step = if members > 20 { 8 } else { 1 };
+    fleet.sound_traffic(4_000, per_step);
+    for _ in 0..3 {
+        for _ in 0..down {
+            let requests: Vec<_> = (0..6).map(|_| fleet.sound_parts()).collect();
+            fleet.crash_replica(&requests);
+        }
+        if down == replicas {
+            (0..450).for_each(|_| fleet.step(10));
+        }
+        let (sent, refused) = fleet.sound_traffic(3_000, per_step);
+        assert!(
+            refused * 200 <= sent,
+            "{members}, {down}, {seed}: {refused} of {sent}"
+        );
+    }
+}
+
 // Guards against quarantines of sound parts after an outage of all replicas,
 // which takes down whatever ran.
 #[test]
 fn an_outage_of_replicas_refuses_hardly_any_sound_request() {
     for (members, replicas, down) in [(11, 18, 18), (11, 18, 3), (40, 60, 60), (40, 60, 10)] {
         for seed in 0..2 {
-            let mut fleet = Fleet::new(members, seed);
-            let per_step = if members > 20 { 8 } else { 1 };
-            fleet.sound_traffic(4_000, per_step);
-            for _ in 0..3 {
-                for _ in 0..down {
-                    let requests: Vec<_> = (0..6).map(|_| fleet.sound_parts()).collect();
-                    fleet.crash_replica(&requests);
-                }
-                if down == replicas {
-                    (0..450).for_each(|_| fleet.step(10));
-                }
-                let (sent, refused) = fleet.sound_traffic(3_000, per_step);
-                assert!(
-                    refused * 200 <= sent,
-                    "{members}, {down}, {seed}: {refused} of {sent}"
-                );
-            }
+            check_outages(members, replicas, down, seed);
         }
     }
 }
 
+// The same for further sequences of a fleet that loses all its replicas.
+#[test]
+fn an_outage_of_all_replicas_refuses_hardly_any_sound_request_in_any_sequence() {
+    for seed in 2..30 {
+        check_outages(11, 18, 18, seed);
+    }
+}
+
 // Guards against refusing sound requests that share the other part with those
 // that crash replicas.
 #[test]
