Log the request rates that replicas name, and which were known when a request was sent

The logs could not tell whether a process was told of a rate (Server-Limit) before it sent a request.

--- a/cicadagate-gateway/src/platform.rs
+++ b/cicadagate-gateway/src/platform.rs
@@ -159,6 +159,9 @@
     pub not_run: HeaderName,
     /// On a response: the replica is leaving.
     pub leaving: HeaderName,
+    /// On a response: requests per second that the replica accepts from all
+    /// gateways together, a decimal number.
+    pub max_rate: HeaderName,
     /// On a response: the replica's signature.
     pub signature: HeaderName,
     /// Parts of the request's prompt.
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -281,7 +281,8 @@
         replica = registration.id.as_str(),
         after_event = after.unwrap_or_default(),
         due_in_ms = task.due_in_ms(),
-        load = gateway.fleet_load(endpoint).total()
+        load = gateway.fleet_load(endpoint).total(),
+        max_rate = gateway.named_rate(endpoint)
     );
     let send = gateway
         .pool
@@ -297,7 +298,7 @@
             return RunOutcome::Interrupted("no response within timeout".to_owned());
         }
     };
-    gateway.note_head(&task.id, &registration, &response.head);
+    gateway.note_head(&task.id, &registration, &response.head, run.since.get());
     let status = response.head.status;
     if status != StatusCode::OK {
         let outcome = classify_response(gateway, &response);
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -15,6 +15,7 @@
 * `limits`: rate limits of customers.
 * `owners`: which gateway owns a replica's slots or a customer's limit.
 * `quarantine`: prompt parts under which replicas crash.
+* `rates`: request rates that replicas name.
 * `slots`: requests slots from the owners of replicas.
 * `queries`: queries to other gateways that wait for a reply.
 * `stop`: shutdown without interrupting requests.
@@ -31,6 +32,7 @@
 mod peers;
 mod quarantine;
 pub mod queries;
+mod rates;
 mod registry;
 pub mod slots;
 mod stop;
@@ -59,6 +61,7 @@
             membership::{Info, Membership, Role},
             quarantine::Quarantine,
             rate_limit::RateLimiter,
+            replica_rates::ReplicaRates,
             replicas::{ReplicaLoad, ReplicaSet},
             reports::{InFlight, ReportTable, period_ms, remaining_percent},
             shutdown::Phase,
@@ -119,6 +122,8 @@
     pub config: RefCell<CurrentConfig>,
     /// Replicas of all services.
     pub replicas: RefCell<ReplicaSet>,
+    /// Request rates that replicas name.
+    pub replica_rates: RefCell<ReplicaRates>,
     /// Other gateways.
     pub members: RefCell<Membership>,
     /// Load reports of the other gateways.
@@ -191,6 +196,7 @@
             member_id: own_id,
             config: RefCell::default(),
             replicas: RefCell::default(),
+            replica_rates: RefCell::default(),
             members: RefCell::new(Membership::new(info, seed)),
             reports: RefCell::default(),
             hold_times: RefCell::default(),
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -8,7 +8,7 @@
 */
 
 use {
-    super::{Gateway, fleet_store::StoreReachability},
+    super::{Gateway, fleet_store::StoreReachability, rates},
     crate::platform::{KeyedRecord, StoreError},
     actix_http::ResponseHead,
     actix_rt::time::sleep,
@@ -16,6 +16,7 @@
     cicadagate_policy::{
         ids::EndpointId,
         process::replicas::{Registration, ReplicaChange},
+        time::Time,
     },
     std::{collections::HashSet, rc::Rc, time::Duration},
 };
@@ -130,8 +131,16 @@
 }
 
 impl Gateway {
-    /// Records what the head of a replica's response says of the replica.
-    pub fn note_head(&self, request: &str, replica: &Registration, head: &ResponseHead) {
+    /// Records what the head of a replica's response says of the replica. The
+    /// request was sent at `sent_at` or later.
+    pub fn note_head(
+        &self,
+        request: &str,
+        replica: &Registration,
+        head: &ResponseHead,
+        sent_at: Time,
+    ) {
+        rates::note_head(self, request, replica, head, sent_at);
         if !head.headers.contains_key(&self.codec.headers().leaving) {
             return;
         }
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -316,6 +316,7 @@
                 attempt = number,
                 replica = target.registration.id.as_str(),
                 slot = target.slot,
+                max_rate = gateway.named_rate(target.endpoint),
                 asked_ms = now.since(slot_requested_at),
                 load = gateway.fleet_load(target.endpoint).total(),
                 slots = target.registration.slots,
@@ -353,7 +354,7 @@
         response: ReplicaResponse,
         target: AttemptTarget,
     ) -> Option<SendOutcome> {
-        gateway.note_head(&self.id, &target.registration, &response.head);
+        gateway.note_head(&self.id, &target.registration, &response.head, target.since);
         let names = gateway.codec.headers();
         let status = response.head.status;
         let is_refusal = response.head.headers.contains_key(&names.not_run)
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -81,6 +81,9 @@
     PROMPT_QUARANTINED = 517, Warn, "Replicas crashed under a part of a prompt; requests with it are refused.";
     PROMPT_RELEASED = 518, Info, "A request with a quarantined part of its prompt completed; such requests are served again.";
     QUARANTINE_UNREAD = 519, Warn, "The quarantined parts of prompts can't be read from the store; other members' are used.";
+    REPLICA_LIMITED = 530, Info, "A replica names the requests per second that it accepts from all instances together.";
+    REPLICA_UNLIMITED = 531, Info, "A replica names no request rate any more.";
+    REPLICA_RATE_INVALID = 532, Warn, "A replica's request rate is no decimal number of at least 0; the last one is used.";
     REPLICA_REACHED = 516, Info, "An unreachable replica accepts connections again.";
     REQUEST_SENT = 520, Debug, "A request was sent to a replica.";
     REQUEST_DONE = 521, Debug, "A request's response was delivered completely.";
