Keep the request rate that a replica names, summed over all instances

Cause: nothing limited the rate at a replica. What a replica says of itself in a response was known to the instance that read it at most, and Server-Limit to none. Ruled out: instances that keep the rate each for itself (no instance limited anything); retries and resumed items alone (the online requests alone exceeded it).

Change: the owner of a replica's slots, which grants them to all instances, keeps a token bucket of the rate. The instance that is told of a rate tells the owner, and so does each later query. An instance that knows of a rate sends nothing there without a grant. Online requests reserve later tokens as far as they can wait; items get what is left. Load shedding counts only the slots that the rate lets requests use.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -372,10 +372,11 @@
 }
 
 fn slots(gateway: &Gateway, service: &str, first_due_in_ms: u64) -> Slots {
-    let service_load = gateway.service_load(service);
     Slots {
-        total: service_load.slots,
-        online: service_load.online,
+        // An item occupies a slot for longer than an online request, so that a rate that
+        // bounds those leaves slots to items. Starts of items are bounded by the rate.
+        total: gateway.total_slots(service),
+        online: gateway.service_load(service).online,
         fill_percent: fill_percent(first_due_in_ms),
     }
 }
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -255,12 +255,16 @@
         return RunOutcome::Interrupted("no replica available".to_owned());
     };
     let reserve = gateway.item_runner.reserve(now);
-    let _slot = match acquire(gateway, endpoint, Purpose::Batch { reserve }).await {
+    let _slot = match acquire(gateway, endpoint, Purpose::Batch { reserve }, 0).await {
         SlotOutcome::Granted(guard) | SlotOutcome::OwnerTimedOut(guard) => guard,
         SlotOutcome::Full(load) => {
             gateway.replicas.borrow_mut().note_full(now, endpoint);
             return RunOutcome::NoSlot(load);
         }
+        SlotOutcome::Limited(wait_ms) => {
+            gateway.note_limited(endpoint, wait_ms);
+            return RunOutcome::NoSlot(gateway.fleet_load(endpoint));
+        }
     };
     if !gateway.replicas.borrow().is_usable(endpoint) {
         return RunOutcome::Interrupted("replica is leaving".to_owned());
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -61,7 +61,7 @@
             membership::{Info, Membership, Role},
             quarantine::Quarantine,
             rate_limit::RateLimiter,
-            replica_rates::ReplicaRates,
+            replica_rates::{ReplicaRates, usable_slots_milli},
             replicas::{ReplicaLoad, ReplicaSet},
             reports::{InFlight, ReportTable, period_ms, remaining_percent},
             shutdown::Phase,
@@ -336,13 +336,29 @@
             .replicas_of(service)
             .map(|replica| self.fleet_load(replica.endpoint).online);
         let hold_times = self.hold_times.borrow();
+        let slot_hold_ms = hold_times.get(service).map_or(0, |held| held.ms());
+        let rates = self.replica_rates.borrow();
+        let slots = replicas.usable_slots(self.now(), service, |replica| {
+            let slots = replica.registration.slots;
+            usable_slots_milli(slots, rates.rate(replica.endpoint), slot_hold_ms)
+        });
         ServiceLoad {
             online: loads.sum(),
-            slots: replicas.usable_slots(self.now(), service),
-            slot_hold_ms: hold_times.get(service).map_or(0, |held| held.ms()),
+            slots,
+            slot_hold_ms,
         }
     }
 
+    /// Returns the slots of a service's usable replicas, also those that online
+    /// requests can't use because of the replicas' request rates.
+    #[must_use]
+    pub fn total_slots(&self, service: &str) -> u32 {
+        let replicas = self.replicas.borrow();
+        replicas.usable_slots(self.now(), service, |replica| {
+            usable_slots_milli(replica.registration.slots, None, 0)
+        })
+    }
+
     /// Returns the share of the other members' online requests of a service that
     /// still run when their next reports arrive, in percent.
     #[must_use]
--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -212,6 +212,9 @@
         |id| is_alive_or_suspect(&members, id),
         |endpoint| replicas.get(endpoint).is_some(),
     );
+    let mut rates = gateway.replica_rates.borrow_mut();
+    rates.retain(|endpoint| replicas.get(endpoint).is_some());
+    drop(rates);
     let others = alive_or_suspect_addrs(&members);
     let period = period_ms(others.len() + 1);
     peer_socket.next_report_ms.set(now.plus(period).0);
--- a/cicadagate-gateway/src/process/rates.rs
+++ b/cicadagate-gateway/src/process/rates.rs
@@ -3,20 +3,38 @@
 */
 
 use {
-    super::Gateway,
+    super::{Gateway, slots},
     actix_http::ResponseHead,
     cicadagate_node::event,
     cicadagate_policy::{
         ids::EndpointId,
         process::{
-            replica_rates::{RateChange, RequestRate},
+            replica_rates::{NamedRate, RateChange, RequestRate},
             replicas::Registration,
         },
         time::Time,
     },
+    std::{fmt::Display, net::SocketAddr},
 };
 
+/// Longest time for which a replica counts as full because of its rate, in
+/// milliseconds. The rate may be lifted meanwhile.
+const MAX_LIMITED_MS: u64 = 1_000;
+
 impl Gateway {
+    /// Returns whether a replica is known to name a rate.
+    pub(crate) fn is_limited(&self, endpoint: EndpointId) -> bool {
+        self.replica_rates.borrow().rate(endpoint).is_some()
+    }
+
+    /// Records that the rate of a replica allows no request for `wait_ms`
+    /// milliseconds.
+    pub(crate) fn note_limited(&self, endpoint: EndpointId, wait_ms: u64) {
+        let wait_ms = wait_ms.min(MAX_LIMITED_MS);
+        let mut replicas = self.replicas.borrow_mut();
+        replicas.note_full_for(self.now(), endpoint, wait_ms);
+    }
+
     /// Returns the rate that a replica names, or an empty text, for logs.
     pub(crate) fn named_rate(&self, endpoint: EndpointId) -> String {
         let rate = self.replica_rates.borrow().rate(endpoint);
@@ -58,12 +76,25 @@
         sent_at,
         rate.flatten(),
     );
-    log(gateway, endpoint, change, request);
+    if rate.is_some() || change != RateChange::None {
+        slots::tell_owner_rate(gateway, endpoint);
+    }
+    log(gateway, endpoint, change, &request);
+}
+
+/// Applies what another gateway knows of a replica's rate.
+pub(super) fn apply(gateway: &Gateway, endpoint: EndpointId, named: NamedRate, from: SocketAddr) {
+    let now = gateway.now();
+    let change = gateway
+        .replica_rates
+        .borrow_mut()
+        .apply(now, endpoint, named);
+    log(gateway, endpoint, change, &from);
 }
 
 /// Logs a change of a replica's rate; `source` is the request or the member
 /// that it is known from.
-fn log(gateway: &Gateway, endpoint: EndpointId, change: RateChange, source: &str) {
+fn log(gateway: &Gateway, endpoint: EndpointId, change: RateChange, source: &dyn Display) {
     let replica = {
         let replicas = gateway.replicas.borrow();
         let replica = replicas.get(endpoint);
@@ -71,8 +102,10 @@
     };
     match change {
         RateChange::None => return,
-        RateChange::Limited(rate) => event!(REPLICA_LIMITED, replica, rate: = rate, source),
-        RateChange::Lifted => event!(REPLICA_UNLIMITED, replica, source),
+        RateChange::Limited(rate) => {
+            event!(REPLICA_LIMITED, replica, rate: = rate, source: = source);
+        }
+        RateChange::Lifted => event!(REPLICA_UNLIMITED, replica, source: = source),
     }
     let limited = gateway.replica_rates.borrow().limited_count();
     gateway.metrics.set_state("limited_replicas", limited);
--- a/cicadagate-gateway/src/process/slots.rs
+++ b/cicadagate-gateway/src/process/slots.rs
@@ -3,25 +3,34 @@
 */
 
 use {
-    super::{Gateway, InFlightGuard, owners::owner_of},
+    super::{Gateway, InFlightGuard, owners::owner_of, rates},
+    actix_rt::time::sleep,
     cicadagate_policy::{
         ids::{EndpointId, MemberId},
         process::{
+            replica_rates::RateDecision,
             reports::InFlight,
             slot_ledger::{Purpose, SlotMessage},
         },
     },
     cicadagate_wire::datagram::GatewayDatagram,
-    std::{net::SocketAddr, rc::Rc},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
+/// Delay after which a slot at a replica with a request rate is requested again
+/// if its owner did not reply, in milliseconds.
+const OWNER_RETRY_MS: u64 = 100;
+
 /// An owner's reply to a slot query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotReply {
-    /// The slot is granted.
-    Granted,
+    /// The slot is granted after this time, in milliseconds.
+    Granted(u64),
     /// The replica has no slot left.
     Full(InFlight),
+    /// The rate that the replica names allows a request only after this time,
+    /// in milliseconds.
+    Limited(u64),
 }
 
 /// Outcome of a slot query. Dropping the guard releases the slot.
@@ -33,17 +42,41 @@
     OwnerTimedOut(InFlightGuard),
     /// The replica has no free slot; this is its load.
     Full(InFlight),
+    /// The rate that the replica names allows a request only after this time,
+    /// in milliseconds.
+    Limited(u64),
 }
 
 /// Requests a slot from the owner of a replica. The slot counts as taken as
 /// soon as the query is sent, so that concurrent queries are not granted the
 /// same slot.
-pub async fn acquire(gateway: &Rc<Gateway>, endpoint: EndpointId, purpose: Purpose) -> SlotOutcome {
+///
+/// If the replica names a request rate, waits up to `max_wait_ms` until the rate
+/// allows the request.
+pub async fn acquire(
+    gateway: &Rc<Gateway>,
+    endpoint: EndpointId,
+    purpose: Purpose,
+    max_wait_ms: u64,
+) -> SlotOutcome {
     let own = gateway.own_load(endpoint);
     let guard = gateway.count_in_flight(endpoint, purpose);
-    match query_owner(gateway, endpoint, own, purpose).await {
-        Some(SlotReply::Granted) => SlotOutcome::Granted(guard),
+    let query = SlotQuery {
+        endpoint,
+        own,
+        purpose,
+        max_wait_ms,
+    };
+    match query_owner(gateway, query).await {
+        Some(SlotReply::Granted(wait_ms)) => {
+            if wait_ms > 0 {
+                sleep(Duration::from_millis(wait_ms)).await;
+            }
+            SlotOutcome::Granted(guard)
+        }
         Some(SlotReply::Full(load)) => SlotOutcome::Full(load),
+        Some(SlotReply::Limited(wait_ms)) => SlotOutcome::Limited(wait_ms),
+        None if gateway.is_limited(endpoint) => SlotOutcome::Limited(OWNER_RETRY_MS),
         None => {
             update_owner(gateway, endpoint);
             SlotOutcome::OwnerTimedOut(guard)
@@ -62,31 +95,70 @@
     guard
 }
 
-/// Returns the owner's reply; `None` if there is none in time, if no owner is
-/// known, or if this process is the owner but does not know the replica.
-async fn query_owner(
-    gateway: &Rc<Gateway>,
+/// A request for a slot at a replica.
+#[derive(Clone, Copy)]
+struct SlotQuery {
     endpoint: EndpointId,
+    /// Slots that the requesting member occupies there.
     own: InFlight,
     purpose: Purpose,
-) -> Option<SlotReply> {
+    max_wait_ms: u64,
+}
+
+/// Returns the owner's reply; `None` if there is none in time, if no owner is
+/// known, or if this process is the owner but does not know the replica.
+async fn query_owner(gateway: &Rc<Gateway>, query: SlotQuery) -> Option<SlotReply> {
+    let SlotQuery {
+        endpoint,
+        own,
+        purpose,
+        max_wait_ms,
+    } = query;
     let (owner, addr) = owner_of(gateway, endpoint.raw())?;
-    if owner == gateway.member_id {
-        return decide(gateway, gateway.member_id, endpoint, own, purpose);
+    let member = gateway.member_id;
+    if owner == member {
+        return decide(gateway, member, query);
     }
+    let named = gateway
+        .replica_rates
+        .borrow()
+        .named(gateway.now(), endpoint);
     let send_query = |seq| {
-        let message = SlotMessage::Ask {
-            seq,
-            member: gateway.member_id,
-            endpoint,
-            own,
-            purpose,
+        let message = match named {
+            Some(named) => SlotMessage::AskLimited {
+                seq,
+                member,
+                endpoint,
+                own,
+                purpose,
+                named,
+                max_wait_ms,
+            },
+            None => SlotMessage::Ask {
+                seq,
+                member,
+                endpoint,
+                own,
+                purpose,
+            },
         };
         send(gateway, addr, message);
     };
     gateway.slot_queries.query(send_query).await
 }
 
+/// Tells the owner of a replica what this process knows of its request rate.
+pub(super) fn tell_owner_rate(gateway: &Gateway, endpoint: EndpointId) {
+    let named = gateway
+        .replica_rates
+        .borrow()
+        .named(gateway.now(), endpoint);
+    let owner = owner_of(gateway, endpoint.raw()).filter(|(id, _)| *id != gateway.member_id);
+    if let (Some(named), Some((_, addr))) = (named, owner) {
+        send(gateway, addr, SlotMessage::Named { endpoint, named });
+    }
+}
+
 /// Reports the slots that this process occupies at a replica to its owner.
 pub fn update_owner(gateway: &Gateway, endpoint: EndpointId) {
     let own = gateway.own_load(endpoint);
@@ -113,26 +185,33 @@
     }
 }
 
-fn decide(
-    gateway: &Gateway,
-    member: MemberId,
-    endpoint: EndpointId,
-    own: InFlight,
-    purpose: Purpose,
-) -> Option<SlotReply> {
+/// Decides on a query of a member, as the owner of the replica.
+fn decide(gateway: &Gateway, member: MemberId, query: SlotQuery) -> Option<SlotReply> {
+    let SlotQuery {
+        endpoint,
+        own,
+        purpose,
+        max_wait_ms,
+    } = query;
     let slots = {
         let replicas = gateway.replicas.borrow();
         let replica = replicas.get(endpoint)?;
         replica.registration.slots
     };
-    let decision = gateway.slot_ledger.borrow_mut().request_slot(
-        gateway.now(),
-        endpoint,
-        slots,
-        member,
-        own,
-        purpose,
-    );
+    let now = gateway.now();
+    let mut rates = gateway.replica_rates.borrow_mut();
+    let wait_ms = match rates.check(now, endpoint, purpose, max_wait_ms) {
+        RateDecision::Unlimited => 0,
+        RateDecision::After(wait_ms) => wait_ms,
+        RateDecision::Denied(wait_ms) => return Some(SlotReply::Limited(wait_ms)),
+    };
+    let mut ledger = gateway.slot_ledger.borrow_mut();
+    let decision = ledger.request_slot(now, endpoint, slots, member, own, purpose);
+    drop(ledger);
+    if decision.is_granted {
+        rates.take(endpoint);
+    }
+    drop(rates);
     match decision.pause_at {
         Some(preempted) if preempted == gateway.member_id => {
             gateway.item_runner.preempt_item(gateway, endpoint);
@@ -149,12 +228,46 @@
         None => {}
     }
     Some(if decision.is_granted {
-        SlotReply::Granted
+        SlotReply::Granted(wait_ms)
     } else {
         SlotReply::Full(decision.load)
     })
 }
 
+/// Decides on a query of another gateway and replies to it.
+fn answer(gateway: &Gateway, to: SocketAddr, seq: u64, member: MemberId, query: SlotQuery) {
+    let Some(reply) = decide(gateway, member, query) else {
+        // This process has not read the replica's registration yet.
+        return;
+    };
+    let (is_granted, load, wait_ms) = match reply {
+        SlotReply::Granted(wait_ms) => (true, InFlight::default(), wait_ms),
+        SlotReply::Full(load) => (false, load, 0),
+        SlotReply::Limited(wait_ms) => (false, InFlight::default(), wait_ms),
+    };
+    let endpoint = query.endpoint;
+    let named = gateway
+        .replica_rates
+        .borrow()
+        .named(gateway.now(), endpoint);
+    let message = match named {
+        Some(named) => SlotMessage::AnswerLimited {
+            seq,
+            is_granted,
+            load,
+            endpoint,
+            named,
+            wait_ms,
+        },
+        None => SlotMessage::Answer {
+            seq,
+            is_granted,
+            load,
+        },
+    };
+    send(gateway, to, message);
+}
+
 /// Handles a message from another gateway.
 pub(super) fn receive(gateway: &Rc<Gateway>, from: SocketAddr, message: SlotMessage) {
     match message {
@@ -165,18 +278,31 @@
             own,
             purpose,
         } => {
-            let (is_granted, load) = match decide(gateway, member, endpoint, own, purpose) {
-                Some(SlotReply::Granted) => (true, InFlight::default()),
-                Some(SlotReply::Full(load)) => (false, load),
-                // This process has not read the replica's registration yet.
-                None => return,
+            let query = SlotQuery {
+                endpoint,
+                own,
+                purpose,
+                max_wait_ms: 0,
             };
-            let reply = SlotMessage::Answer {
-                seq,
-                is_granted,
-                load,
+            answer(gateway, from, seq, member, query);
+        }
+        SlotMessage::AskLimited {
+            seq,
+            member,
+            endpoint,
+            own,
+            purpose,
+            named,
+            max_wait_ms,
+        } => {
+            rates::apply(gateway, endpoint, named, from);
+            let query = SlotQuery {
+                endpoint,
+                own,
+                purpose,
+                max_wait_ms,
             };
-            send(gateway, from, reply);
+            answer(gateway, from, seq, member, query);
         }
         SlotMessage::Answer {
             seq,
@@ -184,12 +310,29 @@
             load,
         } => {
             let reply = if is_granted {
-                SlotReply::Granted
+                SlotReply::Granted(0)
             } else {
                 SlotReply::Full(load)
             };
             gateway.slot_queries.complete(seq, reply);
         }
+        SlotMessage::AnswerLimited {
+            seq,
+            is_granted,
+            load,
+            endpoint,
+            named,
+            wait_ms,
+        } => {
+            rates::apply(gateway, endpoint, named, from);
+            let reply = match (is_granted, wait_ms) {
+                (true, wait_ms) => SlotReply::Granted(wait_ms),
+                (false, 0) => SlotReply::Full(load),
+                (false, wait_ms) => SlotReply::Limited(wait_ms),
+            };
+            gateway.slot_queries.complete(seq, reply);
+        }
+        SlotMessage::Named { endpoint, named } => rates::apply(gateway, endpoint, named, from),
         SlotMessage::Update {
             member,
             endpoint,
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -38,7 +38,7 @@
         process::{replicas::Registration, slot_ledger::Purpose},
         request::{
             attempt::{Attempts, Progress, RetryDecision},
-            overload::admit,
+            overload::{admit, max_wait_ms},
         },
         time::Time,
         version::serving::{Customer, Route, RouteKind},
@@ -72,6 +72,9 @@
     pub(super) prompt_parts: Vec<PromptPart>,
     tried: Vec<EndpointId>,
     refusals: usize,
+    /// Time after which a replica's request rate allows the request, if it could
+    /// not wait for that.
+    allowed_after: Option<Duration>,
 }
 
 /// The replica of an attempt, at which the request is counted as in flight.
@@ -189,6 +192,7 @@
             body,
             tried: Vec::new(),
             refusals: 0,
+            allowed_after: None,
         }
     }
 
@@ -230,16 +234,18 @@
     }
 
     /// Takes a slot at one of up to [`MAX_SLOT_QUERIES`] replicas. If none has a
-    /// free one, queues at the replica with the fewest online requests.
-    async fn take_slot(&self, gateway: &Rc<Gateway>) -> Option<AttemptTarget> {
+    /// free one, waits for the first whose request rate allows the request in
+    /// time, or queues at the replica with the fewest online requests.
+    async fn take_slot(&mut self, gateway: &Rc<Gateway>) -> Option<AttemptTarget> {
         let mut excluded = self.tried.clone();
         let mut least_loaded: Option<(u32, Candidate)> = None;
+        let mut first_allowed: Option<(u64, Candidate)> = None;
         for _ in 0..MAX_SLOT_QUERIES {
             let Some(candidate) = self.choose(gateway, &excluded) else {
                 break;
             };
             let endpoint = candidate.endpoint;
-            match acquire(gateway, endpoint, Purpose::Online).await {
+            match acquire(gateway, endpoint, Purpose::Online, 0).await {
                 SlotOutcome::Granted(guard) => {
                     return Some(candidate.with_guard(gateway, guard, "granted"));
                 }
@@ -250,13 +256,40 @@
                     let now = gateway.now();
                     gateway.replicas.borrow_mut().note_full(now, endpoint);
                     excluded.push(endpoint);
-                    if least_loaded
+                    let is_least = least_loaded
                         .as_ref()
-                        .is_none_or(|(online, _)| load.online < *online)
-                    {
+                        .is_none_or(|(online, _)| load.online < *online);
+                    if is_least && !gateway.is_limited(endpoint) {
                         least_loaded = Some((load.online, candidate));
                     }
                 }
+                SlotOutcome::Limited(wait_ms) => {
+                    gateway.note_limited(endpoint, wait_ms);
+                    excluded.push(endpoint);
+                    if first_allowed
+                        .as_ref()
+                        .is_none_or(|(first, _)| wait_ms < *first)
+                    {
+                        first_allowed = Some((wait_ms, candidate));
+                    }
+                }
+            }
+        }
+        if let Some((wait_ms, candidate)) = first_allowed {
+            let max_wait_ms = self.max_wait_ms(gateway);
+            self.allowed_after = Some(Duration::from_millis(wait_ms));
+            if wait_ms <= max_wait_ms {
+                let endpoint = candidate.endpoint;
+                match acquire(gateway, endpoint, Purpose::Online, max_wait_ms).await {
+                    SlotOutcome::Granted(guard) => {
+                        return Some(candidate.with_guard(gateway, guard, "waited for rate"));
+                    }
+                    SlotOutcome::OwnerTimedOut(guard) => {
+                        return Some(candidate.with_guard(gateway, guard, "owner silent"));
+                    }
+                    SlotOutcome::Full(_) => {}
+                    SlotOutcome::Limited(wait_ms) => gateway.note_limited(endpoint, wait_ms),
+                }
             }
         }
         let (_, candidate) = least_loaded?;
@@ -264,6 +297,16 @@
         Some(candidate.with_guard(gateway, guard, "queued"))
     }
 
+    /// Returns how long the request may wait for the request rate of a replica,
+    /// in milliseconds.
+    fn max_wait_ms(&self, gateway: &Gateway) -> u64 {
+        let rank = gateway.current_config().map_or(0, |config| {
+            config.relative_priority(&self.route, self.customer.as_deref())
+        });
+        let left_ms = self.deadline.since(gateway.now());
+        max_wait_ms(self.route.objective_ms, rank).min(left_ms)
+    }
+
     fn choose(&self, gateway: &Rc<Gateway>, excluded: &[EndpointId]) -> Option<Candidate> {
         let now = gateway.now();
         let replicas = gateway.replicas.borrow();
@@ -576,7 +619,7 @@
 ) -> Response {
     let now = gateway.now();
     let retry_after = match request_error {
-        RequestError::NoReplica => Some(RETRY_AFTER),
+        RequestError::NoReplica => Some(request.allowed_after.unwrap_or(RETRY_AFTER)),
         RequestError::Quarantined => {
             quarantine::time_left(gateway, &request.prompt_parts).or(Some(RETRY_AFTER))
         }
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -63,6 +63,11 @@
     /// A crash that is attributed to a quarantined prompt part counts against
     /// other parts.
     CountAttributedCrashes,
+    /// The owner of a replica grants more requests than the rate that the
+    /// replica names.
+    IgnoreNamedRate,
+    /// A member does not tell the owner of a replica which rate it names.
+    SkipRateReports,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -372,18 +372,32 @@
 
     /// Records that a replica refused a request for lack of capacity.
     pub fn note_full(&mut self, now: Time, endpoint: EndpointId) {
+        self.note_full_for(now, endpoint, FULL_REPLICA_MS);
+    }
+
+    /// Records that a replica accepts no request for some time.
+    pub fn note_full_for(&mut self, now: Time, endpoint: EndpointId, ms: u64) {
         if let Some(replica) = self.replicas.get_mut(&endpoint) {
-            replica.full_until = now.plus(FULL_REPLICA_MS);
+            replica.full_until = now.plus(ms);
         }
     }
 
     /// Returns the total slots of a service's replicas that are not avoided.
+    ///
+    /// `usable_milli` returns how many thousandths of a slot of a replica can be
+    /// used.
     #[must_use]
-    pub fn usable_slots(&self, now: Time, service: &str) -> u32 {
-        self.replicas_of(service)
-            .filter(|replica| !replica.is_avoided(now))
-            .map(|replica| replica.registration.slots)
-            .sum()
+    pub fn usable_slots(
+        &self,
+        now: Time,
+        service: &str,
+        usable_milli: impl Fn(&Replica) -> u64,
+    ) -> u32 {
+        let usable = self
+            .replicas_of(service)
+            .filter(|replica| !replica.is_avoided(now));
+        let total_milli: u64 = usable.map(usable_milli).sum();
+        u32::try_from(total_milli / 1_000).unwrap_or(u32::MAX)
     }
 
     /// Returns the replicas that are unreachable, or avoided after more than
--- a/cicadagate-policy/src/process/slot_ledger.rs
+++ b/cicadagate-policy/src/process/slot_ledger.rs
@@ -29,7 +29,7 @@
 */
 
 use {
-    super::reports::InFlight,
+    super::{replica_rates::NamedRate, reports::InFlight},
     crate::{
         ids::{EndpointId, MemberId, mix64},
         time::Time,
@@ -100,6 +100,45 @@
         /// Replica.
         endpoint: EndpointId,
     },
+    /// Requests a slot at a replica of which the sender knows a request rate.
+    AskLimited {
+        /// Sequence number of the request at its sender.
+        seq: u64,
+        /// The requesting member.
+        member: MemberId,
+        /// Replica.
+        endpoint: EndpointId,
+        /// Slots that the sender occupies there, without the requested one.
+        own: InFlight,
+        /// What the slot is for.
+        purpose: Purpose,
+        /// What the sender knows of the replica's rate.
+        named: NamedRate,
+        /// How long the request may wait until it is sent, in milliseconds.
+        max_wait_ms: u64,
+    },
+    /// The owner's reply about a replica of which it knows a request rate.
+    AnswerLimited {
+        /// Sequence number of the request.
+        seq: u64,
+        /// Whether the slot is granted, to be used after `wait_ms`.
+        is_granted: bool,
+        /// Slots that all members occupy at the replica.
+        load: InFlight,
+        /// Replica.
+        endpoint: EndpointId,
+        /// What the owner knows of the replica's rate.
+        named: NamedRate,
+        /// Time until the rate allows the request, in milliseconds.
+        wait_ms: u64,
+    },
+    /// Tells the owner what the sender knows of a replica's request rate.
+    Named {
+        /// Replica.
+        endpoint: EndpointId,
+        /// What the sender knows.
+        named: NamedRate,
+    },
 }
 
 /// The owner's decision on a request for a slot.
--- a/cicadagate-policy/src/request/overload.rs
+++ b/cicadagate-policy/src/request/overload.rs
@@ -73,6 +73,14 @@
     pub retry_after_ms: u64,
 }
 
+/// Returns how long a request may wait for a slot, in milliseconds, unless its
+/// customer has used up its burst.
+#[must_use]
+pub fn max_wait_ms(objective_ms: u64, relative_priority: u32) -> u64 {
+    let urgency = u64::from(relative_priority.min(MAX_RELATIVE_PRIORITY) + 1);
+    objective_ms * MAX_WAIT_PERCENT / 100 / urgency
+}
+
 /// Decides whether a request may be sent.
 ///
 /// `objective_ms` is its latency objective. `relative_priority` is 0 for the
@@ -90,9 +98,7 @@
     jitter: u64,
 ) -> Result<(), Overloaded> {
     let wait_ms = service_load.wait_ms();
-    let full_wait_ms = objective_ms * MAX_WAIT_PERCENT
-        / 100
-        / u64::from(relative_priority.min(MAX_RELATIVE_PRIORITY) + 1);
+    let full_wait_ms = max_wait_ms(objective_ms, relative_priority);
     let allowed_wait_ms =
         full_wait_ms * burst_left.min(FULL_WAIT_BURST_PERCENT) / FULL_WAIT_BURST_PERCENT;
     if wait_ms <= allowed_wait_ms {
