Log a fingerprint of the request with each failed attempt

Two requests with different ids could not be seen to be the same one, so that a repeated request that crashes replicas looked like an outage. No logic changed.

--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -34,7 +34,7 @@
         event,
     },
     cicadagate_policy::{
-        ids::{EndpointId, PromptPart},
+        ids::{EndpointId, PromptPart, hash64},
         process::{replicas::Registration, slot_ledger::Purpose},
         request::{
             attempt::{Attempts, Progress, RetryDecision},
@@ -68,6 +68,8 @@
     target: String,
     headers: HeaderMap,
     body: Bytes,
+    /// The same for each request with this method, path, customer and body.
+    pub(super) fingerprint: u64,
     /// Parts of the prompt that other requests may share.
     pub(super) prompt_parts: Vec<PromptPart>,
     tried: Vec<EndpointId>,
@@ -176,9 +178,20 @@
             .uri()
             .path_and_query()
             .map_or("/", |target| target.as_str());
+        let customer_name = context
+            .customer
+            .as_ref()
+            .map_or("", |customer| customer.name.as_str());
+        let fingerprint = hash64(&[
+            req.method().as_str().as_bytes(),
+            target.as_bytes(),
+            customer_name.as_bytes(),
+            &body,
+        ]);
         Self {
             service,
             prompt_parts,
+            fingerprint,
             method: req.method().clone(),
             target: target.to_owned(),
             headers: forwarded_headers(gateway, req),
@@ -489,6 +502,7 @@
             request = self.id.as_str(),
             replica = target.registration.id.as_str(),
             prompt_parts: = PartList(&self.prompt_parts),
+            fingerprint: = format_args!("{:016x}", self.fingerprint),
             after_ms = gateway.now().since(target.since),
             reason: = reason
         );
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -262,6 +262,7 @@
             request = self.request.id.as_str(),
             replica = self.target.registration.id.as_str(),
             prompt_parts: = PartList(&self.request.prompt_parts),
+            fingerprint: = format_args!("{:016x}", self.request.fingerprint),
             reason
         );
         let Some(StreamEvents {
