Tell other instances that a replica is leaving

What was seen: each instance learned of a leaving replica by a request of its own.

Change: the instance that is told by a response tells the owner of the replica's slots, and the owner each instance that asks for a slot there: one message, and no further ones, since each request asks for a slot anyway. The word of another instance only ranks the replica last, for ten seconds at most, which members can't prolong for each other; one's own response or the registration decides. cicadagate_requests_to_leaving_total counts by what was known; REPLICA_DRAINING has the source.

--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -261,6 +261,7 @@
             gateway.replicas.borrow_mut().note_full(now, endpoint);
             return RunOutcome::NoSlot(load);
         }
+        SlotOutcome::Leaving => return RunOutcome::NoSlot(gateway.fleet_load(endpoint)),
         SlotOutcome::Limited(wait_ms) => {
             gateway.note_limited(endpoint, wait_ms);
             return RunOutcome::NoSlot(gateway.fleet_load(endpoint));
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -8,17 +8,17 @@
 */
 
 use {
-    super::{Gateway, fleet_store::StoreReachability, rates},
+    super::{Gateway, fleet_store::StoreReachability, rates, slots},
     crate::platform::{KeyedRecord, StoreError},
     actix_http::ResponseHead,
     actix_rt::time::sleep,
     cicadagate_node::event,
     cicadagate_policy::{
         ids::EndpointId,
-        process::replicas::{Registration, ReplicaChange},
+        process::replicas::{LeavingReplica, LeavingSource, Registration, ReplicaChange},
         time::Time,
     },
-    std::{collections::HashSet, rc::Rc, time::Duration},
+    std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// Number of reads of the registrations within the platform's drain time, so
@@ -144,16 +144,50 @@
         if !head.headers.contains_key(&self.codec.headers().leaving) {
             return;
         }
+        let endpoint = EndpointId::of(&replica.id);
+        let source = self.replicas.borrow().leaving_source(self.now(), endpoint);
+        let known_from = source.map_or("nothing", source_name);
+        let counter = &self.metrics.requests_to_leaving;
+        counter.with_label_values(&[known_from]).inc();
         let change = self.replicas.borrow_mut().note_leaving(replica);
         if change == ReplicaChange::Draining {
             event!(
                 REPLICA_DRAINING,
                 replica = replica.id.as_str(),
-                source = "response",
+                source = source_name(LeavingSource::Response),
                 request
             );
+            slots::tell_owner_leaving(self, endpoint);
         }
-        self.pool.close_idle(EndpointId::of(&replica.id));
+        self.pool.close_idle(endpoint);
+    }
+}
+
+/// Records that another gateway says of a replica that it is leaving.
+pub(super) fn note_told_leaving(
+    gateway: &Gateway,
+    endpoint: EndpointId,
+    leaving: LeavingReplica,
+    from: SocketAddr,
+) {
+    let mut replicas = gateway.replicas.borrow_mut();
+    let is_new = replicas.note_told_leaving(gateway.now(), endpoint, leaving);
+    if let Some(replica) = replicas.get(endpoint).filter(|_| is_new) {
+        event!(
+            REPLICA_DRAINING,
+            replica = replica.registration.id.as_str(),
+            source = source_name(LeavingSource::Member),
+            member: = from,
+            believed_ms = leaving.left_ms
+        );
+    }
+}
+
+const fn source_name(source: LeavingSource) -> &'static str {
+    match source {
+        LeavingSource::Response => "response",
+        LeavingSource::Registration => "registration",
+        LeavingSource::Member => "member",
     }
 }
 
--- a/cicadagate-gateway/src/process/slots.rs
+++ b/cicadagate-gateway/src/process/slots.rs
@@ -3,7 +3,7 @@
 */
 
 use {
-    super::{Gateway, InFlightGuard, owners::owner_of, rates},
+    super::{Gateway, InFlightGuard, owners::owner_of, rates, registry},
     actix_rt::time::sleep,
     cicadagate_policy::{
         ids::{EndpointId, MemberId},
@@ -31,6 +31,8 @@
     /// The rate that the replica names allows a request only after this time,
     /// in milliseconds.
     Limited(u64),
+    /// The replica is leaving.
+    Leaving,
 }
 
 /// Outcome of a slot query. Dropping the guard releases the slot.
@@ -45,6 +47,8 @@
     /// The rate that the replica names allows a request only after this time,
     /// in milliseconds.
     Limited(u64),
+    /// The owner says that the replica is leaving.
+    Leaving,
 }
 
 /// Requests a slot from the owner of a replica. The slot counts as taken as
@@ -76,6 +80,7 @@
         }
         Some(SlotReply::Full(load)) => SlotOutcome::Full(load),
         Some(SlotReply::Limited(wait_ms)) => SlotOutcome::Limited(wait_ms),
+        Some(SlotReply::Leaving) => SlotOutcome::Leaving,
         None if gateway.is_limited(endpoint) => SlotOutcome::Limited(OWNER_RETRY_MS),
         None => {
             update_owner(gateway, endpoint);
@@ -147,6 +152,16 @@
     gateway.slot_queries.query(send_query).await
 }
 
+/// Tells the owner of a replica that the replica is leaving.
+pub(super) fn tell_owner_leaving(gateway: &Gateway, endpoint: EndpointId) {
+    let now = gateway.now();
+    let leaving = gateway.replicas.borrow().leaving_replica(now, endpoint);
+    let owner = owner_of(gateway, endpoint.raw()).filter(|(id, _)| *id != gateway.member_id);
+    if let (Some(leaving), Some((_, addr))) = (leaving, owner) {
+        send(gateway, addr, SlotMessage::Leaving { endpoint, leaving });
+    }
+}
+
 /// Tells the owner of a replica what this process knows of its request rate.
 pub(super) fn tell_owner_rate(gateway: &Gateway, endpoint: EndpointId) {
     let named = gateway
@@ -199,6 +214,10 @@
         replica.registration.slots
     };
     let now = gateway.now();
+    let source = gateway.replicas.borrow().leaving_source(now, endpoint);
+    if source.is_some() {
+        return Some(SlotReply::Leaving);
+    }
     let mut rates = gateway.replica_rates.borrow_mut();
     let wait_ms = match rates.check(now, endpoint, purpose, max_wait_ms) {
         RateDecision::Unlimited => 0,
@@ -240,12 +259,25 @@
         // This process has not read the replica's registration yet.
         return;
     };
+    let endpoint = query.endpoint;
     let (is_granted, load, wait_ms) = match reply {
         SlotReply::Granted(wait_ms) => (true, InFlight::default(), wait_ms),
         SlotReply::Full(load) => (false, load, 0),
         SlotReply::Limited(wait_ms) => (false, InFlight::default(), wait_ms),
+        SlotReply::Leaving => {
+            let now = gateway.now();
+            let leaving = gateway.replicas.borrow().leaving_replica(now, endpoint);
+            if let Some(leaving) = leaving {
+                let message = SlotMessage::AnswerLeaving {
+                    seq,
+                    endpoint,
+                    leaving,
+                };
+                send(gateway, to, message);
+            }
+            return;
+        }
     };
-    let endpoint = query.endpoint;
     let named = gateway
         .replica_rates
         .borrow()
@@ -332,6 +364,22 @@
             };
             gateway.slot_queries.complete(seq, reply);
         }
+        SlotMessage::AnswerLeaving {
+            seq,
+            endpoint,
+            leaving,
+        } => {
+            registry::note_told_leaving(gateway, endpoint, leaving, from);
+            let now = gateway.now();
+            // Without a reply, the request is sent: this process knows a later incarnation.
+            let source = gateway.replicas.borrow().leaving_source(now, endpoint);
+            if source.is_some() {
+                gateway.slot_queries.complete(seq, SlotReply::Leaving);
+            }
+        }
+        SlotMessage::Leaving { endpoint, leaving } => {
+            registry::note_told_leaving(gateway, endpoint, leaving, from);
+        }
         SlotMessage::Named { endpoint, named } => rates::apply(gateway, endpoint, named, from),
         SlotMessage::Update {
             member,
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -252,6 +252,8 @@
         let mut excluded = self.tried.clone();
         let mut least_loaded: Option<(u32, Candidate)> = None;
         let mut first_allowed: Option<(u64, Candidate)> = None;
+        // Used if no other is left, since only another gateway says so.
+        let mut told_leaving: Option<Candidate> = None;
         for _ in 0..MAX_SLOT_QUERIES {
             let Some(candidate) = self.choose(gateway, &excluded) else {
                 break;
@@ -275,6 +277,10 @@
                         least_loaded = Some((load.online, candidate));
                     }
                 }
+                SlotOutcome::Leaving => {
+                    excluded.push(endpoint);
+                    told_leaving = Some(candidate);
+                }
                 SlotOutcome::Limited(wait_ms) => {
                     gateway.note_limited(endpoint, wait_ms);
                     excluded.push(endpoint);
@@ -299,12 +305,14 @@
                     SlotOutcome::OwnerTimedOut(guard) => {
                         return Some(candidate.with_guard(gateway, guard, "owner silent"));
                     }
-                    SlotOutcome::Full(_) => {}
+                    SlotOutcome::Full(_) | SlotOutcome::Leaving => {}
                     SlotOutcome::Limited(wait_ms) => gateway.note_limited(endpoint, wait_ms),
                 }
             }
         }
-        let (_, candidate) = least_loaded?;
+        let candidate = least_loaded
+            .map(|(_, candidate)| candidate)
+            .or(told_leaving.filter(|it| !gateway.is_limited(it.endpoint)))?;
         let guard = acquire_without_grant(gateway, candidate.endpoint, Purpose::Online);
         Some(candidate.with_guard(gateway, guard, "queued"))
     }
--- a/cicadagate-node/src/metrics.rs
+++ b/cicadagate-node/src/metrics.rs
@@ -25,6 +25,9 @@
     pub attempts: IntCounterVec,
     /// Bodies of replicas' responses by what ended them.
     pub body_ends: IntCounterVec,
+    /// Requests that a leaving replica responded to, by how its leaving was known when
+    /// the response arrived.
+    pub requests_to_leaving: IntCounterVec,
     /// Bytes of messages to other processes over TCP, by direction.
     pub peer_bytes: IntCounterVec,
     /// Bytes of datagrams, by direction.
@@ -107,6 +110,11 @@
                 "Bodies of replicas' responses by what ended them.",
                 "end",
             ),
+            requests_to_leaving: counter(
+                "cicadagate_requests_to_leaving_total",
+                "Requests that leaving replicas responded to, by how the leaving was known.",
+                "known_from",
+            ),
             peer_bytes: counter(
                 "cicadagate_peer_bytes_total",
                 "Bytes between processes over TCP, by direction.",
@@ -181,6 +189,10 @@
                 "Frames and datagrams refused, by kind.",
             ),
             ("cicadagate_request_seconds", "Seconds that requests took."),
+            (
+                "cicadagate_requests_to_leaving_total",
+                "Requests that leaving replicas responded to, by how the leaving was known.",
+            ),
             ("cicadagate_requests_total", "Requests by outcome."),
             ("cicadagate_state", "Sizes of state, by kind."),
             (
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -66,6 +66,8 @@
     /// Requests are quarantined also if many others were at as many replicas that
     /// crashed.
     QuarantineTiedRequests,
+    /// A registration makes a replica usable that said in a response that it is leaving.
+    ForgetLeavingOnRegistration,
     /// A part of a prompt is quarantined however many replicas ended without it.
     IgnoreShareOfCrashes,
     /// The owner of a replica grants more requests than the rate that the
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -18,6 +18,10 @@
 store is unreachable or has been so within [`LAPSED_RETENTION_MS`]: its replica
 is kept until that time is over, since live replicas register again within it.
 
+A member that was told so tells the owner of the replica's slots, and the owner each member
+that asks for a slot there. The word of a member only ranks the replica last, and for a
+limited time: a sound replica never becomes unusable by it.
+
 A replica that failed is avoided for a time that doubles with each further
 failure up to [`MAX_AVOID_MS`]; it is still used if no other is left. A
 success ends the avoidance. A replica that takes no connections is avoided
@@ -39,9 +43,11 @@
 use {
     super::reports::InFlight,
     crate::{
+        fault_injection::{Fault, is_injected},
         ids::{EndpointId, mix64},
         time::Time,
     },
+    serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
@@ -59,6 +65,30 @@
 
 /// Most replicas that are remembered as leaving.
 pub const MAX_LEAVING: usize = 4_096;
+/// How long a member believes another one that a replica is leaving, in milliseconds.
+/// Meanwhile its own responses and the registration tell.
+pub const TOLD_LEAVING_MS: u64 = 10_000;
+
+/// From what a member knows that a replica is leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeavingSource {
+    /// A response to one of its own requests.
+    Response,
+    /// The replica's registration.
+    Registration,
+    /// Another member.
+    Member,
+}
+
+/// An incarnation of a replica that is leaving, as told to another member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct LeavingReplica {
+    /// Start time of the incarnation, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// How long the other member may believe it, in milliseconds.
+    pub left_ms: u64,
+}
 
 /// A replica's registration, as written by the replica itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -143,6 +173,9 @@
     /// Replicas that said in a response that they are leaving, with the start
     /// time of the latest incarnation that did.
     leaving: HashMap<EndpointId, u64>,
+    /// Replicas of which another member says that they are leaving: start time of the
+    /// incarnation, and until when that is believed.
+    told_leaving: HashMap<EndpointId, (u64, Time)>,
     store_unreachable_since: Option<Time>,
     store_recovered_at: Option<Time>,
 }
@@ -168,6 +201,9 @@
     /// Adds or updates a replica by its registration.
     pub fn register(&mut self, registration: Registration) -> ReplicaChange {
         let endpoint = EndpointId::of(&registration.id);
+        if is_injected(Fault::ForgetLeavingOnRegistration) {
+            self.leaving.remove(&endpoint);
+        }
         let old = self.replicas.get(&endpoint);
         if old.is_some_and(|old| !old.lapsed && *old.registration == registration) {
             return ReplicaChange::None;
@@ -218,6 +254,66 @@
         ReplicaChange::Draining
     }
 
+    /// Records that another member says of a replica that it is leaving; returns whether
+    /// that was not known here. The replica is used only if no other is left.
+    pub fn note_told_leaving(
+        &mut self,
+        now: Time,
+        endpoint: EndpointId,
+        told: LeavingReplica,
+    ) -> bool {
+        let is_known = self.leaving_source(now, endpoint).is_some();
+        self.told_leaving.retain(|_, (_, until)| now < *until);
+        if self.told_leaving.len() < MAX_LEAVING {
+            let until = now.plus(told.left_ms.min(TOLD_LEAVING_MS));
+            self.told_leaving.insert(endpoint, (told.started_ms, until));
+        }
+        !is_known && self.leaving_source(now, endpoint).is_some()
+    }
+
+    /// Returns from what it is known that a replica is leaving, if it is.
+    #[must_use]
+    pub fn leaving_source(&self, now: Time, endpoint: EndpointId) -> Option<LeavingSource> {
+        let registration = &self.replicas.get(&endpoint)?.registration;
+        let said = self.leaving.get(&endpoint);
+        if said.is_some_and(|started_ms| registration.started_ms <= *started_ms) {
+            Some(LeavingSource::Response)
+        } else if registration.is_draining {
+            Some(LeavingSource::Registration)
+        } else {
+            self.is_told_leaving(now, registration, endpoint)
+                .then_some(LeavingSource::Member)
+        }
+    }
+
+    fn is_told_leaving(
+        &self,
+        now: Time,
+        registration: &Registration,
+        endpoint: EndpointId,
+    ) -> bool {
+        let told = self.told_leaving.get(&endpoint);
+        told.is_some_and(|(started_ms, until)| {
+            registration.started_ms <= *started_ms && now < *until
+        })
+    }
+
+    /// Returns what to tell another member of a replica that is leaving.
+    #[must_use]
+    pub fn leaving_replica(&self, now: Time, endpoint: EndpointId) -> Option<LeavingReplica> {
+        let source = self.leaving_source(now, endpoint)?;
+        let left_ms = match source {
+            LeavingSource::Response | LeavingSource::Registration => TOLD_LEAVING_MS,
+            // Members that tell each other must not prolong it.
+            LeavingSource::Member => self.told_leaving.get(&endpoint)?.1.since(now),
+        };
+        let started_ms = self.replicas.get(&endpoint)?.registration.started_ms;
+        Some(LeavingReplica {
+            started_ms,
+            left_ms,
+        })
+    }
+
     /// Returns whether a replica may be sent new requests.
     #[must_use]
     pub fn is_usable(&self, endpoint: EndpointId) -> bool {
@@ -438,7 +534,12 @@
                     replica,
                     in_flight,
                     is_connected,
-                    penalty: u8::from(replica.is_avoided(now)) * 4
+                    penalty: u8::from(self.is_told_leaving(
+                        now,
+                        &replica.registration,
+                        replica.endpoint,
+                    )) * 8
+                        + u8::from(replica.is_avoided(now)) * 4
                         + u8::from(is_suspect) * 2
                         + u8::from(now < replica.full_until),
                 }
@@ -516,8 +617,8 @@
     replica: &'a Replica,
     in_flight: u32,
     is_connected: bool,
-    /// Sum of the reasons against this replica: 4 if it is avoided, 2 if other
-    /// members suspect it, 1 if it is full.
+    /// Sum of the reasons against this replica: 8 if another member says that it is
+    /// leaving, 4 if it is avoided, 2 if other members suspect it, 1 if it is full.
     penalty: u8,
 }
 
--- a/cicadagate-policy/src/process/slot_ledger.rs
+++ b/cicadagate-policy/src/process/slot_ledger.rs
@@ -29,7 +29,7 @@
 */
 
 use {
-    super::{replica_rates::NamedRate, reports::InFlight},
+    super::{replica_rates::NamedRate, replicas::LeavingReplica, reports::InFlight},
     crate::{
         ids::{EndpointId, MemberId, mix64},
         time::Time,
@@ -132,6 +132,22 @@
         /// Time until the rate allows the request, in milliseconds.
         wait_ms: u64,
     },
+    /// Tells the owner that a replica is leaving.
+    Leaving {
+        /// Replica.
+        endpoint: EndpointId,
+        /// The incarnation.
+        leaving: LeavingReplica,
+    },
+    /// The owner's reply that no slot is granted since the replica is leaving.
+    AnswerLeaving {
+        /// Sequence number of the request.
+        seq: u64,
+        /// Replica.
+        endpoint: EndpointId,
+        /// The incarnation.
+        leaving: LeavingReplica,
+    },
     /// Tells the owner what the sender knows of a replica's request rate.
     Named {
         /// Replica.
