--- a/cicadagate-node/tests/docs.rs
+++ b/cicadagate-node/tests/docs.rs
@@ -80,6 +80,7 @@
         &metrics.peer_bytes,
         &metrics.datagram_bytes,
         &metrics.preemptions,
+        &metrics.requests_to_leaving,
     ] {
         counter.with_label_values(&["x"]).inc();
     }
