Take what discarded responses say of their replica into account

A response that echoes another request's id is read and discarded; that its replica leaves, or which rate it names, was lost with it. The pool keeps the heads of discarded responses until the sender of the request takes them. They can't end a rate, since the time of their requests is not known.

what_a_discarded_response_says_of_its_replica_counts failed before (status 200 instead of 503 after the only replica had said that it leaves).

--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -292,7 +292,9 @@
     let send = gateway
         .pool
         .send(now, endpoint, registration.addr, Reuse::Any, &request);
-    let response = match timeout(IDLE_TIMEOUT, send).await {
+    let received = timeout(IDLE_TIMEOUT, send).await;
+    gateway.note_discarded_heads();
+    let response = match received {
         Ok(Ok(response)) => response,
         Ok(Err(err)) => {
             gateway.note_failed(endpoint, &err);
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -163,6 +163,24 @@
     }
 }
 
+impl Gateway {
+    /// Records what responses that were discarded say of their replicas. They were to
+    /// requests that were sent at an unknown time.
+    pub fn note_discarded_heads(&self) {
+        for (endpoint, head) in self.pool.take_discarded_heads() {
+            let replica = {
+                let replicas = self.replicas.borrow();
+                replicas
+                    .get(endpoint)
+                    .map(|replica| Rc::clone(&replica.registration))
+            };
+            if let Some(replica) = replica {
+                self.note_head("", &replica, &head, Time::default());
+            }
+        }
+    }
+}
+
 /// Records that another gateway says of a replica that it is leaving.
 pub(super) fn note_told_leaving(
     gateway: &Gateway,
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -393,7 +393,9 @@
             let send = gateway
                 .pool
                 .send(now, target.endpoint, addr, reuse, &replica_request);
-            let outcome = match timeout(left, send).await {
+            let received = timeout(left, send).await;
+            gateway.note_discarded_heads();
+            let outcome = match received {
                 Err(_) => return SendOutcome::Failed(self.resolve_error(RequestError::TimedOut)),
                 Ok(Ok(response)) => self.handle_response(gateway, response, target),
                 Ok(Err(err)) => {
--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -277,14 +277,16 @@
 /// Returns an error if there is no response; the error says whether the request
 /// may have run.
 pub async fn send_once(addr: SocketAddr, req: &ReplicaRequest) -> Result<ReplicaResponse> {
-    exchange(Connection::open(addr).await?, None, req).await
+    exchange(Connection::open(addr).await?, None, req, drop).await
 }
 
 /// Sends a request on a connection and reads the head of its response.
+/// `on_discarded` is called with the heads of responses to other requests.
 pub(super) async fn exchange(
     mut conn: Connection,
     pool_handle: Option<PoolHandle>,
     req: &ReplicaRequest,
+    on_discarded: impl Fn(ResponseHead),
 ) -> Result<ReplicaResponse> {
     let mut codec = ClientCodec::default();
     let mut unsent = encode(&mut codec, req)?;
@@ -312,6 +314,7 @@
             }
             return Ok(ReplicaResponse { head, body });
         }
+        on_discarded(head);
         let mut discarded = 0;
         while let Some(chunk) = body.read_chunk().await {
             discarded += chunk?.len();
--- a/cicadagate-node/src/connection/http_client/pool.rs
+++ b/cicadagate-node/src/connection/http_client/pool.rs
@@ -15,6 +15,7 @@
     super::exchange::{
         Connection, ExchangeError, ReplicaRequest, ReplicaResponse, Result, exchange,
     },
+    actix_http::ResponseHead,
     cicadagate_policy::{ids::EndpointId, time::Time},
     std::{
         cell::{Cell, RefCell},
@@ -36,6 +37,9 @@
 /// Idle time up to which a connection is assumed to be open at the replica.
 const RECENT_USE: Duration = Duration::from_millis(900);
 
+/// Most heads of discarded responses that are kept until they are taken.
+const MAX_DISCARDED_HEADS: usize = 64;
+
 /// Time for which announced keep-alive timeouts are ignored after a reused
 /// connection failed, in milliseconds.
 const IGNORE_ANNOUNCED_MS: u64 = 30_000;
@@ -94,6 +98,7 @@
     opened: Cell<u64>,
     reused: Cell<u64>,
     ignore_announced_until: Cell<Time>,
+    discarded_heads: RefCell<Vec<(EndpointId, ResponseHead)>>,
 }
 
 impl Pool {
@@ -138,7 +143,13 @@
             idle_list: Rc::clone(&idle_list),
             now: Rc::clone(&self.now),
         };
-        let outcome = exchange(conn, Some(handle), req).await;
+        let on_discarded = |head| {
+            let mut heads = self.discarded_heads.borrow_mut();
+            if heads.len() < MAX_DISCARDED_HEADS {
+                heads.push((endpoint, head));
+            }
+        };
+        let outcome = exchange(conn, Some(handle), req, on_discarded).await;
         if is_reused && matches!(outcome, Err(ExchangeError::Broken { .. })) {
             idle_list.borrow_mut().clear();
             self.ignore_announced_until
@@ -147,6 +158,12 @@
         outcome
     }
 
+    /// Takes the heads of responses that were discarded since the last call, since they
+    /// were to other requests. They still tell of the replica.
+    pub fn take_discarded_heads(&self) -> Vec<(EndpointId, ResponseHead)> {
+        self.discarded_heads.take()
+    }
+
     /// Connects to a replica and adds the connection to the pool.
     ///
     /// # Errors
