Bound what a member has to tell about crashes; rates of one a second and less at 410 members

At most 1,024 entries wait, the oldest are dropped: all is told within 13 s. what_is_to_be_told_is_bounded_and_recent failed before.

The simulation of named rates holds at 195 members with 0.5 and at 410 with 1 a second.

--- a/cicadagate-policy/src/process/quarantine.rs
+++ b/cicadagate-policy/src/process/quarantine.rs
@@ -124,6 +124,9 @@
 const MAX_CRASHES: usize = 64;
 /// Most crashed replicas that are remembered as attributed to a part.
 const MAX_ATTRIBUTED: usize = 1_024;
+/// Most entries that wait to be sent. Older ones are dropped, so that what is told is
+/// recent.
+const MAX_OUTBOX: usize = 1_024;
 /// Most entries of each kind in a message, so that it fits into a datagram.
 const MAX_ENTRIES: usize = 24;
 
@@ -643,6 +646,9 @@
     }
 
     fn push(&mut self, entry: Entry) {
+        if self.outbox.len() >= MAX_OUTBOX {
+            self.outbox.pop_front();
+        }
         self.outbox.push_back((entry, RESENDS));
     }
 
--- a/cicadagate-policy/tests/quarantine.rs
+++ b/cicadagate-policy/tests/quarantine.rs
@@ -5,8 +5,8 @@
     fault_injection::{Fault, inject},
     ids::{EndpointId, RequestPart, mix64},
     process::quarantine::{
-        CRITERIA, Crash, Incarnation, MAX_SUSPECTS, QUARANTINE_MS, Quarantine, QuarantineMessage,
-        QuarantinedPart, SETTLE_MS,
+        CRITERIA, Crash, Incarnation, MAX_SUSPECTS, MESSAGE_INTERVAL_MS, QUARANTINE_MS, Quarantine,
+        QuarantineMessage, QuarantinedPart, SETTLE_MS,
     },
     time::Time,
 };
@@ -15,6 +15,9 @@
 /// Time after the fifth crash within which members must know a part, in
 /// milliseconds: the bound of the platform.
 const KNOWN_BOUND_MS: u64 = 3_000;
+/// Longest age of what a member tells, in milliseconds: several times the bound of the
+/// platform.
+const MAX_TOLD_AGE_MS: u64 = 15_000;
 /// Requests with the part that may still run after that.
 const MAX_RUNS: usize = 3;
 /// Parts that come first in a prompt; common.
@@ -567,3 +570,25 @@
     assert_ne!(whole(5), RequestPart::whole_request("other", 5));
     assert!(whole(5).is_whole_request() && !part(5).is_whole_request());
 }
+
+// Guards against messages that pile up while many distinct requests crash replicas: what
+// is told would be minutes old.
+#[test]
+fn what_is_to_be_told_is_bounded_and_recent() {
+    let mut member = Quarantine::default();
+    for id in 0..20_000 {
+        member.note_crash(Time(1_000 + id / 10), crash(id, &[whole(id)]));
+    }
+    let (mut now, mut messages, mut oldest_ms) = (Time(3_000), 0, 0);
+    while let Some(message) = member.next_message(now) {
+        let ages = message.crashes.iter().map(|(_, age_ms)| *age_ms);
+        oldest_ms = oldest_ms.max(ages.max().unwrap_or_default());
+        messages += 1;
+        now = now.plus(MESSAGE_INTERVAL_MS);
+    }
+    assert!(oldest_ms <= MAX_TOLD_AGE_MS, "{oldest_ms}");
+    assert!(
+        messages * MESSAGE_INTERVAL_MS <= MAX_TOLD_AGE_MS,
+        "{messages}"
+    );
+}
--- a/cicadagate-policy/tests/replica_rates.rs
+++ b/cicadagate-policy/tests/replica_rates.rs
@@ -222,7 +222,15 @@
 // fleet exceeds it, at each size of a fleet.
 #[test]
 fn all_members_together_keep_the_rate_of_a_replica() {
-    for (members, per_s) in [(11, 2.5), (78, 2.5), (195, 2.5), (11, 0.0), (195, 40.0)] {
+    for (members, per_s) in [
+        (11, 2.5),
+        (78, 2.5),
+        (195, 2.5),
+        (11, 0.0),
+        (195, 0.5),
+        (410, 1.0),
+        (195, 40.0),
+    ] {
         for seed in 0..3 {
             let most = run_fleet(members, per_s, seed, 0, false);
             assert!(
@@ -238,7 +246,14 @@
 // when the owner of a replica changes or members restart.
 #[test]
 fn changing_owners_keep_the_rate_of_a_replica() {
-    for (members, per_s) in [(11, 2.5), (78, 2.5), (195, 2.5), (195, 40.0)] {
+    for (members, per_s) in [
+        (11, 2.5),
+        (78, 2.5),
+        (195, 2.5),
+        (195, 0.5),
+        (410, 1.0),
+        (195, 40.0),
+    ] {
         for seed in 0..3 {
             for restarts in [false, true] {
                 let most = run_fleet(members, per_s, seed, 3, restarts);
