Own binaries: no new requests to endpoints that say in a response that they leave

Now the header x-leaving in any response of an engine or service does the same; requests that are running stay. The engine stand-in has the fault says_leaving. ENDPOINT_LEAVING is logged once, not with each response.

endpoints_that_say_that_they_leave_get_no_new_requests failed before: 10 requests at the endpoint instead of the 3 that told of its leaving.

--- a/cicadagate-dispatch/src/process/mod.rs
+++ b/cicadagate-dispatch/src/process/mod.rs
@@ -252,13 +252,17 @@
         endpoint.leaving || drained || reported
     }
 
-    /// Records that an endpoint refused a request because it is draining.
+    /// Records that an endpoint said in a response that it is draining.
     pub fn mark_draining(&self, endpoint: EndpointId) {
         let now = self.node.now();
-        if let Some(replica) = self.replicas.borrow_mut().get_mut(&endpoint) {
-            replica.draining_since = Some(now);
+        let mut replicas = self.replicas.borrow_mut();
+        let Some(replica) = replicas.get_mut(&endpoint) else {
+            return;
+        };
+        let before = replica.draining_since.replace(now);
+        if before.is_none_or(|before| now.since(before) >= DRAINING_RESPONSE_MS) {
+            event!(ENDPOINT_LEAVING, endpoint: = endpoint);
         }
-        event!(ENDPOINT_LEAVING, endpoint: = endpoint);
     }
 
     /// Carries out the actions that are due in a replica's queue.
--- a/cicadagate-dispatch/src/request/engine.rs
+++ b/cicadagate-dispatch/src/request/engine.rs
@@ -8,7 +8,7 @@
 */
 
 use {
-    super::{Attempt, Outcome, failed_maybe_run, send_error, sse::EventParser},
+    super::{Attempt, LEAVING_HEADER, Outcome, failed_maybe_run, send_error, sse::EventParser},
     bytes::Bytes,
     cicadagate_policy::{process::replica_queue::Class, request::attempt::Progress},
     cicadagate_wire::peer::RefusalReason,
@@ -80,6 +80,9 @@
             Err(err) => return send_error(&err),
         };
         let status = res.status().as_u16();
+        if res.headers().contains_key(LEAVING_HEADER) {
+            self.dispatcher.mark_draining(self.pending.endpoint);
+        }
         match status {
             200 => {}
             // The engine is draining.
--- a/cicadagate-dispatch/src/request/mod.rs
+++ b/cicadagate-dispatch/src/request/mod.rs
@@ -28,6 +28,9 @@
 /// Time for which an idle connection to an engine is kept.
 const ENGINE_KEEP_ALIVE: Duration = Duration::from_secs(15);
 
+/// Header by which an endpoint says in a response that it is leaving.
+const LEAVING_HEADER: &str = "x-leaving";
+
 /// Why a running attempt is stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StopReason {
--- a/cicadagate-dispatch/src/request/service.rs
+++ b/cicadagate-dispatch/src/request/service.rs
@@ -4,7 +4,7 @@
 */
 
 use {
-    super::{Attempt, Outcome, exchange_error, failed_maybe_run},
+    super::{Attempt, LEAVING_HEADER, Outcome, exchange_error, failed_maybe_run},
     actix_http::{
         Method,
         header::{self, HeaderMap, HeaderName, HeaderValue},
@@ -41,6 +41,9 @@
             Err(err) => return exchange_error(&err),
         };
         let status = res.head.status.as_u16();
+        if res.head.headers.contains_key(LEAVING_HEADER) {
+            self.dispatcher.mark_draining(self.pending.endpoint);
+        }
         let headers = relayed_headers(&res.head.headers);
         let mut body = res.body;
         self.pending.recorded.borrow_mut().head = Some((status, headers.clone()));
--- a/cicadagate-lab/tests/online.rs
+++ b/cicadagate-lab/tests/online.rs
@@ -293,6 +293,34 @@
     });
 }
 
+// Guards against new requests to an endpoint that says only in its responses that it is
+// leaving, and serves those that it has.
+#[test]
+fn endpoints_that_say_that_they_leave_get_no_new_requests() {
+    run(async {
+        let setup = start(small_spec("says-leaving")).await;
+        let entries = setup.fleet.entries();
+        let requests = async || {
+            let stats = setup
+                .fleet
+                .fetch("drafting-1", "listen", "/control/stats")
+                .await;
+            stats.expect("page")["requests"].as_u64().expect("a number")
+        };
+        let says_leaving = json!({"says_leaving": true});
+        setup
+            .fleet
+            .inject_endpoint_faults("drafting-1", &says_leaving)
+            .await
+            .expect("set");
+        assert_all_correct(&streams(&setup.caller, &entries, 12, 4).await);
+        let told = requests().await;
+        assert!(told > 0, "the endpoint was used");
+        assert_all_correct(&streams(&setup.caller, &entries, 24, 4).await);
+        assert_eq!(requests().await, told);
+    });
+}
+
 /// Two instances are shut down and started again in turn while callers use
 /// the addresses that they keep: no request is broken.
 #[test]
--- a/cicadagate-standin/src/engine.rs
+++ b/cicadagate-standin/src/engine.rs
@@ -84,6 +84,8 @@
     break_after: Option<u64>,
     /// Rejects all requests with status 503, as a draining endpoint does.
     leaving: bool,
+    /// Says in the responses to requests that the engine is leaving, and serves them.
+    says_leaving: bool,
     /// Factor by which steps take longer.
     slow_factor: Option<u64>,
 }
@@ -500,8 +502,10 @@
     engine.waiting.borrow_mut().push_back(stream);
     engine.arrived.notify_one();
     let events = poll_fn(move |cx| rx.poll_recv(cx));
-    Response::build(actix_http::StatusCode::OK)
-        .insert_header(("content-type", "text/event-stream"))
-        .body(BodyStream::new(events))
-        .map_into_boxed_body()
+    let mut res = Response::build(actix_http::StatusCode::OK);
+    res.insert_header(("content-type", "text/event-stream"));
+    if engine.faults.get().says_leaving {
+        res.insert_header(("x-leaving", "1"));
+    }
+    res.body(BodyStream::new(events)).map_into_boxed_body()
 }
