--- a/cicadagate-gateway/src/process/slots.rs
+++ b/cicadagate-gateway/src/process/slots.rs
@@ -8,7 +8,7 @@
     cicadagate_policy::{
         ids::{EndpointId, MemberId},
         process::{
-            replica_rates::RateDecision,
+            replica_rates::{NamedRate, RateDecision},
             reports::InFlight,
             slot_ledger::{Purpose, SlotMessage},
         },
@@ -124,10 +124,7 @@
     if owner == member {
         return decide(gateway, member, query);
     }
-    let named = gateway
-        .replica_rates
-        .borrow()
-        .named(gateway.now(), endpoint);
+    let named = known_rate(gateway, endpoint);
     let send_query = |seq| {
         let message = match named {
             Some(named) => SlotMessage::AskLimited {
@@ -152,6 +149,12 @@
     gateway.slot_queries.query(send_query).await
 }
 
+/// Returns what this process knows of a replica's request rate, to tell another one.
+fn known_rate(gateway: &Gateway, endpoint: EndpointId) -> Option<NamedRate> {
+    let rates = gateway.replica_rates.borrow();
+    rates.named(gateway.now(), endpoint)
+}
+
 /// Tells the owner of a replica that the replica is leaving.
 pub(super) fn tell_owner_leaving(gateway: &Gateway, endpoint: EndpointId) {
     let now = gateway.now();
@@ -164,10 +167,7 @@
 
 /// Tells the owner of a replica what this process knows of its request rate.
 pub(super) fn tell_owner_rate(gateway: &Gateway, endpoint: EndpointId) {
-    let named = gateway
-        .replica_rates
-        .borrow()
-        .named(gateway.now(), endpoint);
+    let named = known_rate(gateway, endpoint);
     let owner = owner_of(gateway, endpoint.raw()).filter(|(id, _)| *id != gateway.member_id);
     if let (Some(named), Some((_, addr))) = (named, owner) {
         send(gateway, addr, SlotMessage::Named { endpoint, named });
@@ -278,10 +278,7 @@
             return;
         }
     };
-    let named = gateway
-        .replica_rates
-        .borrow()
-        .named(gateway.now(), endpoint);
+    let named = known_rate(gateway, endpoint);
     let message = match named {
         Some(named) => SlotMessage::AnswerLimited {
             seq,
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -15,13 +15,11 @@
         admission::{Destination, RequestContext, header_text, refuse},
         buffer::{self, BufferedBody, MAX_BUFFERED_BYTES},
         headers::{content_length, forwarded_headers, response_from_replica, set_replica_headers},
+        placement::AttemptTarget,
         quarantine::{self, PartList},
         relay::{self, DisconnectLogger, Relay},
     },
-    crate::process::{
-        Gateway, InFlightGuard, RequestGuard,
-        slots::{SlotOutcome, acquire, acquire_without_grant},
-    },
+    crate::process::{Gateway, RequestGuard},
     actix_http::{
         Method, Request, StatusCode,
         body::{BodyStream, BoxBody, MessageBody as _, SizedStream},
@@ -35,10 +33,10 @@
     },
     cicadagate_policy::{
         ids::{EndpointId, RequestPart, hash64},
-        process::{replicas::Registration, slot_ledger::Purpose},
+        process::replicas::Registration,
         request::{
             attempt::{Attempts, Progress, RetryDecision},
-            overload::{admit, max_wait_ms},
+            overload::admit,
         },
         time::Time,
         version::serving::{Customer, Route, RouteKind},
@@ -48,9 +46,6 @@
 
 /// Replicas that may refuse a request before the caller is told to retry later.
 const MAX_REFUSALS: usize = 3;
-/// Replicas at which a slot is requested before the request is queued at the
-/// least loaded of them.
-const MAX_SLOT_QUERIES: usize = 6;
 /// `Retry-After` if no replica can accept a request.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -63,7 +58,7 @@
     pub(super) deadline: Time,
     pub(super) attempts: Attempts,
     pub(super) last_event: Option<u64>,
-    service: String,
+    pub(super) service: String,
     method: Method,
     target: String,
     headers: HeaderMap,
@@ -71,46 +66,11 @@
     /// What other requests may have in common with this one: parts of the prompt, and
     /// all of it.
     pub(super) parts: Vec<RequestPart>,
-    tried: Vec<EndpointId>,
+    pub(super) tried: Vec<EndpointId>,
     refusals: usize,
     /// Time after which a replica's request rate allows the request, if it could
     /// not wait for that.
-    allowed_after: Option<Duration>,
-}
-
-/// The replica of an attempt, at which the request is counted as in flight.
-pub(super) struct AttemptTarget {
-    pub(super) registration: Rc<Registration>,
-    pub(super) endpoint: EndpointId,
-    /// How the slot was taken, for logs.
-    pub(super) slot: &'static str,
-    /// Time at which the slot was taken.
-    pub(super) since: Time,
-    _guard: InFlightGuard,
-}
-
-/// A replica at which a slot may be taken.
-struct Candidate {
-    registration: Rc<Registration>,
-    endpoint: EndpointId,
-}
-
-impl Candidate {
-    /// Adds the in-flight guard to the candidate.
-    fn with_guard(
-        self,
-        gateway: &Rc<Gateway>,
-        guard: InFlightGuard,
-        slot: &'static str,
-    ) -> AttemptTarget {
-        AttemptTarget {
-            slot,
-            registration: self.registration,
-            endpoint: self.endpoint,
-            since: gateway.now(),
-            _guard: guard,
-        }
-    }
+    pub(super) allowed_after: Option<Duration>,
 }
 
 /// Outcome of sending a request, after its last attempt.
@@ -245,103 +205,6 @@
             .note(held_ms);
     }
 
-    /// Takes a slot at one of up to [`MAX_SLOT_QUERIES`] replicas. If none has a
-    /// free one, waits for the first whose request rate allows the request in
-    /// time, or queues at the replica with the fewest online requests.
-    async fn take_slot(&mut self, gateway: &Rc<Gateway>) -> Option<AttemptTarget> {
-        let mut excluded = self.tried.clone();
-        let mut least_loaded: Option<(u32, Candidate)> = None;
-        let mut first_allowed: Option<(u64, Candidate)> = None;
-        // Used if no other is left, since only another gateway says so.
-        let mut told_leaving: Option<Candidate> = None;
-        for _ in 0..MAX_SLOT_QUERIES {
-            let Some(candidate) = self.choose(gateway, &excluded) else {
-                break;
-            };
-            let endpoint = candidate.endpoint;
-            match acquire(gateway, endpoint, Purpose::Online, 0).await {
-                SlotOutcome::Granted(guard) => {
-                    return Some(candidate.with_guard(gateway, guard, "granted"));
-                }
-                SlotOutcome::OwnerTimedOut(guard) => {
-                    return Some(candidate.with_guard(gateway, guard, "owner silent"));
-                }
-                SlotOutcome::Full(load) => {
-                    let now = gateway.now();
-                    gateway.replicas.borrow_mut().note_full(now, endpoint);
-                    excluded.push(endpoint);
-                    let is_least = least_loaded
-                        .as_ref()
-                        .is_none_or(|(online, _)| load.online < *online);
-                    if is_least && !gateway.is_limited(endpoint) {
-                        least_loaded = Some((load.online, candidate));
-                    }
-                }
-                SlotOutcome::Leaving => {
-                    excluded.push(endpoint);
-                    told_leaving = Some(candidate);
-                }
-                SlotOutcome::Limited(wait_ms) => {
-                    gateway.note_limited(endpoint, wait_ms);
-                    excluded.push(endpoint);
-                    if first_allowed
-                        .as_ref()
-                        .is_none_or(|(first, _)| wait_ms < *first)
-                    {
-                        first_allowed = Some((wait_ms, candidate));
-                    }
-                }
-            }
-        }
-        if let Some((wait_ms, candidate)) = first_allowed {
-            let max_wait_ms = self.max_wait_ms(gateway);
-            self.allowed_after = Some(Duration::from_millis(wait_ms));
-            if wait_ms <= max_wait_ms {
-                let endpoint = candidate.endpoint;
-                match acquire(gateway, endpoint, Purpose::Online, max_wait_ms).await {
-                    SlotOutcome::Granted(guard) => {
-                        return Some(candidate.with_guard(gateway, guard, "waited for rate"));
-                    }
-                    SlotOutcome::OwnerTimedOut(guard) => {
-                        return Some(candidate.with_guard(gateway, guard, "owner silent"));
-                    }
-                    SlotOutcome::Full(_) | SlotOutcome::Leaving => {}
-                    SlotOutcome::Limited(wait_ms) => gateway.note_limited(endpoint, wait_ms),
-                }
-            }
-        }
-        let candidate = least_loaded
-            .map(|(_, candidate)| candidate)
-            .or(told_leaving.filter(|it| !gateway.is_limited(it.endpoint)))?;
-        let guard = acquire_without_grant(gateway, candidate.endpoint, Purpose::Online);
-        Some(candidate.with_guard(gateway, guard, "queued"))
-    }
-
-    /// Returns how long the request may wait for the request rate of a replica,
-    /// in milliseconds.
-    fn max_wait_ms(&self, gateway: &Gateway) -> u64 {
-        let rank = gateway.current_config().map_or(0, |config| {
-            config.relative_priority(&self.route, self.customer.as_deref())
-        });
-        let left_ms = self.deadline.since(gateway.now());
-        max_wait_ms(self.route.objective_ms, rank).min(left_ms)
-    }
-
-    fn choose(&self, gateway: &Rc<Gateway>, excluded: &[EndpointId]) -> Option<Candidate> {
-        let now = gateway.now();
-        let replicas = gateway.replicas.borrow();
-        let reports = gateway.reports.borrow();
-        let remaining = gateway.remaining_percent(&self.service);
-        let chosen =
-            replicas.choose(now, &self.service, excluded, gateway.next_random(), |id| {
-                gateway.online_load_estimate(&reports, remaining, id)
-            })?;
-        Some(Candidate {
-            registration: Rc::clone(&chosen.registration),
-            endpoint: chosen.endpoint,
-        })
-    }
-
     /// Sends the request, with retries, until a replica responds or no further
     /// attempt is allowed.
     pub(super) async fn send(&mut self, gateway: &Rc<Gateway>) -> SendOutcome {
--- a/cicadagate-gateway/src/request/mod.rs
+++ b/cicadagate-gateway/src/request/mod.rs
@@ -9,7 +9,8 @@
 * `buffer`: reads short responses before they are passed on.
 * `forward`: attempts at replicas.
 * `headers`: headers of requests to replicas and of their responses.
-* `quarantine`: checks against the quarantined parts of prompts.
+* `placement`: choice of a replica, with a slot there.
+* `quarantine`: checks against the quarantined parts of requests.
 * `relay`: streams a response body to the caller.
 * `job_requests`: submissions of jobs, and requests about accepted jobs.
 */
@@ -19,6 +20,7 @@
 mod forward;
 mod headers;
 mod job_requests;
+mod placement;
 mod quarantine;
 mod relay;
 
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -14,7 +14,8 @@
 
 use {
     super::{
-        forward::{AttemptTarget, PendingRequest, SendOutcome},
+        forward::{PendingRequest, SendOutcome},
+        placement::AttemptTarget,
         quarantine::PartList,
     },
     crate::process::{Gateway, RequestGuard},
