Log the software version of replicas and which stream a caller resumes

Cause: the lines of the incident show that streams go on at another replica, in the process and between processes, but not at which software version, and after_event 0 stood both for event 0 and for no event.

Change: the registration's version and the header Resumes are decoded; REQUEST_SENT, REQUEST_RESUMED, ITEM_STARTED and REPLICA_ADDED log them. No decision changes.

--- a/cicadagate-gateway/src/platform.rs
+++ b/cicadagate-gateway/src/platform.rs
@@ -168,6 +168,9 @@
     pub prompt_parts: HeaderName,
     /// Longest wait of a request for results, in milliseconds.
     pub wait_ms: HeaderName,
+    /// On a request that resumes a stream: id of the request whose response
+    /// brought the stream's first event.
+    pub resumed_request: HeaderName,
 }
 
 /// A request about an accepted batch job.
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -12,7 +12,7 @@
             Gateway, contents,
             slots::{SlotOutcome, acquire},
         },
-        request::{is_hop_by_hop, set_replica_headers},
+        request::{event_id_text, is_hop_by_hop, set_replica_headers},
     },
     actix_http::{
         Method, StatusCode,
@@ -284,7 +284,8 @@
         item: = ItemName(task.item),
         id = task.id.as_str(),
         replica = registration.id.as_str(),
-        after_event = after.unwrap_or_default(),
+        version = registration.software_version.as_str(),
+        after_event = event_id_text(after),
         due_in_ms = task.due_in_ms(),
         load = gateway.fleet_load(endpoint).total(),
         max_rate = gateway.named_rate(endpoint)
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -212,7 +212,12 @@
 fn handle_change(gateway: &Rc<Gateway>, id: &str, change: ReplicaChange) {
     match change {
         ReplicaChange::None => return,
-        ReplicaChange::Added => event!(REPLICA_ADDED, replica = id),
+        ReplicaChange::Added => {
+            let replicas = gateway.replicas.borrow();
+            let replica = replicas.get(EndpointId::of(id));
+            let version = replica.map_or("", |it| it.registration.software_version.as_str());
+            event!(REPLICA_ADDED, replica = id, version);
+        }
         ReplicaChange::Draining => event!(REPLICA_DRAINING, replica = id, source = "registration"),
         ReplicaChange::Lapsed => event!(REPLICA_LAPSED, replica = id),
         ReplicaChange::Removed => event!(REPLICA_REMOVED, replica = id, reason = "entry is gone"),
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -14,6 +14,7 @@
         RequestError, Response,
         admission::{Destination, RequestContext, header_text, refuse},
         buffer::{self, BufferedBody, MAX_BUFFERED_BYTES},
+        event_id_text,
         headers::{content_length, forwarded_headers, response_from_replica, set_replica_headers},
         placement::AttemptTarget,
         quarantine::{self, PartList},
@@ -58,6 +59,9 @@
     pub(super) deadline: Time,
     pub(super) attempts: Attempts,
     pub(super) last_event: Option<u64>,
+    /// Id of the request that began the stream that the caller resumes, empty if it
+    /// resumes none.
+    resumed_request: String,
     pub(super) service: String,
     method: Method,
     target: String,
@@ -133,6 +137,7 @@
         let attempts = Attempts::new(route.is_repeatable(), deadline)
             .with_max_run_attempts(route.max_attempts.max(1));
         let last_event = header_text(req, &names.last_event_id).parse().ok();
+        let resumed_request = header_text(req, &names.resumed_request);
         let target = req
             .uri()
             .path_and_query()
@@ -161,6 +166,7 @@
             deadline,
             attempts,
             last_event,
+            resumed_request,
             body,
             tried: Vec::new(),
             refusals: 0,
@@ -250,7 +256,9 @@
                 load = gateway.fleet_load(target.endpoint).total(),
                 slots = target.registration.slots,
                 left_ms = self.deadline.since(now),
-                after_event = self.last_event.unwrap_or_default()
+                version = target.registration.software_version.as_str(),
+                resumes = self.resumed_request.as_str(),
+                after_event = event_id_text(self.last_event)
             );
             self.attempts.mark_sent();
             let send = gateway
--- a/cicadagate-gateway/src/request/mod.rs
+++ b/cicadagate-gateway/src/request/mod.rs
@@ -46,6 +46,12 @@
     res
 }
 
+/// Returns the id of a stream's event for logs, empty if there is none.
+#[must_use]
+pub fn event_id_text(id: Option<u64>) -> String {
+    id.map_or_else(String::new, |id| id.to_string())
+}
+
 /// Creates a response of the gateway itself.
 #[must_use]
 pub fn respond(status: u16, content_type: &str, body: impl Into<Bytes>) -> Response {
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -14,6 +14,7 @@
 
 use {
     super::{
+        event_id_text,
         forward::{PendingRequest, SendOutcome},
         placement::AttemptTarget,
         quarantine::PartList,
@@ -283,7 +284,8 @@
                     REQUEST_RESUMED,
                     request = self.request.id.as_str(),
                     replica = target.registration.id.as_str(),
-                    after_event = last.unwrap_or_default()
+                    version = target.registration.software_version.as_str(),
+                    after_event = event_id_text(last)
                 );
                 self.framing = response.body.framing();
                 self.body = Some(response.body);
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -103,6 +103,8 @@
     pub data_centre: String,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
+    /// Name of the version of its software; empty if the registration names none.
+    pub software_version: String,
     /// Whether it takes no new requests and will exit.
     pub is_draining: bool,
     /// Start time in milliseconds since the Unix epoch; distinguishes
--- a/cicadagate-policy/tests/dispatching/mod.rs
+++ b/cicadagate-policy/tests/dispatching/mod.rs
@@ -185,6 +185,7 @@
         addr: "10.0.0.1:80".parse().expect("an address"),
         data_centre: "a".to_owned(),
         slots: SLOTS,
+        software_version: "v1".to_owned(),
         is_draining: false,
         started_ms: 1,
     }
--- a/cicadagate-policy/tests/leaving_replicas.rs
+++ b/cicadagate-policy/tests/leaving_replicas.rs
@@ -24,6 +24,7 @@
         addr: "10.0.0.1:80".parse().expect("an address"),
         data_centre: "a".to_owned(),
         slots: 8,
+        software_version: "v1".to_owned(),
         is_draining,
         started_ms,
     }
