Resume streams and items only at the software version that began them

Cause: the version of a replica was never read, so a stream that lost its replica went on at any replica of the service, in the process and at another one, and no process told another at which version a stream began. Class: a continuation is sent wherever a beginning may be sent, without what binds it to its beginning. Items of batch jobs had it too, also over processes through their saved outputs.

Change: a stream is bound to the version of the replica that sent its first event. Before that event is passed on, three other members are told (rendezvous hashing, spread over data centres); a member at which a caller resumes the stream asks the eight that rank highest. If nobody knows, the stream goes on only if the service has had one version for a minute; otherwise it is refused at once (version_unknown, version_gone), which has not run. Partial outputs of items carry their version, also in the store; an item whose version is gone starts over (ITEM_STARTED_OVER).

Asking all members for each resumption grows with the fleet; telling the store costs an append per stream.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -21,7 +21,7 @@
     bytes::Bytes,
     cicadagate_node::{clock::unix_time_ms, event},
     cicadagate_policy::{
-        ids::{EndpointId, MemberId},
+        ids::{EndpointId, MemberId, SoftwareVersion},
         process::{
             batch_share::{Slots, fill_percent, plan, plan_interval_ms, runner},
             item_order::{self, OpenItem, RunRate},
@@ -86,6 +86,8 @@
 struct PartialOutput {
     data: Vec<u8>,
     sequencer: EventSequencer,
+    /// Version of the replicas' software that wrote it, once there is an event.
+    version: Option<SoftwareVersion>,
     events: u64,
     saved_events: u64,
     /// Time for which replicas have run the item for this process, in
@@ -100,6 +102,7 @@
         Self {
             data: Vec::new(),
             sequencer: EventSequencer::default(),
+            version: None,
             events: 0,
             saved_events: 0,
             ran_ms: 0,
--- a/cicadagate-gateway/src/process/item_runner/results.rs
+++ b/cicadagate-gateway/src/process/item_runner/results.rs
@@ -11,7 +11,10 @@
     actix_rt::time::sleep,
     bytes::Bytes,
     cicadagate_node::event,
-    cicadagate_policy::version::job_index::{ContentLocation, ItemRef, Outcome, Progress, Record},
+    cicadagate_policy::{
+        ids::SoftwareVersion,
+        version::job_index::{ContentLocation, ItemRef, Outcome, Progress, Record},
+    },
     std::{rc::Rc, time::Duration},
 };
 
@@ -101,12 +104,18 @@
 /// Saves the outputs that have grown by at least `min_new_events`; returns
 /// whether the store accepted them.
 pub(super) async fn save_grown_outputs(gateway: &Rc<Gateway>, min_new_events: u64) -> bool {
-    let grown: Vec<(ItemRef, u64, u64, Bytes)> = {
+    let grown: Vec<GrownOutput> = {
         let outputs = gateway.item_runner.outputs.borrow();
         let grown = outputs.iter().filter_map(|(item, output)| {
-            let last = output.sequencer.last()?;
+            let (last_event, version) = (output.sequencer.last()?, output.version?);
             let has_grown = output.events >= output.saved_events + min_new_events;
-            has_grown.then(|| (*item, last, output.events, Bytes::from(output.data.clone())))
+            has_grown.then(|| GrownOutput {
+                item: *item,
+                last_event,
+                version,
+                events: output.events,
+                data: Bytes::from(output.data.clone()),
+            })
         });
         grown.collect()
     };
@@ -122,25 +131,36 @@
     }
 }
 
-async fn write_outputs(
-    gateway: &Rc<Gateway>,
-    grown: &[(ItemRef, u64, u64, Bytes)],
-) -> Result<(), StoreError> {
-    let contents: Vec<Bytes> = grown.iter().map(|(.., data)| data.clone()).collect();
-    let part = grown.first().map_or(0, |(item, ..)| partition_of(*item));
+/// A partial output that has grown since it was last saved.
+struct GrownOutput {
+    item: ItemRef,
+    last_event: u64,
+    version: SoftwareVersion,
+    events: u64,
+    data: Bytes,
+}
+
+async fn write_outputs(gateway: &Rc<Gateway>, grown: &[GrownOutput]) -> Result<(), StoreError> {
+    let contents: Vec<Bytes> = grown.iter().map(|output| output.data.clone()).collect();
+    let part = grown.first().map_or(0, |output| partition_of(output.item));
     let locations = contents::write(gateway, part, &contents).await?;
-    for ((item, last_event, events, _), output) in grown.iter().zip(locations) {
+    for (grown, location) in grown.iter().zip(locations) {
+        let GrownOutput { item, version, .. } = *grown;
         let progress = Progress {
-            output,
-            last_event: *last_event,
+            output: location,
+            last_event: grown.last_event,
+            version: None,
         };
-        let record = Record::Saved {
-            item: *item,
+        let record = Record::SavedAtVersion {
+            item,
             progress,
+            version,
         };
         gateway.jobs.append(gateway, &record).await?;
-        if let Some(output) = gateway.item_runner.outputs.borrow_mut().get_mut(item) {
-            output.saved_events = output.saved_events.max(*events);
+        let mut outputs = gateway.item_runner.outputs.borrow_mut();
+        let saved = outputs.get_mut(&item);
+        if let Some(output) = saved.filter(|output| output.version == Some(version)) {
+            output.saved_events = output.saved_events.max(grown.events);
         }
     }
     Ok(())
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -25,12 +25,16 @@
         event,
     },
     cicadagate_policy::{
-        ids::{EndpointId, RequestPart},
-        process::{replicas::Registration, reports::InFlight, slot_ledger::Purpose},
+        ids::{EndpointId, RequestPart, SoftwareVersion},
+        process::{
+            replicas::{Registration, Wanted},
+            reports::InFlight,
+            slot_ledger::Purpose,
+        },
         request::sse::{EventParser, EventSequencer, SequenceCheck},
         time::Time,
         version::{
-            job_index::{ItemRef, ItemState, Record},
+            job_index::{ItemRef, ItemState, Progress, Record},
             serving::Route,
         },
     },
@@ -191,21 +195,28 @@
         .await
         .map_err(|err| err.to_string())?;
     let content = ItemContent::decode(&content)?;
+    let service = route.target(&entry.id).map(|target| target.service.clone());
+    let service = service.ok_or("route has no service")?;
+    drop_output_of_gone_version(gateway, item, &entry.id, &service);
     let last_kept = gateway
         .item_runner
         .outputs
         .borrow()
         .get(&item)
         .and_then(|output| output.sequencer.last());
-    if let Some(progress) = progress
-        .filter(|progress| last_kept.is_none_or(|last_kept| last_kept < progress.last_event))
-    {
+    let is_of_use = |progress: &Progress| {
+        let is_served = |version| gateway.replicas.borrow().serves_version(&service, version);
+        progress.version.is_some_and(is_served)
+            && last_kept.is_none_or(|last_kept| last_kept < progress.last_event)
+    };
+    if let Some(progress) = progress.filter(is_of_use) {
         let data = contents::read(gateway, progress.output)
             .await
             .map_err(|err| err.to_string())?;
         let output = PartialOutput {
             data: data.to_vec(),
             sequencer: EventSequencer::resume_after(Some(progress.last_event)),
+            version: progress.version,
             events: progress.last_event + 1,
             saved_events: progress.last_event + 1,
             ran_ms: 0,
@@ -235,15 +246,43 @@
     config.route_by_name(name).cloned()
 }
 
+/// Drops the partial output of an item if no replica of the software version that wrote
+/// it is left.
+fn drop_output_of_gone_version(gateway: &Gateway, item: ItemRef, id: &str, service: &str) {
+    let mut outputs = gateway.item_runner.outputs.borrow_mut();
+    let kept = outputs.get(&item);
+    let Some(version) = kept.and_then(|output| output.version) else {
+        return;
+    };
+    if gateway.replicas.borrow().serves_version(service, version) {
+        return;
+    }
+    if let Some(output) = outputs.remove(&item) {
+        event!(
+            ITEM_STARTED_OVER,
+            item: = ItemName(item),
+            id,
+            version: = version,
+            events = output.events
+        );
+    }
+}
+
 fn choose_replica(
     gateway: &Gateway,
     task: &Task,
     now: Time,
 ) -> Option<(EndpointId, Rc<Registration>)> {
     let service = &task.route.target(&task.id)?.service;
+    drop_output_of_gone_version(gateway, task.item, &task.id, service);
+    let outputs = gateway.item_runner.outputs.borrow();
+    let wanted = Wanted {
+        version: outputs.get(&task.item).and_then(|output| output.version),
+        ..Wanted::of(service)
+    };
     let replicas = gateway.replicas.borrow();
     let reports = gateway.reports.borrow();
-    let replica = replicas.choose(now, service, &[], gateway.next_random(), |id| {
+    let replica = replicas.choose(now, &wanted, gateway.next_random(), |id| {
         gateway.batch_load_estimate(&reports, id)
     })?;
     Some((replica.endpoint, Rc::clone(&replica.registration)))
@@ -320,7 +359,8 @@
         item: task.item,
         since: run.since.get(),
     };
-    let outcome = read_events(gateway, task.item, response).await;
+    let version = registration.version();
+    let outcome = read_events(gateway, task.item, version, response).await;
     drop(run_time);
     if matches!(outcome, RunOutcome::Done) {
         gateway.note_completed(&task.prompt_parts(gateway, &registration.service));
@@ -418,6 +458,7 @@
 async fn read_events(
     gateway: &Rc<Gateway>,
     item: ItemRef,
+    version: SoftwareVersion,
     response: ReplicaResponse,
 ) -> RunOutcome {
     let mut body = response.body;
@@ -467,6 +508,7 @@
                 }
                 SequenceCheck::Pass => {}
             }
+            output.version.get_or_insert(version);
             if let Some(data) = event.data() {
                 if output.events > 0 {
                     output.data.push(b'\n');
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -18,6 +18,7 @@
 * `rates`: request rates that replicas name.
 * `slots`: requests slots from the owners of replicas.
 * `queries`: queries to other gateways that wait for a reply.
+* `stream_origins`: which software version began a stream.
 * `stop`: shutdown without interrupting requests.
 */
 
@@ -36,6 +37,7 @@
 mod registry;
 pub mod slots;
 mod stop;
+pub mod stream_origins;
 
 use {
     self::queries::PendingQueries,
@@ -56,7 +58,7 @@
         trace::random_bytes,
     },
     cicadagate_policy::{
-        ids::{EndpointId, MemberId, Offset, RequestPart, hash64},
+        ids::{EndpointId, MemberId, Offset, RequestPart, SoftwareVersion, hash64},
         process::{
             membership::{Info, Membership, Role},
             quarantine::Quarantine,
@@ -66,6 +68,7 @@
             reports::{InFlight, ReportTable, period_ms, remaining_percent},
             shutdown::Phase,
             slot_ledger::{Purpose, SlotLedger},
+            stream_origins::{StreamOrigins, VersionHistory},
         },
         request::{
             attempt::RetryBudget,
@@ -144,6 +147,12 @@
     pub slot_queries: PendingQueries<slots::SlotReply>,
     /// Rate limit queries that wait for a reply of the owner.
     pub limit_queries: PendingQueries<limits::LimitDecision>,
+    /// Software versions that began streams.
+    pub stream_origins: RefCell<StreamOrigins>,
+    /// Software versions of the services' replicas lately.
+    pub version_history: RefCell<VersionHistory>,
+    /// Queries for the origin of a stream that wait for a reply.
+    pub origin_queries: PendingQueries<Option<SoftwareVersion>>,
     /// Batch jobs.
     pub jobs: jobs::Jobs,
     /// Recently used bodies and outputs of items.
@@ -207,6 +216,9 @@
             slot_ledger: RefCell::default(),
             slot_queries: PendingQueries::default(),
             limit_queries: PendingQueries::default(),
+            stream_origins: RefCell::default(),
+            version_history: RefCell::default(),
+            origin_queries: PendingQueries::default(),
             jobs: jobs::Jobs::default(),
             content_cache: contents::SharedCache::default(),
             item_runner: item_runner::ItemRunner::default(),
--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -154,6 +154,9 @@
         Ok(GatewayDatagram::Slot(message)) => super::slots::receive(gateway, from, message),
         Ok(GatewayDatagram::Limit(message)) => super::limits::receive(gateway, from, message),
         Ok(GatewayDatagram::Quarantine(message)) => super::quarantine::receive(gateway, message),
+        Ok(GatewayDatagram::StreamOrigin(message)) => {
+            super::stream_origins::receive(gateway, from, message);
+        }
         Err(err) => {
             metrics
                 .refused_messages
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -117,6 +117,10 @@
     };
     match gateway.codec.registration(id, value) {
         Ok(registration) => {
+            let version = registration.version();
+            let mut history = gateway.version_history.borrow_mut();
+            history.note(now, &registration.service, version);
+            drop(history);
             let change = gateway.replicas.borrow_mut().register(registration);
             handle_change(gateway, id, change);
         }
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -19,6 +19,7 @@
         placement::AttemptTarget,
         quarantine::{self, PartList},
         relay::{self, DisconnectLogger, Relay},
+        resumption,
     },
     crate::process::{Gateway, RequestGuard},
     actix_http::{
@@ -33,7 +34,7 @@
         event,
     },
     cicadagate_policy::{
-        ids::{EndpointId, RequestPart, hash64},
+        ids::{EndpointId, RequestPart, SoftwareVersion, StreamId, hash64},
         process::replicas::Registration,
         request::{
             attempt::{Attempts, Progress, RetryDecision},
@@ -59,9 +60,15 @@
     pub(super) deadline: Time,
     pub(super) attempts: Attempts,
     pub(super) last_event: Option<u64>,
-    /// Id of the request that began the stream that the caller resumes, empty if it
-    /// resumes none.
-    resumed_request: String,
+    /// Id of the request that began the stream that the caller resumes, empty if the
+    /// caller names none.
+    pub(super) resumed_request: String,
+    /// The stream that the caller resumes.
+    pub(super) resumed_stream: Option<StreamId>,
+    /// The stream that the request itself begins.
+    stream: StreamId,
+    /// Software version at which the stream goes on, once it has begun.
+    pub(super) version: Option<SoftwareVersion>,
     pub(super) service: String,
     method: Method,
     target: String,
@@ -138,6 +145,10 @@
             .with_max_run_attempts(route.max_attempts.max(1));
         let last_event = header_text(req, &names.last_event_id).parse().ok();
         let resumed_request = header_text(req, &names.resumed_request);
+        let customer_id = context.customer.as_ref().map(|customer| customer.id);
+        let is_resumption = last_event.is_some() && route.kind == RouteKind::Streaming;
+        let resumed_stream =
+            is_resumption.then(|| StreamId::of_request(customer_id, &resumed_request));
         let target = req
             .uri()
             .path_and_query()
@@ -156,6 +167,9 @@
         Self {
             service,
             parts,
+            stream: StreamId::of_request(customer_id, &id),
+            resumed_stream,
+            version: None,
             method: req.method().clone(),
             target: target.to_owned(),
             headers: forwarded_headers(gateway, req),
@@ -174,6 +188,23 @@
         }
     }
 
+    /// Lets the request go on only at a software version of a service.
+    pub(super) fn bind(&mut self, service: String, version: SoftwareVersion) {
+        self.service = service;
+        self.version = Some(version);
+    }
+
+    /// Records that an event of a stream which may be resumed is passed on, the first one
+    /// of this response: from now on the stream stays at the replica's software version.
+    pub(super) fn note_stream_began(&mut self, gateway: &Gateway, replica: &Registration) {
+        let version = *self.version.get_or_insert_with(|| replica.version());
+        gateway.note_stream_began(self.stream, version);
+        // Members that knew it may have ended since.
+        if let Some(resumed) = self.resumed_stream {
+            gateway.note_stream_began(resumed, version);
+        }
+    }
+
     fn build_request(
         &self,
         gateway: &Gateway,
@@ -441,10 +472,15 @@
 /// Sends a request to replicas and returns the response for the caller.
 pub(super) async fn serve(
     gateway: &Rc<Gateway>,
-    request: PendingRequest,
+    mut request: PendingRequest,
     guard: RequestGuard,
 ) -> Response {
     let disconnect_logger = DisconnectLogger::new(gateway, &request);
+    if let Err(request_error) = resumption::bind_to_origin(gateway, &mut request).await {
+        disconnect_logger.note_response();
+        let route = request.route.name.clone();
+        return refuse(gateway, &request.id, request_error, &route, None);
+    }
     let res = forward_request(gateway, request, guard).await;
     disconnect_logger.note_response();
     res
--- a/cicadagate-gateway/src/request/mod.rs
+++ b/cicadagate-gateway/src/request/mod.rs
@@ -11,6 +11,7 @@
 * `headers`: headers of requests to replicas and of their responses.
 * `placement`: choice of a replica, with a slot there.
 * `quarantine`: checks against the quarantined parts of requests.
+* `resumption`: streams that callers resume.
 * `relay`: streams a response body to the caller.
 * `job_requests`: submissions of jobs, and requests about accepted jobs.
 */
@@ -23,6 +24,7 @@
 mod placement;
 mod quarantine;
 mod relay;
+mod resumption;
 
 pub use headers::{is_hop_by_hop, set_replica_headers};
 use {
@@ -87,6 +89,10 @@
     NoReplica,
     /// Replicas crashed under the request or a part of its prompt.
     Quarantined,
+    /// No replica runs the software version that began the resumed stream.
+    VersionGone,
+    /// The software version that began the resumed stream is not known.
+    VersionUnknown,
     /// The store can't be reached.
     StoreUnavailable,
     /// The request may have run, but there is no response.
@@ -121,6 +127,16 @@
                 "prompt_quarantined",
                 "replicas crashed under this request or a part of its prompt",
             ),
+            Self::VersionGone => (
+                503,
+                "version_gone",
+                "no replica runs the software version that began the stream",
+            ),
+            Self::VersionUnknown => (
+                503,
+                "version_unknown",
+                "the software version that began the stream is not known",
+            ),
             Self::StoreUnavailable => (503, "store_away", "the store can't be reached"),
             Self::NoAnswer => (502, "no_answer", "the replica's answer was lost"),
             Self::TimedOut => (504, "timed_out", "the request's time is up"),
--- a/cicadagate-gateway/src/request/placement.rs
+++ b/cicadagate-gateway/src/request/placement.rs
@@ -14,7 +14,10 @@
     },
     cicadagate_policy::{
         ids::EndpointId,
-        process::{replicas::Registration, slot_ledger::Purpose},
+        process::{
+            replicas::{Registration, Wanted},
+            slot_ledger::Purpose,
+        },
         request::overload::max_wait_ms,
         time::Time,
     },
@@ -164,10 +167,14 @@
         let replicas = gateway.replicas.borrow();
         let reports = gateway.reports.borrow();
         let remaining = gateway.remaining_percent(&self.service);
-        let chosen =
-            replicas.choose(now, &self.service, excluded, gateway.next_random(), |id| {
-                gateway.online_load_estimate(&reports, remaining, id)
-            })?;
+        let wanted = Wanted {
+            service: &self.service,
+            excluded,
+            version: self.version,
+        };
+        let chosen = replicas.choose(now, &wanted, gateway.next_random(), |id| {
+            gateway.online_load_estimate(&reports, remaining, id)
+        })?;
         Some(Candidate {
             registration: Rc::clone(&chosen.registration),
             endpoint: chosen.endpoint,
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -198,6 +198,10 @@
             self.first_ms = self.gateway.now().since(self.request.arrival);
             let seconds = Duration::from_millis(self.first_ms).as_secs_f64();
             self.gateway.metrics.first_piece_seconds.observe(seconds);
+            if self.is_resumable() {
+                let replica = &self.target.registration;
+                self.request.note_stream_began(&self.gateway, replica);
+            }
         }
         self.sent_bytes += bytes.len();
         bytes
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -92,6 +92,7 @@
     QUARANTINED = 529, Info, "A request has a quarantined part, or is quarantined as a whole, and is refused.";
     OVERLOADED = 528, Info, "A request would wait too long for a slot and is refused.";
     REQUEST_RESUMED = 527, Info, "A stream continues at another replica.";
+    STREAM_TAKEN_UP = 533, Info, "A caller resumes a stream; it goes on at the software version that began it, or is refused.";
     ATTEMPT_FAILED = 523, Warn, "An attempt at a replica failed.";
     REQUEST_BROKEN = 524, Warn, "A request ended without its complete response.";
     CALLER_LEFT = 525, Info, "A caller disconnected before its response was complete.";
@@ -110,6 +111,7 @@
     ITEM_PAUSED = 611, Debug, "An item was paused for online requests and continues later.";
     ITEM_RETRIED = 612, Info, "A run of an item failed and another follows.";
     ITEM_DONE = 613, Debug, "An item's output is durable.";
+    ITEM_STARTED_OVER = 620, Info, "No replica of the software version that wrote an item's partial output is left; the item starts over.";
     ITEM_ABANDONED = 614, Warn, "An item was given up.";
     JOB_REFUSED = 615, Warn, "A job was refused or its acceptance is unknown.";
     JOB_OVER_LIMIT = 619, Info, "A job does not fit into the tokens that its customer may have waiting on the route.";
--- a/cicadagate-node/src/metrics.rs
+++ b/cicadagate-node/src/metrics.rs
@@ -28,6 +28,9 @@
     /// Requests that a leaving replica responded to, by how its leaving was known when
     /// the response arrived.
     pub requests_to_leaving: IntCounterVec,
+    /// Streams that callers resume, by how the software version that began them was
+    /// known, or why they were refused.
+    pub resumptions: IntCounterVec,
     /// Bytes of messages to other processes over TCP, by direction.
     pub peer_bytes: IntCounterVec,
     /// Bytes of datagrams, by direction.
@@ -115,6 +118,11 @@
                 "Requests that leaving replicas responded to, by how the leaving was known.",
                 "known_from",
             ),
+            resumptions: counter(
+                "cicadagate_resumptions_total",
+                "Streams that callers resume, by how their software version was known or why they were refused.",
+                "outcome",
+            ),
             peer_bytes: counter(
                 "cicadagate_peer_bytes_total",
                 "Bytes between processes over TCP, by direction.",
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -75,6 +75,10 @@
     IgnoreNamedRate,
     /// A member does not tell the owner of a replica which rate it names.
     SkipRateReports,
+    /// Only one member is asked which software version began a stream.
+    AskOneHolder,
+    /// A resumed stream goes to a replica of any software version.
+    IgnoreSoftwareVersion,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/ids.rs
+++ b/cicadagate-policy/src/ids.rs
@@ -103,6 +103,32 @@
     FileId, b"file"
 );
 
+name_id!(
+    /// Identifier of a version of the software of one service's replicas.
+    SoftwareVersion, b"software version"
+);
+name_id!(
+    /// Identifier of a stream: the request of a caller that brought its first event.
+    StreamId, b"stream"
+);
+
+impl SoftwareVersion {
+    /// Creates the id of a named version of a service's software.
+    #[must_use]
+    pub fn of_service(service: &str, version: &str) -> Self {
+        Self::of(&format!("{service}/{version}"))
+    }
+}
+
+impl StreamId {
+    /// Creates the id of the stream that a customer's request began.
+    #[must_use]
+    pub fn of_request(customer: Option<CustomerId>, request: &str) -> Self {
+        let customer = customer.unwrap_or_default();
+        Self::of(&format!("{customer}/{request}"))
+    }
+}
+
 /// What requests of a service may have in common: a part of their prompts, or all
 /// of it, if the same request is sent again.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/cicadagate-policy/src/process/mod.rs
+++ b/cicadagate-policy/src/process/mod.rs
@@ -17,3 +17,4 @@
 pub mod share_holder;
 pub mod shutdown;
 pub mod slot_ledger;
+pub mod stream_origins;
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -44,7 +44,7 @@
     super::reports::InFlight,
     crate::{
         fault_injection::{Fault, is_injected},
-        ids::{EndpointId, mix64},
+        ids::{EndpointId, SoftwareVersion, mix64},
         time::Time,
     },
     serde::{Deserialize, Serialize},
@@ -112,6 +112,43 @@
     pub started_ms: u64,
 }
 
+impl Registration {
+    /// Returns the id of the version of the replica's software.
+    #[must_use]
+    pub fn version(&self) -> SoftwareVersion {
+        SoftwareVersion::of_service(&self.service, &self.software_version)
+    }
+}
+
+/// The replicas among which one is chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Replicas that are not chosen.
+    pub excluded: &'a [EndpointId],
+    /// Version of the software that the replica must run, any if `None`.
+    pub version: Option<SoftwareVersion>,
+}
+
+impl<'a> Wanted<'a> {
+    /// All replicas of a service.
+    #[must_use]
+    pub const fn of(service: &'a str) -> Self {
+        Self {
+            service,
+            excluded: &[],
+            version: None,
+        }
+    }
+
+    fn allows(&self, replica: &Replica) -> bool {
+        let has_version = self.version.is_none_or(|wanted| replica.version == wanted);
+        !self.excluded.contains(&replica.endpoint)
+            && (has_version || is_injected(Fault::IgnoreSoftwareVersion))
+    }
+}
+
 /// A replica and its state as seen by this process.
 #[derive(Clone, Debug)]
 pub struct Replica {
@@ -119,6 +156,8 @@
     pub registration: Rc<Registration>,
     /// Hash of the registration's id, for maps and reports.
     pub endpoint: EndpointId,
+    /// Version of the software that it runs.
+    pub version: SoftwareVersion,
     lapsed: bool,
     failures: u32,
     avoid_until: Time,
@@ -221,6 +260,7 @@
             _ => (0, Time::default()),
         };
         let replica = Replica {
+            version: registration.version(),
             registration: Rc::new(registration),
             endpoint,
             lapsed: false,
@@ -511,21 +551,36 @@
             .collect()
     }
 
-    /// Chooses a replica of a service that is not among `excluded`.
+    /// Returns whether a service has a replica of a software version that is not
+    /// draining.
+    #[must_use]
+    pub fn serves_version(&self, service: &str, version: SoftwareVersion) -> bool {
+        self.replicas_of(service)
+            .any(|replica| replica.version == version)
+    }
+
+    /// Returns the software versions of a service's replicas, draining ones included.
+    pub fn versions_of(&self, service: &str) -> impl Iterator<Item = SoftwareVersion> {
+        self.replicas
+            .values()
+            .filter(move |replica| replica.registration.service == service)
+            .map(|replica| replica.version)
+    }
+
+    /// Chooses one of the wanted replicas.
     ///
     /// `replica_load` returns the load and state of a replica. `seed` is a
     /// random number.
     pub fn choose(
         &self,
         now: Time,
-        service: &str,
-        excluded: &[EndpointId],
+        wanted: &Wanted<'_>,
         seed: u64,
         replica_load: impl Fn(EndpointId) -> ReplicaLoad,
     ) -> Option<&Replica> {
         let candidates: Vec<Candidate<'_>> = self
-            .replicas_of(service)
-            .filter(|replica| !excluded.contains(&replica.endpoint))
+            .replicas_of(wanted.service)
+            .filter(|replica| wanted.allows(replica))
             .map(|replica| {
                 let ReplicaLoad {
                     in_flight,
--- a/cicadagate-policy/src/version/job_index.rs
+++ b/cicadagate-policy/src/version/job_index.rs
@@ -30,7 +30,7 @@
     super::token_limit::{self, RefusedAttempts, TokenCount},
     crate::{
         fault_injection::{Fault, is_injected},
-        ids::{CustomerId, JobId, hash64},
+        ids::{CustomerId, JobId, SoftwareVersion, hash64},
     },
     serde::{Deserialize, Serialize},
     std::collections::{BTreeMap, BTreeSet},
@@ -102,6 +102,11 @@
     pub output: ContentLocation,
     /// Id of the last event in the output.
     pub last_event: u64,
+    /// Version of the replicas' software that wrote it; `None` if it was saved by a
+    /// build that did not record it. [`Record::SavedAtVersion`] carries it, so that
+    /// [`Record::Saved`] keeps its encoding.
+    #[serde(skip)]
+    pub version: Option<SoftwareVersion>,
 }
 
 /// A job as submitted.
@@ -161,7 +166,8 @@
         /// Outcome of the item.
         outcome: Outcome,
     },
-    /// Part of an item's output was saved.
+    /// Part of an item's output was saved by a build that did not record its software
+    /// version.
     Saved {
         /// Item.
         item: ItemRef,
@@ -188,6 +194,15 @@
         /// Most tokens that the customer may have waiting on the route.
         token_limit: u64,
     },
+    /// Part of an item's output was saved.
+    SavedAtVersion {
+        /// Item.
+        item: ItemRef,
+        /// The partial output.
+        progress: Progress,
+        /// Version of the replicas' software that wrote it.
+        version: SoftwareVersion,
+    },
 }
 
 /// What the index says of an attempt to submit a job.
@@ -341,6 +356,20 @@
             Record::Accepted(submission) => self.accept(submission),
             Record::Finished { item, outcome } => self.finish(item, outcome),
             Record::Saved { item, progress } => self.save(item, progress),
+            Record::SavedAtVersion {
+                item,
+                progress,
+                version,
+            } => {
+                let version = Some(version);
+                self.save(
+                    item,
+                    Progress {
+                        version,
+                        ..progress
+                    },
+                )
+            }
             Record::Failed { item } => self.note_failure(item),
             Record::Ended { job } => self.end(job),
             Record::Submitted {
@@ -471,7 +500,12 @@
         else {
             return false;
         };
-        if known.is_some_and(|known| known.last_event >= progress.last_event) {
+        // An output of another version replaces a longer one: no replica was left that
+        // could continue that.
+        let is_further = known.is_none_or(|known| {
+            known.version != progress.version || known.last_event < progress.last_event
+        });
+        if !is_further {
             return false;
         }
         *known = Some(progress);
--- a/cicadagate-policy/tests/dispatching/mod.rs
+++ b/cicadagate-policy/tests/dispatching/mod.rs
@@ -10,7 +10,7 @@
     cicadagate_policy::{
         ids::{EndpointId, MemberId, hash64},
         process::{
-            replicas::{Registration, ReplicaLoad, ReplicaSet},
+            replicas::{Registration, ReplicaLoad, ReplicaSet, Wanted},
             reports::{InFlight, Report, ReportTable, period_ms, remaining_percent},
             slot_ledger::{Purpose, SlotLedger, owner},
         },
@@ -373,10 +373,14 @@
         let full_replicas = &self.requests[request].full_replicas;
         let requesting = &self.gateways[gateway];
         let remaining = remaining_percent(period_ms(self.scenario.gateways), SLOT_HOLD_MS.0);
+        let wanted = Wanted {
+            excluded: full_replicas,
+            ..Wanted::of("llm")
+        };
         let chosen = if full_replicas.len() < MAX_OWNERS_QUERIED {
             requesting
                 .replicas
-                .choose(Time(self.now_ms), "llm", full_replicas, seed, |id| {
+                .choose(Time(self.now_ms), &wanted, seed, |id| {
                     let at = self.replica_of[&id];
                     let own = self.own(gateway, at);
                     ReplicaLoad {
--- a/cicadagate-policy/tests/job_index.rs
+++ b/cicadagate-policy/tests/job_index.rs
@@ -2,7 +2,7 @@
 
 use {
     cicadagate_policy::{
-        ids::{CustomerId, JobId},
+        ids::{CustomerId, JobId, SoftwareVersion},
         version::job_index::{
             ContentLocation, ItemEntry, ItemRef, ItemState, JobIndex, Outcome, Progress, Record,
             Submission,
@@ -81,6 +81,7 @@
                     progress: Progress {
                         output: place(at as u64),
                         last_event: u64::arbitrary(g) % 5,
+                        version: None,
                     },
                 },
                 8 => Record::Failed { item },
@@ -139,6 +140,7 @@
                 self.ended.insert(job.raw());
             }
             Record::Saved { .. }
+            | Record::SavedAtVersion { .. }
             | Record::Failed { .. }
             | Record::Ended { .. }
             | Record::Submitted { .. } => {}
@@ -219,6 +221,7 @@
             progress: Progress {
                 output: place(offset),
                 last_event,
+                version: None,
             },
         });
     }
@@ -229,6 +232,53 @@
     assert_eq!((progress.last_event, progress.output.offset), (20, 5));
 }
 
+// Guards against an item that starts over at another software version each time, since the
+// longer output of a version that is gone hides the one that can be continued.
+#[test]
+fn an_output_of_another_software_version_replaces_a_longer_one() {
+    let mut index = JobIndex::default();
+    index.apply(accepted(1, 9_000));
+    let (old, new) = (SoftwareVersion::of("v1"), SoftwareVersion::of("v2"));
+    let saved = [(old, 20), (old, 10), (new, 5), (new, 4), (new, 7)];
+    let expected = [(old, 20), (old, 20), (new, 5), (new, 5), (new, 7)];
+    for ((version, last_event), expected) in saved.into_iter().zip(expected) {
+        index.apply(Record::SavedAtVersion {
+            item: item(1, 0),
+            progress: Progress {
+                output: place(last_event),
+                last_event,
+                version: None,
+            },
+            version,
+        });
+        let job = index.job(JobId::from_raw(1)).expect("accepted");
+        let Some(ItemState::Open(Some(progress))) = job.state(0) else {
+            panic!("an open item with an output");
+        };
+        assert_eq!(
+            (progress.version, progress.last_event),
+            (Some(expected.0), expected.1)
+        );
+    }
+}
+
+// Guards against records of earlier builds, without a software version, that can't be read.
+#[test]
+fn an_output_saved_by_an_earlier_build_is_read_without_a_version() {
+    // Variant; job and position of the item; part, offset, records and bytes of the
+    // output; last event.
+    let encoded = [2, 1, 0, 0, 5, 1, 10, 20];
+    let record: Record = postcard::from_bytes(&encoded).expect("a record");
+    let mut index = JobIndex::default();
+    index.apply(accepted(1, 9_000));
+    assert!(index.apply(record));
+    let job = index.job(JobId::from_raw(1)).expect("accepted");
+    let Some(ItemState::Open(Some(progress))) = job.state(0) else {
+        panic!("an open item with an output");
+    };
+    assert_eq!((progress.version, progress.last_event), (None, 20));
+}
+
 #[test]
 fn every_reader_counts_failed_runs() {
     let mut index = JobIndex::default();
--- a/cicadagate-policy/tests/leaving_replicas.rs
+++ b/cicadagate-policy/tests/leaving_replicas.rs
@@ -7,6 +7,7 @@
         ids::{EndpointId, mix64},
         process::replicas::{
             LeavingReplica, LeavingSource, Registration, ReplicaLoad, ReplicaSet, TOLD_LEAVING_MS,
+            Wanted,
         },
         time::Time,
     },
@@ -110,7 +111,9 @@
                 ));
             }
         }
-        let chosen = set.choose(now, "llm", &[], below(1_000), |_| ReplicaLoad::default());
+        let chosen = set.choose(now, &Wanted::of("llm"), below(1_000), |_| {
+            ReplicaLoad::default()
+        });
         let usable = facts.values().filter(|facts| facts.registration.is_some());
         let sources: Vec<_> = usable.map(|facts| facts.source(now)).collect();
         let expected = if sources.contains(&None) {
--- a/cicadagate-policy/tests/replicas.rs
+++ b/cicadagate-policy/tests/replicas.rs
@@ -5,7 +5,7 @@
         ids::{EndpointId, mix64},
         process::replicas::{
             LAPSED_RETENTION_MS, MAX_AVOID_MS, MIN_AVOID_MS, PROBE_INTERVAL_MS, Registration,
-            ReplicaChange, ReplicaLoad, ReplicaSet,
+            ReplicaChange, ReplicaLoad, ReplicaSet, Wanted,
         },
         time::Time,
     },
@@ -39,7 +39,7 @@
 }
 
 fn choose(set: &ReplicaSet, now: Time, seed: u64) -> Option<EndpointId> {
-    set.choose(now, "llm", &[], seed, |_| ReplicaLoad::default())
+    set.choose(now, &Wanted::of("llm"), seed, |_| ReplicaLoad::default())
         .map(|replica| replica.endpoint)
 }
 
@@ -137,13 +137,15 @@
     let set = set(9);
     let mut chosen: HashMap<EndpointId, u32> = HashMap::new();
     for seed in 0..70_u64 {
-        let choice = set.choose(NOW, "llm", &[], mix64(seed, 11), |endpoint| ReplicaLoad {
-            in_flight: if endpoint == EndpointId::of("i3") {
-                4
-            } else {
-                5
-            },
-            ..ReplicaLoad::default()
+        let choice = set.choose(NOW, &Wanted::of("llm"), mix64(seed, 11), |endpoint| {
+            ReplicaLoad {
+                in_flight: if endpoint == EndpointId::of("i3") {
+                    4
+                } else {
+                    5
+                },
+                ..ReplicaLoad::default()
+            }
         });
         *chosen.entry(choice.expect("one").endpoint).or_default() += 1;
     }
@@ -155,7 +157,7 @@
 #[test]
 fn without_a_free_slot_the_least_loaded_takes_it() {
     let set = set(3);
-    let choice = set.choose(NOW, "llm", &[], 5, |endpoint| ReplicaLoad {
+    let choice = set.choose(NOW, &Wanted::of("llm"), 5, |endpoint| ReplicaLoad {
         in_flight: if endpoint == EndpointId::of("i2") {
             9
         } else {
@@ -173,10 +175,12 @@
     let set = set(4);
     let connected = EndpointId::of("i1");
     let is_hit = |seed: &u64| {
-        let choice = set.choose(NOW, "llm", &[], mix64(*seed, 17), |endpoint| ReplicaLoad {
-            in_flight: if endpoint == connected { own } else { others },
-            is_connected: endpoint == connected,
-            ..ReplicaLoad::default()
+        let choice = set.choose(NOW, &Wanted::of("llm"), mix64(*seed, 17), |endpoint| {
+            ReplicaLoad {
+                in_flight: if endpoint == connected { own } else { others },
+                is_connected: endpoint == connected,
+                ..ReplicaLoad::default()
+            }
         });
         choice.is_some_and(|replica| replica.endpoint == connected)
     };
--- a/cicadagate-policy/tests/token_limit.rs
+++ b/cicadagate-policy/tests/token_limit.rs
@@ -165,7 +165,10 @@
             Record::Ended { job } if self.accepted.contains_key(&job.raw()) => {
                 self.ended.insert(job.raw());
             }
-            Record::Ended { .. } | Record::Saved { .. } | Record::Failed { .. } => {}
+            Record::Ended { .. }
+            | Record::Saved { .. }
+            | Record::SavedAtVersion { .. }
+            | Record::Failed { .. } => {}
         }
     }
 }
--- a/cicadagate-wire/src/datagram.rs
+++ b/cicadagate-wire/src/datagram.rs
@@ -6,7 +6,8 @@
 always 0), so a replayed datagram is accepted. Membership messages merge, load
 reports are numbered by their sender, and slot messages state how many slots of
 the replica their sender occupies in total, so a replay has no lasting effect. A
-replayed message about crashes can suspect parts of prompts again until a request with
+replayed word about a stream's software version changes nothing, since the first one counts.
+A replayed message about crashes can suspect parts of prompts again until a request with
 them completes. A replayed rate-limit request takes another token at the owner of the customer's
 limit.
 */
@@ -18,7 +19,7 @@
     },
     cicadagate_policy::process::{
         membership::Message, quarantine::QuarantineMessage, rate_limit::LimitMessage,
-        reports::Report, slot_ledger::SlotMessage,
+        reports::Report, slot_ledger::SlotMessage, stream_origins::StreamOriginMessage,
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
 };
@@ -40,6 +41,8 @@
     Limit(LimitMessage),
     /// Crashes of replicas, and quarantined parts of prompts.
     Quarantine(QuarantineMessage),
+    /// The software version that began a stream, or a query for it.
+    StreamOrigin(StreamOriginMessage),
 }
 
 /// Encodes and decodes datagrams.
