Own binaries: resume responses only at the software version that began them

With engines of two versions, 3 streams of 15 went on at the other version after an engine was killed.

Cause: the same as in the gateway: the list says nothing of an endpoint's software, and a retry goes to any endpoint of the deployment. Items of batch jobs use the same code; callers can't resume here.

Change: the list's entries have software_version; once a piece was relayed, only endpoints of that version are candidates.

Evidence: streams_stay_at_their_software_version_after_engine_crash failed before (resumed [0, 3] at v2) and passes.

--- a/cicadagate-lab/src/fleet/mod.rs
+++ b/cicadagate-lab/src/fleet/mod.rs
@@ -142,6 +142,7 @@
             "address": self.address(&engine.name, "listen")?,
             "deployment": engine.deployment,
             "max_streams": engine.max_streams,
+            "software_version": engine.software_version,
         });
         self.put_instance(&instance).await
     }
--- a/cicadagate-lab/src/fleet/spec.rs
+++ b/cicadagate-lab/src/fleet/spec.rs
@@ -26,6 +26,8 @@
     pub data_centre: String,
     /// Maximum number of running streams.
     pub max_streams: usize,
+    /// Version of the software, as listed.
+    pub software_version: String,
     /// Additional command-line arguments.
     pub args: Vec<String>,
 }
@@ -101,6 +103,7 @@
                 deployment: deployment.to_owned(),
                 data_centre,
                 max_streams,
+                software_version: "v1".to_owned(),
                 args: args.iter().map(|&arg| arg.to_owned()).collect(),
             });
         }
--- a/cicadagate-lab/tests/online.rs
+++ b/cicadagate-lab/tests/online.rs
@@ -4,7 +4,10 @@
 mod support;
 
 use {
-    cicadagate_lab::load::{Caller, Outcome},
+    cicadagate_lab::{
+        fleet::FleetSpec,
+        load::{Caller, Outcome},
+    },
     serde_json::json,
     std::time::{Duration, Instant},
     support::{
@@ -43,6 +46,39 @@
     });
 }
 
+// Guards against streams that go on at an engine of another software version than the
+// one that began them, after an engine has crashed.
+#[test]
+fn streams_stay_at_their_software_version_after_engine_crash() {
+    run(async {
+        let mut spec = FleetSpec::new("versions", 3, &["a", "b", "c"])
+            .engines("drafting", 4, 8, &["--step-us", "20000"])
+            .services("permits", 1);
+        for engine in spec.engines.iter_mut().skip(2) {
+            "v2".clone_into(&mut engine.software_version);
+        }
+        let mut setup = start(spec).await;
+        let entries = setup.fleet.entries();
+        let running = actix_rt::spawn(streams(&setup.caller, &entries, 15, 60));
+        setup
+            .fleet
+            .wait("all engines work", LIMIT, async || {
+                engine_stat(&setup.fleet, 4, "tokens").await > 150
+            })
+            .await
+            .expect("work began");
+        setup.fleet.kill("drafting-1").expect("killed");
+        assert_all_correct(&running.await.expect("streams"));
+        let mut resumed = Vec::new();
+        for engine in ["drafting-2", "drafting-3", "drafting-4"] {
+            let page = setup.fleet.fetch(engine, "listen", "/control/stats").await;
+            resumed.push(page.expect("page")["resumed"].as_u64().expect("a number"));
+        }
+        assert!(resumed[0] > 0, "the fault took effect");
+        assert_eq!(resumed[1..], [0, 0], "resumed at another version");
+    });
+}
+
 /// The owner of a replica is killed, then another owner is suspended.
 #[test]
 fn streams_complete_after_owner_failure() {
--- a/cicadagate-node/src/platform/instance_list.rs
+++ b/cicadagate-node/src/platform/instance_list.rs
@@ -69,6 +69,9 @@
     /// Whether the engine rejects load orders with an old fencing token.
     #[serde(default)]
     pub checks_fencing: bool,
+    /// Version of an endpoint's software, empty if unknown.
+    #[serde(default)]
+    pub software_version: String,
 }
 
 /// A listed endpoint.
@@ -92,6 +95,9 @@
     pub max_streams: usize,
     /// Whether it rejects load orders with an old fencing token.
     pub checks_fencing: bool,
+    /// Version of its software, empty if unknown. A stream goes on only at the
+    /// version that began it.
+    pub software_version: String,
 }
 
 /// The instance list as last read.
@@ -139,6 +145,7 @@
         leaving: instance.state == InstanceState::Leaving,
         max_streams: instance.max_streams,
         checks_fencing: instance.checks_fencing,
+        software_version: instance.software_version,
         name: instance.id,
     })
 }
--- a/cicadagate-node/src/request/answer.rs
+++ b/cicadagate-node/src/request/answer.rs
@@ -134,6 +134,8 @@
 struct RunningAttempt {
     handle: AttemptHandle,
     endpoint: EndpointId,
+    /// Version of the endpoint's software.
+    software_version: String,
     number: u32,
     span: TraceContext,
     start_ms: u64,
@@ -153,6 +155,9 @@
     busy_refusals: usize,
     /// Shortest wait that a refusal gave, in milliseconds.
     min_wait_ms: Option<u64>,
+    /// Version of the software that returned the first piece; the response goes on
+    /// there only.
+    software_version: Option<String>,
     /// Whether the head of a plain service's response has been returned.
     has_head: bool,
     /// Why the last attempt failed.
@@ -180,6 +185,7 @@
             over_bound_refusals: 0,
             busy_refusals: 0,
             min_wait_ms: None,
+            software_version: None,
             has_head: false,
             last_error: String::new(),
             deprioritized: Vec::new(),
@@ -220,6 +226,7 @@
         let seed = attempt_seed(&self.spec.id.0, number);
         let candidates = self.router.candidates(
             &self.spec.deployment,
+            self.software_version.as_deref(),
             self.spec.prefix_hash,
             seed,
             self.spec.has_idempotency_key,
@@ -229,7 +236,12 @@
             .iter()
             .find(|id| !self.deprioritized.contains(id));
         let Some(endpoint) = preferred.or(candidates.endpoints.first()).copied() else {
-            return Err(self.fail(FailureKind::Unavailable, "no replica is there"));
+            let reason = if self.software_version.is_some() {
+                "no replica of the software version that began the response"
+            } else {
+                "no replica is there"
+            };
+            return Err(self.fail(FailureKind::Unavailable, reason));
         };
         let Some(owner) = self.router.owner_address(endpoint) else {
             return Err(self.fail(FailureKind::Unavailable, "no home is there"));
@@ -245,6 +257,7 @@
                 self.current = Some(RunningAttempt {
                     handle,
                     endpoint,
+                    software_version: self.router.software_version(endpoint),
                     number,
                     span,
                     start_ms,
@@ -326,7 +339,13 @@
                 body,
                 ..
             } => match self.attempts.accept_piece(attempt, index) {
-                FrameAction::Pass => Ok(Some(ResponseEvent::Piece(body))),
+                FrameAction::Pass => {
+                    if let Some(current) = &self.current {
+                        let began_at = &mut self.software_version;
+                        began_at.get_or_insert_with(|| current.software_version.clone());
+                    }
+                    Ok(Some(ResponseEvent::Piece(body)))
+                }
                 FrameAction::Drop => Ok(None),
                 FrameAction::Gap => self.end_attempt(Progress::MaybeRun, "a piece is missing"),
             },
--- a/cicadagate-node/src/request/router.rs
+++ b/cicadagate-node/src/request/router.rs
@@ -81,10 +81,12 @@
     /// Returns the replicas of a deployment that may get new requests.
     ///
     /// Requests with an idempotency key ignore the loads, so that a retry by
-    /// the caller reaches the same replica.
+    /// the caller reaches the same replica. With `software_version`, only replicas that
+    /// run it are returned.
     pub(super) fn candidates(
         &self,
         deployment: &str,
+        software_version: Option<&str>,
         prefix: u64,
         seed: u64,
         keyed: bool,
@@ -95,6 +97,9 @@
         let usable: Vec<EndpointId> = listed
             .deployment(deployment)
             .filter(|endpoint| !endpoint.leaving && !drained.1.contains(&endpoint.id))
+            .filter(|endpoint| {
+                software_version.is_none_or(|version| endpoint.software_version == version)
+            })
             .map(|endpoint| endpoint.id)
             .collect();
         let now = self.node.now();
@@ -122,6 +127,13 @@
         }
     }
 
+    /// Returns the version of an endpoint's software, empty if it is unknown.
+    pub(super) fn software_version(&self, endpoint: EndpointId) -> String {
+        let listed = self.node.listed_instances.borrow();
+        let endpoint = listed.endpoints.get(&endpoint);
+        endpoint.map_or_else(String::new, |found| found.software_version.clone())
+    }
+
     /// Returns the number of streams that a deployment's replicas can run at
     /// once; a replica of unknown capacity counts as one.
     #[must_use]
