--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -115,6 +115,7 @@
             service = service.as_str(),
             online = service_load.online,
             slots = service_load.slots,
+            unreachable = gateway.replicas.borrow().unreachable_of(service),
             hold_ms = service_load.slot_hold_ms,
             wait_ms = over.wait_ms,
             burst_left
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -447,6 +447,15 @@
             .filter_map(|endpoint| self.replicas.get(endpoint))
     }
 
+    /// Returns how many replicas of a service that are not draining accept no connections
+    /// from this process.
+    #[must_use]
+    pub fn unreachable_of(&self, service: &str) -> usize {
+        self.replicas_of(service)
+            .filter(|replica| replica.next_probe_at.is_some())
+            .count()
+    }
+
     /// Returns the number of known replicas.
     #[must_use]
     pub fn len(&self) -> usize {
