Send requests through another instance while this one reaches no replica

Cause: an instance had only its own connections to replicas, and took the loss of all of them for the failure of each: no slots, so 503 overloaded, and 400 ms for each try. Class: a fault of the path is taken for a fault of the other end.

Change: reachability (policy) decides when a member counts as cut off from a service; it tells the others, sends its callers' requests through a member that is not cut off, and leaves items to those. The directory leaves out members that are cut off from all services. A request is sent on once.

Ruled out: leaving the directory alone, since callers keep addresses and connections; tunnels to the replica, since each needs connections and choices of its own while the other instance has both.

--- a/cicadagate-gateway/src/process/directory.rs
+++ b/cicadagate-gateway/src/process/directory.rs
@@ -12,7 +12,7 @@
     crate::request::{Response, respond},
     actix_http::Request,
     cicadagate_node::clock::unix_time_ms,
-    cicadagate_policy::process::membership::Health,
+    cicadagate_policy::process::{membership::Health, reachability::members_to_advertise},
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
@@ -51,14 +51,17 @@
     let now = gateway.now();
     let members = gateway.members.borrow();
     let reports = gateway.reports.borrow();
-    let mut addresses: Vec<SocketAddr> = members
+    let cut_off = gateway.cut_off_members.borrow();
+    let mut working: Vec<(SocketAddr, bool)> = members
         .members()
         .filter(|(info, health)| *health == Health::Alive && reports.is_working(now, info))
-        .map(|(info, _)| info.tcp)
+        .map(|(info, _)| (info.tcp, cut_off.is_cut_off_from_all(now, info.id)))
         .collect();
     if gateway.is_ready() {
-        addresses.push(gateway.settings.addresses.callers);
+        let own_addr = gateway.settings.addresses.callers;
+        working.push((own_addr, gateway.is_cut_off_from_all()));
     }
+    let mut addresses = members_to_advertise(&working);
     addresses.sort_unstable();
     if addresses.len() > MAX_ADDRESSES {
         let skip = usize::try_from(gateway.next_random()).unwrap_or_default() % addresses.len();
--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -16,12 +16,12 @@
 mod run;
 
 use {
-    super::Gateway,
+    super::{Gateway, reachability::pick_member},
     actix_rt::time::{sleep, timeout},
     bytes::Bytes,
     cicadagate_node::{clock::unix_time_ms, event},
     cicadagate_policy::{
-        ids::{EndpointId, MemberId, SoftwareVersion},
+        ids::{EndpointId, MemberId, ServiceId, SoftwareVersion},
         process::{
             batch_share::{Slots, fill_percent, plan, plan_interval_ms, runner},
             item_order::{self, OpenItem, RunRate},
@@ -30,7 +30,10 @@
         },
         request::sse::EventSequencer,
         time::Time,
-        version::job_index::{ItemRef, ItemState, Job, Submission},
+        version::{
+            job_index::{ItemRef, ItemState, Job, Submission},
+            serving::Route,
+        },
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -251,7 +254,6 @@
     let now = gateway.now();
     let here: HashSet<ItemRef> = gateway.item_runner.running().into_iter().collect();
     let elsewhere = gateway.reports.borrow().items_running_elsewhere(now);
-    let members = working_members(gateway);
     let mut by_service: HashMap<String, Vec<OpenItem>> = HashMap::new();
     let mut to_abandon = Vec::new();
     let now_ms = unix_time_ms();
@@ -283,11 +285,13 @@
     gateway
         .metrics
         .set_state("items_elsewhere", elsewhere.len());
+    let members = working_members(gateway);
     gateway.metrics.set_state("members_working", members.len());
     for item in to_abandon {
         stop_or_abandon(gateway, item, &members, &here);
     }
     for (service, mut items) in by_service {
+        let members = members_for(gateway, &service, &members);
         let due_in_ms = first_due_in_ms(&items, now_ms);
         let slots = slots(gateway, &service, due_in_ms).for_batch();
         gateway.metrics.set_state("batch_slots", slots);
@@ -366,6 +370,51 @@
     working
 }
 
+/// Returns the members that may run items of a service: those that are not cut off from
+/// it, or all if all are.
+fn members_for(gateway: &Gateway, service: &str, working: &[MemberId]) -> Vec<MemberId> {
+    let now = gateway.now();
+    let is_cut_off = gateway.is_cut_off(service);
+    let cut_off = gateway.cut_off_members.borrow();
+    let service = ServiceId::of(service);
+    let reaches = |member: &MemberId| {
+        if *member == gateway.member_id {
+            !is_cut_off
+        } else {
+            !cut_off.is_cut_off(now, *member, service)
+        }
+    };
+    let reaching: Vec<MemberId> = working.iter().copied().filter(reaches).collect();
+    if reaching.is_empty() {
+        working.to_vec()
+    } else {
+        reaching
+    }
+}
+
+/// Saves the outputs of a service's items and stops the items, so that members which
+/// reach the service run them.
+pub(super) async fn leave_to_others(gateway: Rc<Gateway>, service: String) {
+    let _ = timeout(HAND_OFF_TIMEOUT, results::save_grown_outputs(&gateway, 1)).await;
+    let Some(config) = gateway.current_config() else {
+        return;
+    };
+    if !gateway.is_cut_off(&service) || pick_member(&gateway, &service, &[]).is_none() {
+        return;
+    }
+    let index = gateway.jobs.index.borrow();
+    for item in gateway.item_runner.running() {
+        let route = index.job(item.job).map(|job| &job.submission.route);
+        let route = route.and_then(|route| config.route_by_name(route));
+        let is_of_service =
+            |route: &Rc<Route>| route.targets.iter().any(|target| target.service == service);
+        if route.is_some_and(is_of_service) {
+            event!(ITEM_PAUSED, item: = ItemName(item), reason = "replicas can't be reached");
+            gateway.item_runner.stop(item);
+        }
+    }
+}
+
 /// Returns the time until the next due time that is still ahead, `u64::MAX` if
 /// there is none.
 fn first_due_in_ms(items: &[OpenItem], now_ms: u64) -> u64 {
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -5,6 +5,7 @@
 waits for the stop signal.
 
 * `config`: follows the operators' configuration.
+* `reachability`: services whose replicas this instance can't reach.
 * `registry`: follows the replicas' registrations.
 * `peers`: membership and load reports of the gateways.
 * `jobs`: follows the index of batch jobs.
@@ -34,6 +35,7 @@
 mod quarantine;
 pub mod queries;
 mod rates;
+pub mod reachability;
 mod registry;
 pub mod slots;
 mod stop;
@@ -63,6 +65,7 @@
             membership::{Info, Membership, Role},
             quarantine::Quarantine,
             rate_limit::RateLimiter,
+            reachability::CutOffMembers,
             replica_rates::{ReplicaRates, usable_slots_milli},
             replicas::{ReplicaLoad, ReplicaSet},
             reports::{InFlight, ReportTable, period_ms, remaining_percent},
@@ -80,7 +83,7 @@
     snafu::{ResultExt, Snafu},
     std::{
         cell::{Cell, OnceCell, RefCell},
-        collections::HashMap,
+        collections::{BTreeSet, HashMap},
         io,
         net::SocketAddr,
         rc::Rc,
@@ -139,6 +142,16 @@
     pub quarantine: RefCell<Quarantine>,
     /// Connections to replicas.
     pub pool: Pool,
+    /// Connections to other gateways, for requests sent through them.
+    pub member_pool: Pool,
+    /// Other gateways that are cut off from services.
+    pub cut_off_members: RefCell<CutOffMembers>,
+    /// Services from which this gateway is cut off.
+    own_cut_off: RefCell<BTreeSet<String>>,
+    /// Time of the last probes of replicas that might be unreachable as well.
+    last_reach_test: Cell<Time>,
+    /// Time at which the other gateways are told again.
+    next_cut_off_message: Cell<Time>,
     /// Retries that are still allowed.
     pub retry_budget: RefCell<RetryBudget>,
     /// Slots taken at the replicas whose owner this process is.
@@ -212,6 +225,11 @@
             limiter: RefCell::new(limiter),
             quarantine: RefCell::default(),
             pool: Pool::new(),
+            member_pool: Pool::new(),
+            cut_off_members: RefCell::default(),
+            own_cut_off: RefCell::default(),
+            last_reach_test: Cell::default(),
+            next_cut_off_message: Cell::default(),
             retry_budget: RefCell::default(),
             slot_ledger: RefCell::default(),
             slot_queries: PendingQueries::default(),
@@ -314,12 +332,13 @@
     }
 
     /// Records that an exchange with a replica failed.
-    pub fn note_failed(&self, endpoint: EndpointId, err: &ExchangeError) {
+    pub fn note_failed(self: &Rc<Self>, endpoint: EndpointId, err: &ExchangeError) {
         let now = self.now();
         if err.is_unreachable() {
             self.replicas.borrow_mut().note_unreachable(now, endpoint);
             self.pool.close_idle(endpoint);
             event!(REPLICA_UNREACHABLE, endpoint: = endpoint, reason: = err);
+            reachability::test_reach(self, endpoint, err.is_timeout());
         } else {
             self.replicas.borrow_mut().note_failure(now, endpoint);
         }
@@ -589,12 +608,16 @@
         gateway
             .pool
             .expire(gateway.now(), |endpoint| replicas.get(endpoint).is_some());
+        drop(replicas);
+        gateway.member_pool.expire(gateway.now(), |_| true);
+        reachability::tick(&gateway);
     }
 }
 
 async fn probe(gateway: Rc<Gateway>, endpoint: EndpointId, addr: SocketAddr) {
     let reached = gateway.pool.probe(gateway.now(), endpoint, addr).await;
-    if reached.is_ok() && gateway.replicas.borrow_mut().note_reachable(endpoint) {
+    let now = gateway.now();
+    if reached.is_ok() && gateway.replicas.borrow_mut().note_reachable(now, endpoint) {
         event!(REPLICA_REACHED, endpoint: = endpoint, addr: = addr);
     }
 }
--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -157,6 +157,7 @@
         Ok(GatewayDatagram::StreamOrigin(message)) => {
             super::stream_origins::receive(gateway, from, message);
         }
+        Ok(GatewayDatagram::CutOff(message)) => super::reachability::receive(gateway, message),
         Err(err) => {
             metrics
                 .refused_messages
@@ -239,7 +240,7 @@
     }
 }
 
-fn alive_or_suspect_addrs(members: &Membership) -> Vec<SocketAddr> {
+pub(super) fn alive_or_suspect_addrs(members: &Membership) -> Vec<SocketAddr> {
     members
         .members()
         .filter(|(_, health)| *health <= Health::Suspect)
--- a/cicadagate-gateway/src/request/admission.rs
+++ b/cicadagate-gateway/src/request/admission.rs
@@ -6,7 +6,8 @@
     super::{
         RequestError, Response,
         forward::{self, PendingRequest},
-        job_requests, quarantine,
+        headers::MEMBER_HOP,
+        job_requests, quarantine, through_member,
     },
     crate::process::{Gateway, RequestGuard, limits},
     actix_http::{HttpMessage as _, Request, header},
@@ -87,7 +88,13 @@
         return refuse(gateway, &id, RequestError::Malformed, &route.name, None);
     }
     let destination = Destination::new(gateway, &req, Rc::clone(&route), &id);
-    if route.kind != RouteKind::Batch
+    let is_online = route.kind != RouteKind::Batch;
+    let is_from_member = req.headers().contains_key(&MEMBER_HOP);
+    let goes_through_member =
+        is_online && !is_from_member && through_member::is_needed(gateway, &destination.service);
+    // The other gateway admits the request.
+    if is_online
+        && !goes_through_member
         && let Err((request_error, delay)) = admit(gateway, &id, &context, &destination).await
     {
         return refuse(gateway, &id, request_error, &route.name, Some(delay));
@@ -115,6 +122,9 @@
         arrival,
         deadline,
     );
+    if goes_through_member {
+        return forward::serve_through_member(gateway, request, guard).await;
+    }
     forward::serve(gateway, request, guard).await
 }
 
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -15,17 +15,20 @@
         admission::{Destination, RequestContext, header_text, refuse},
         buffer::{self, BufferedBody, MAX_BUFFERED_BYTES},
         event_id_text,
-        headers::{content_length, forwarded_headers, response_from_replica, set_replica_headers},
+        headers::{
+            MEMBER_CUT_OFF, MEMBER_HOP, content_length, forwarded_headers, response_from_replica,
+            set_replica_headers,
+        },
         placement::AttemptTarget,
         quarantine::{self, PartList},
         relay::{self, DisconnectLogger, Relay},
-        resumption,
+        resumption, through_member,
     },
-    crate::process::{Gateway, RequestGuard},
+    crate::process::{Gateway, RequestGuard, reachability::pick_member},
     actix_http::{
-        Method, Request, StatusCode,
+        HttpMessage as _, Method, Request, StatusCode,
         body::{BodyStream, BoxBody, MessageBody as _, SizedStream},
-        header::{HeaderMap, HeaderValue},
+        header::{self, HeaderMap, HeaderValue},
     },
     actix_rt::time::timeout,
     bytes::Bytes,
@@ -48,6 +51,8 @@
 
 /// Replicas that may refuse a request before the caller is told to retry later.
 const MAX_REFUSALS: usize = 3;
+/// Replicas that can't be reached before a request is sent through another gateway.
+const MAX_UNREACHABLE: usize = 2;
 /// `Retry-After` if no replica can accept a request.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -70,10 +75,18 @@
     /// Software version at which the stream goes on, once it has begun.
     pub(super) version: Option<SoftwareVersion>,
     pub(super) service: String,
-    method: Method,
-    target: String,
-    headers: HeaderMap,
-    body: Bytes,
+    pub(super) method: Method,
+    pub(super) target: String,
+    pub(super) headers: HeaderMap,
+    /// The caller's API key, which replicas don't get.
+    pub(super) authorization: Option<HeaderValue>,
+    pub(super) body: Bytes,
+    /// Whether another gateway sent the request on.
+    is_from_member: bool,
+    /// Attempts that failed since a replica could not be reached.
+    unreachable: usize,
+    /// Whether an event of the stream was passed on.
+    has_begun: bool,
     /// What other requests may have in common with this one: parts of the prompt, and
     /// all of it.
     pub(super) parts: Vec<RequestPart>,
@@ -115,7 +128,7 @@
             service = service.as_str(),
             online = service_load.online,
             slots = service_load.slots,
-            unreachable = gateway.replicas.borrow().unreachable_of(service),
+            unreachable = gateway.reach(service).unreachable,
             hold_ms = service_load.slot_hold_ms,
             wait_ms = over.wait_ms,
             burst_left
@@ -174,6 +187,10 @@
             method: req.method().clone(),
             target: target.to_owned(),
             headers: forwarded_headers(gateway, req),
+            authorization: req.headers().get(header::AUTHORIZATION).cloned(),
+            is_from_member: req.headers().contains_key(&MEMBER_HOP),
+            unreachable: 0,
+            has_begun: false,
             customer: context.customer.clone(),
             id,
             route,
@@ -198,6 +215,7 @@
     /// Records that an event of a stream which may be resumed is passed on, the first one
     /// of this response: from now on the stream stays at the replica's software version.
     pub(super) fn note_stream_began(&mut self, gateway: &Gateway, replica: &Registration) {
+        self.has_begun = true;
         let version = *self.version.get_or_insert_with(|| replica.version());
         gateway.note_stream_began(self.stream, version);
         // Members that knew it may have ended since.
@@ -254,6 +272,10 @@
             if quarantine::check(gateway, &self.id, &self.parts).is_err() {
                 return SendOutcome::Failed(self.resolve_error(RequestError::Quarantined));
             }
+            let is_cut_off = self.unreachable > 0 && gateway.is_cut_off(&self.service);
+            if (is_cut_off && self.is_from_member) || self.may_go_through_member(gateway) {
+                return SendOutcome::Failed(self.resolve_error(RequestError::NoReplica));
+            }
             let slot_requested_at = now;
             let Some(target) = self.take_slot(gateway).await else {
                 return SendOutcome::Failed(self.resolve_error(RequestError::NoReplica));
@@ -302,6 +324,7 @@
                 Err(_) => return SendOutcome::Failed(self.resolve_error(RequestError::TimedOut)),
                 Ok(Ok(response)) => self.handle_response(gateway, response, target),
                 Ok(Err(err)) => {
+                    self.unreachable += usize::from(err.is_unreachable());
                     let progress = if err.may_have_run() {
                         Progress::MaybeRun
                     } else {
@@ -363,15 +386,32 @@
                 return None;
             }
         } else if !status.is_server_error() {
-            gateway.replicas.borrow_mut().note_success(target.endpoint);
+            let now = gateway.now();
+            gateway
+                .replicas
+                .borrow_mut()
+                .note_success(now, target.endpoint);
         }
         Some(SendOutcome::Response(Box::new(response), target))
     }
 
+    /// Returns whether another gateway is better placed to send the request, since
+    /// replicas can't be reached from here.
+    fn may_go_through_member(&self, gateway: &Gateway) -> bool {
+        let may_repeat =
+            self.attempts.furthest() == Progress::NotSent || self.attempts.is_idempotent();
+        !self.is_from_member
+            && !self.has_begun
+            && may_repeat
+            && (self.unreachable >= MAX_UNREACHABLE
+                || (self.unreachable > 0 && gateway.is_cut_off(&self.service)))
+            && pick_member(gateway, &self.service, &[]).is_some()
+    }
+
     /// Records that an exchange failed, and whether the replica ended it.
     pub(super) fn note_exchange_failed(
         &self,
-        gateway: &Gateway,
+        gateway: &Rc<Gateway>,
         target: &AttemptTarget,
         err: &ExchangeError,
     ) {
@@ -487,6 +527,18 @@
     res
 }
 
+/// Sends a request through another gateway, since this one is cut off from its service.
+pub(super) async fn serve_through_member(
+    gateway: &Rc<Gateway>,
+    request: PendingRequest,
+    guard: RequestGuard,
+) -> Response {
+    let disconnect_logger = DisconnectLogger::new(gateway, &request);
+    let res = through_member::serve(gateway, &request, guard).await;
+    disconnect_logger.note_response();
+    res.unwrap_or_else(|request_error| respond_failed(gateway, &request, request_error))
+}
+
 async fn forward_request(
     gateway: &Rc<Gateway>,
     mut request: PendingRequest,
@@ -496,6 +548,12 @@
     loop {
         let (response, target) = match request.send(gateway).await {
             SendOutcome::Response(response, target) => (response, target),
+            SendOutcome::Failed(
+                request_error @ (RequestError::NoReplica | RequestError::NoAnswer),
+            ) if request.may_go_through_member(gateway) => {
+                let sent = through_member::serve(gateway, &request, guard).await;
+                return sent.unwrap_or_else(|_| respond_failed(gateway, &request, request_error));
+            }
             SendOutcome::Failed(request_error) => {
                 return respond_failed(gateway, &request, request_error);
             }
@@ -560,7 +618,12 @@
     };
     if retry_after.is_some() {
         let route = &request.route.name;
-        return refuse(gateway, &request.id, request_error, route, retry_after);
+        let mut res = refuse(gateway, &request.id, request_error, route, retry_after);
+        if request.is_from_member && gateway.is_cut_off(&request.service) {
+            let value = HeaderValue::from_static(MEMBER_CUT_OFF);
+            res.headers_mut().insert(MEMBER_HOP, value);
+        }
+        return res;
     }
     let (status, code, _) = request_error.describe();
     event!(
--- a/cicadagate-gateway/src/request/headers.rs
+++ b/cicadagate-gateway/src/request/headers.rs
@@ -13,6 +13,12 @@
     cicadagate_policy::process::replicas::Registration,
 };
 
+/// Header of a request that another gateway sends on; it is not sent on again.
+pub(super) const MEMBER_HOP: HeaderName = HeaderName::from_static("cicadagate-member-hop");
+/// Value of [`MEMBER_HOP`] on the response of a gateway that has not sent the request to a
+/// replica, since it is cut off itself.
+pub(super) const MEMBER_CUT_OFF: &str = "cut-off";
+
 /// Returns the `Content-Length` of a response.
 pub(super) fn content_length(response: &ReplicaResponse) -> Option<u64> {
     let value = response.head.headers.get(header::CONTENT_LENGTH)?;
@@ -25,7 +31,7 @@
     let mut res = Response::new(response.head.status);
     let names = gateway.codec.headers();
     for (name, value) in &response.head.headers {
-        if !is_hop_by_hop(name) && *name != names.not_run {
+        if !is_hop_by_hop(name) && ![&names.not_run, &MEMBER_HOP].contains(&name) {
             res.headers_mut().append(name.clone(), value.clone());
         }
     }
@@ -62,6 +68,7 @@
             &names.expected_replica,
             &names.customer,
             &names.not_run,
+            &MEMBER_HOP,
         ]
         .contains(&name);
         let is_dropped = is_hop_by_hop(name)
--- a/cicadagate-gateway/src/request/mod.rs
+++ b/cicadagate-gateway/src/request/mod.rs
@@ -12,6 +12,7 @@
 * `placement`: choice of a replica, with a slot there.
 * `quarantine`: checks against the quarantined parts of requests.
 * `resumption`: streams that callers resume.
+* `through_member`: requests sent through another gateway.
 * `relay`: streams a response body to the caller.
 * `job_requests`: submissions of jobs, and requests about accepted jobs.
 */
@@ -25,6 +26,7 @@
 mod quarantine;
 mod relay;
 mod resumption;
+mod through_member;
 
 pub use headers::{is_hop_by_hop, set_replica_headers};
 use {
--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -104,6 +104,17 @@
         }
     }
 
+    /// Returns whether the replica did not respond at all.
+    #[must_use]
+    pub fn is_timeout(&self) -> bool {
+        match self {
+            Self::Connect { source, .. } | Self::Broken { source } => {
+                source.kind() == io::ErrorKind::TimedOut
+            }
+            Self::Malformed { .. } | Self::MismatchedId => false,
+        }
+    }
+
     /// Returns whether the replica closed or reset the connection after the
     /// request was sent, as one does that crashes.
     #[must_use]
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -92,6 +92,9 @@
     QUARANTINED = 529, Info, "A request has a quarantined part, or is quarantined as a whole, and is refused.";
     OVERLOADED = 528, Info, "A request would wait too long for a slot and is refused.";
     REQUEST_RESUMED = 527, Info, "A stream continues at another replica.";
+    SERVICE_CUT_OFF = 535, Warn, "Most replicas of a service can't be reached from here; requests go through other instances.";
+    SERVICE_REACHED = 536, Info, "The replicas of a service can be reached from here again.";
+    SENT_THROUGH_MEMBER = 534, Info, "A request is sent through another instance, since replicas can't be reached from here.";
     STREAM_TAKEN_UP = 533, Info, "A caller resumes a stream; it goes on at the software version that began it, or is refused.";
     ATTEMPT_FAILED = 523, Warn, "An attempt at a replica failed.";
     REQUEST_BROKEN = 524, Warn, "A request ended without its complete response.";
--- a/cicadagate-policy/src/ids.rs
+++ b/cicadagate-policy/src/ids.rs
@@ -94,6 +94,10 @@
     /// instance.
     MemberId, b"member"
 );
+name_id!(
+    /// Identifier of a service.
+    ServiceId, b"service"
+);
 name_id!(
     /// Identifier of a batch job.
     JobId, b"job"
--- a/cicadagate-policy/src/process/mod.rs
+++ b/cicadagate-policy/src/process/mod.rs
@@ -9,6 +9,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod rate_limit;
+pub mod reachability;
 pub mod replica_queue;
 pub mod replica_rates;
 pub mod replicas;
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -41,7 +41,10 @@
 */
 
 use {
-    super::reports::InFlight,
+    super::{
+        reachability::{REACHED_MS, Reach},
+        reports::InFlight,
+    },
     crate::{
         fault_injection::{Fault, is_injected},
         ids::{EndpointId, SoftwareVersion, mix64},
@@ -162,6 +165,8 @@
     failures: u32,
     avoid_until: Time,
     full_until: Time,
+    /// Time of the last response or connection.
+    last_reached: Option<Time>,
     /// Time of the next probe; `None` unless the replica is unreachable.
     next_probe_at: Option<Time>,
 }
@@ -173,6 +178,12 @@
     pub fn is_avoided(&self, now: Time) -> bool {
         self.next_probe_at.is_some() || now < self.avoid_until
     }
+
+    /// Returns whether the replica was reached within `reached_ms`.
+    fn is_reached(&self, now: Time, reached_ms: u64) -> bool {
+        let is_recent = |at| now.since(at) < reached_ms;
+        self.next_probe_at.is_none() && self.last_reached.is_some_and(is_recent)
+    }
 }
 
 /// How long a replica counts as full after it refused a request for lack of
@@ -255,9 +266,9 @@
                 && old.registration.started_ms == registration.started_ms
                 && old.registration.addr == registration.addr
         });
-        let (failures, avoid_until) = match old {
-            Some(old) if was_usable => (old.failures, old.avoid_until),
-            _ => (0, Time::default()),
+        let (failures, avoid_until, last_reached) = match old {
+            Some(old) if was_usable => (old.failures, old.avoid_until, old.last_reached),
+            _ => (0, Time::default(), None),
         };
         let replica = Replica {
             version: registration.version(),
@@ -267,6 +278,7 @@
             failures,
             avoid_until,
             full_until: Time::default(),
+            last_reached,
             next_probe_at: None,
         };
         self.replicas.insert(endpoint, replica);
@@ -447,13 +459,38 @@
             .filter_map(|endpoint| self.replicas.get(endpoint))
     }
 
-    /// Returns how many replicas of a service that are not draining accept no connections
-    /// from this process.
+    /// Returns how many replicas of a service that are not draining this process reaches.
     #[must_use]
-    pub fn unreachable_of(&self, service: &str) -> usize {
-        self.replicas_of(service)
-            .filter(|replica| replica.next_probe_at.is_some())
-            .count()
+    pub fn reach(&self, now: Time, service: &str) -> Reach {
+        let mut reach = Reach::default();
+        for replica in self.replicas_of(service) {
+            reach.total += 1;
+            reach.unreachable += usize::from(replica.next_probe_at.is_some());
+            reach.reached += usize::from(replica.is_reached(now, REACHED_MS));
+        }
+        reach
+    }
+
+    /// Returns up to `count` replicas of a service that are not known to be unreachable, and
+    /// were not reached within `reached_ms`.
+    #[must_use]
+    pub fn untested(
+        &self,
+        now: Time,
+        service: &str,
+        reached_ms: u64,
+        count: usize,
+    ) -> Vec<(EndpointId, SocketAddr)> {
+        let untested = self.replicas_of(service).filter(|replica| {
+            replica.next_probe_at.is_none() && !replica.is_reached(now, reached_ms)
+        });
+        let untested = untested.map(|replica| (replica.endpoint, replica.registration.addr));
+        untested.take(count).collect()
+    }
+
+    /// Returns the services that have replicas which are not draining.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.by_service.keys().map(String::as_str)
     }
 
     /// Returns the number of known replicas.
@@ -469,8 +506,9 @@
     }
 
     /// Records a response of a replica, which ends its avoidance.
-    pub fn note_success(&mut self, endpoint: EndpointId) {
+    pub fn note_success(&mut self, now: Time, endpoint: EndpointId) {
         if let Some(replica) = self.replicas.get_mut(&endpoint) {
+            replica.last_reached = Some(now);
             replica.failures = 0;
             replica.avoid_until = Time::default();
             replica.next_probe_at = None;
@@ -512,9 +550,12 @@
 
     /// Records that a replica takes connections; returns whether it was
     /// unreachable before.
-    pub fn note_reachable(&mut self, endpoint: EndpointId) -> bool {
-        let replica = self.replicas.get_mut(&endpoint);
-        replica.is_some_and(|replica| replica.next_probe_at.take().is_some())
+    pub fn note_reachable(&mut self, now: Time, endpoint: EndpointId) -> bool {
+        let Some(replica) = self.replicas.get_mut(&endpoint) else {
+            return false;
+        };
+        replica.last_reached = Some(now);
+        replica.next_probe_at.take().is_some()
     }
 
     /// Records that a replica refused a request for lack of capacity.
--- a/cicadagate-policy/tests/replicas.rs
+++ b/cicadagate-policy/tests/replicas.rs
@@ -99,7 +99,7 @@
     let replica = set.get(bad).expect("known");
     assert!(replica.is_avoided(NOW.plus(MAX_AVOID_MS - 1)));
     assert!(!replica.is_avoided(NOW.plus(MAX_AVOID_MS)));
-    set.note_success(bad);
+    set.note_success(NOW, bad);
     assert!(!set.get(bad).expect("known").is_avoided(NOW));
 }
 
@@ -125,8 +125,8 @@
         set.due_probes(NOW.plus(PROBE_INTERVAL_MS)).is_empty(),
         "not twice"
     );
-    assert!(set.note_reachable(unreachable));
-    assert!(!set.note_reachable(unreachable));
+    assert!(set.note_reachable(NOW, unreachable));
+    assert!(!set.note_reachable(NOW, unreachable));
     assert!((0..50).any(|seed| choose(&set, much_later, mix64(seed, 5)) == Some(unreachable)));
 }
 
--- a/cicadagate-wire/src/datagram.rs
+++ b/cicadagate-wire/src/datagram.rs
@@ -19,7 +19,8 @@
     },
     cicadagate_policy::process::{
         membership::Message, quarantine::QuarantineMessage, rate_limit::LimitMessage,
-        reports::Report, slot_ledger::SlotMessage, stream_origins::StreamOriginMessage,
+        reachability::CutOffMessage, reports::Report, slot_ledger::SlotMessage,
+        stream_origins::StreamOriginMessage,
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
 };
@@ -43,6 +44,8 @@
     Quarantine(QuarantineMessage),
     /// The software version that began a stream, or a query for it.
     StreamOrigin(StreamOriginMessage),
+    /// Services from which the sender is cut off.
+    CutOff(CutOffMessage),
 }
 
 /// Encodes and decodes datagrams.
