Run no items before the other members have been read from the store

Cause: a process planned items 0.7 s after its start, also if it had not read the addresses of the others yet. Knowing no one, it assigned all items to itself.

Change: items are planned once the members have been read, and after as long again (0.7 s at most) for those that were listed later.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -58,6 +58,8 @@
 /// Least delay between the start and the first plan, in milliseconds: before
 /// the other members are known, each process would assign all items to itself.
 const MIN_STARTUP_DELAY_MS: u64 = 700;
+/// Time between two checks whether the other members have been read from the store.
+const MEMBERS_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time for saving outputs at shutdown.
 const HAND_OFF_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -215,7 +217,19 @@
 /// Plans items and saves outputs until the process ends.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     actix_rt::spawn(results::save_periodically(Rc::clone(&gateway)));
+    let started = gateway.now();
     sleep(Duration::from_millis(MIN_STARTUP_DELAY_MS)).await;
+    while gateway.members_read_at.get().is_none() {
+        sleep(MEMBERS_POLL_INTERVAL).await;
+    }
+    // Processes that start at the same moment read the store before all of them are listed
+    // there; those that are listed later contact the others.
+    let read_ms = gateway
+        .members_read_at
+        .get()
+        .map_or(0, |read_at| read_at.since(started));
+    let settled = started.plus(read_ms + read_ms.min(MIN_STARTUP_DELAY_MS));
+    sleep(Duration::from_millis(settled.since(gateway.now()))).await;
     // Until all members have reported, their running items are not known.
     let reported_ms = period_ms(gateway.member_count()).saturating_sub(MIN_STARTUP_DELAY_MS);
     sleep(Duration::from_millis(reported_ms)).await;
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -180,6 +180,8 @@
     phase: Cell<Phase>,
     open_requests: Cell<usize>,
     registrations_loaded: Cell<bool>,
+    /// Time at which the other members were first read from the store.
+    members_read_at: Cell<Option<Time>>,
     random_state: Cell<u64>,
 }
 
@@ -248,6 +250,7 @@
             phase: Cell::default(),
             open_requests: Cell::default(),
             registrations_loaded: Cell::default(),
+            members_read_at: Cell::default(),
             random_state: Cell::new(seed),
             settings,
         })
--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -351,5 +351,9 @@
     if let Some(peer_socket) = gateway.peer_socket.get() {
         peer_socket.send_all(gateway, out);
     }
+    let read_at = gateway.members_read_at.get();
+    gateway
+        .members_read_at
+        .set(read_at.or_else(|| Some(gateway.now())));
     true
 }
