Suspect no replica of a service from which this instance is cut off

Cause: the 17 instances that are cut off report the replicas they have tried (18 of 60) as suspects. All others prefer the 42 that nobody suspects, which are then full and refuse.

Change: a member suspects no replica of a service from which it is cut off.

Ruled out: flapping of the state (34 changes for 17 instances and two services).

--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -230,7 +230,7 @@
         items: gateway.item_runner.running(),
         admitted: gateway.limiter.borrow_mut().totals_to_report(now),
         config_version: gateway.config.borrow().version().unwrap_or_default(),
-        suspects: replicas.avoided(now),
+        suspects: replicas.suspects(now),
         has_store: gateway.store.is_reachable(),
         is_leaving: !gateway.is_ready(),
     };
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -588,15 +588,22 @@
         u32::try_from(total_milli / 1_000).unwrap_or(u32::MAX)
     }
 
-    /// Returns the replicas that are unreachable, or avoided after more than
-    /// one failure.
+    /// Returns the replicas to suspect: those that are unreachable, or avoided after more
+    /// than one failure. Replicas of services from which this process is cut off are not
+    /// suspected, since the fault is on its side.
     #[must_use]
-    pub fn avoided(&self, now: Time) -> Vec<EndpointId> {
+    pub fn suspects(&self, now: Time) -> Vec<EndpointId> {
+        let cut_off: Vec<&str> = self
+            .services()
+            .filter(|service| self.reach(now, service).is_cut_off())
+            .collect();
+        let is_avoided = |replica: &&Replica| {
+            replica.next_probe_at.is_some() || (replica.is_avoided(now) && replica.failures > 1)
+        };
         self.replicas
             .values()
-            .filter(|replica| {
-                replica.next_probe_at.is_some() || (replica.is_avoided(now) && replica.failures > 1)
-            })
+            .filter(is_avoided)
+            .filter(|replica| !cut_off.contains(&replica.registration.service.as_str()))
             .map(|replica| replica.endpoint)
             .collect()
     }
--- a/cicadagate-policy/tests/reachability.rs
+++ b/cicadagate-policy/tests/reachability.rs
@@ -101,6 +101,25 @@
     assert!(set.due_probes(back.plus(PROBE_INTERVAL_MS)).is_empty());
 }
 
+// Guards against all load at the few replicas that a member which is cut off has not tried:
+// the others were suspected by its word.
+#[test]
+fn a_member_that_is_cut_off_suspects_no_replica() {
+    let mut set = replicas(60);
+    set.note_unreachable(START, endpoint(7));
+    assert_eq!(set.suspects(START), [endpoint(7)]);
+    for at in 0..18 {
+        set.note_unreachable(START, endpoint(at));
+    }
+    assert!(set.reach(START, SERVICE).is_cut_off());
+    assert_eq!(set.suspects(START), []);
+    for at in 8..18 {
+        let _ = set.note_reachable(START, endpoint(at));
+    }
+    assert!(!set.reach(START, SERVICE).is_cut_off());
+    assert_eq!(set.suspects(START).len(), 8);
+}
+
 // Guards against a member that is avoided for good after it was cut off, also if the
 // message that says otherwise is lost.
 #[test]
