Gateway: the state of a pending request in a module of its own; count sends through members

Behaviour as before; the attempts counter has one more outcome, through_member, for docs/METRICS.md's existing metric.

--- a/cicadagate-gateway/src/request/admission.rs
+++ b/cicadagate-gateway/src/request/admission.rs
@@ -4,10 +4,8 @@
 
 use {
     super::{
-        RequestError, Response,
-        forward::{self, PendingRequest},
-        headers::MEMBER_HOP,
-        job_requests, quarantine, through_member,
+        RequestError, Response, forward, headers::MEMBER_HOP, job_requests,
+        pending::PendingRequest, quarantine, through_member,
     },
     crate::process::{Gateway, RequestGuard, limits},
     actix_http::{HttpMessage as _, Request, header},
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -12,13 +12,11 @@
 use {
     super::{
         RequestError, Response,
-        admission::{Destination, RequestContext, header_text, refuse},
+        admission::{Destination, refuse},
         buffer::{self, BufferedBody, MAX_BUFFERED_BYTES},
         event_id_text,
-        headers::{
-            MEMBER_CUT_OFF, MEMBER_HOP, content_length, forwarded_headers, response_from_replica,
-            set_replica_headers,
-        },
+        headers::{MEMBER_CUT_OFF, MEMBER_HOP, content_length, response_from_replica},
+        pending::PendingRequest,
         placement::AttemptTarget,
         quarantine::{self, PartList},
         relay::{self, DisconnectLogger, Relay},
@@ -26,25 +24,21 @@
     },
     crate::process::{Gateway, RequestGuard, reachability::pick_member},
     actix_http::{
-        HttpMessage as _, Method, Request, StatusCode,
+        StatusCode,
         body::{BodyStream, BoxBody, MessageBody as _, SizedStream},
-        header::{self, HeaderMap, HeaderValue},
+        header::HeaderValue,
     },
     actix_rt::time::timeout,
-    bytes::Bytes,
     cicadagate_node::{
-        connection::http_client::{ExchangeError, ReplicaRequest, ReplicaResponse, Reuse},
+        connection::http_client::{ExchangeError, ReplicaResponse, Reuse},
         event,
     },
     cicadagate_policy::{
-        ids::{EndpointId, RequestPart, SoftwareVersion, StreamId, hash64},
-        process::replicas::Registration,
         request::{
-            attempt::{Attempts, Progress, RetryDecision},
+            attempt::{Progress, RetryDecision},
             overload::admit,
         },
-        time::Time,
-        version::serving::{Customer, Route, RouteKind},
+        version::serving::{Customer, RouteKind},
     },
     std::{rc::Rc, time::Duration},
 };
@@ -56,47 +50,6 @@
 /// `Retry-After` if no replica can accept a request.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// A request that is sent to replicas, and the state of its attempts.
-pub(super) struct PendingRequest {
-    pub(super) id: String,
-    pub(super) route: Rc<Route>,
-    pub(super) customer: Option<Rc<Customer>>,
-    pub(super) arrival: Time,
-    pub(super) deadline: Time,
-    pub(super) attempts: Attempts,
-    pub(super) last_event: Option<u64>,
-    /// Id of the request that began the stream that the caller resumes, empty if the
-    /// caller names none.
-    pub(super) resumed_request: String,
-    /// The stream that the caller resumes.
-    pub(super) resumed_stream: Option<StreamId>,
-    /// The stream that the request itself begins.
-    stream: StreamId,
-    /// Software version at which the stream goes on, once it has begun.
-    pub(super) version: Option<SoftwareVersion>,
-    pub(super) service: String,
-    pub(super) method: Method,
-    pub(super) target: String,
-    pub(super) headers: HeaderMap,
-    /// The caller's API key, which replicas don't get.
-    pub(super) authorization: Option<HeaderValue>,
-    pub(super) body: Bytes,
-    /// Whether another gateway sent the request on.
-    is_from_member: bool,
-    /// Attempts that failed since a replica could not be reached.
-    unreachable: usize,
-    /// Whether an event of the stream was passed on.
-    has_begun: bool,
-    /// What other requests may have in common with this one: parts of the prompt, and
-    /// all of it.
-    pub(super) parts: Vec<RequestPart>,
-    pub(super) tried: Vec<EndpointId>,
-    refusals: usize,
-    /// Time after which a replica's request rate allows the request, if it could
-    /// not wait for that.
-    pub(super) allowed_after: Option<Duration>,
-}
-
 /// Outcome of sending a request, after its last attempt.
 pub(super) enum SendOutcome {
     /// A replica's response, to be passed on.
@@ -138,129 +91,6 @@
 }
 
 impl PendingRequest {
-    #[allow(clippy::too_many_arguments)] // Separate results of the admission.
-    pub(super) fn new(
-        gateway: &Gateway,
-        req: &Request,
-        id: String,
-        context: &RequestContext,
-        destination: Destination,
-        body: Bytes,
-        arrival: Time,
-        deadline: Time,
-    ) -> Self {
-        let Destination {
-            route,
-            service,
-            prompt_parts: mut parts,
-        } = destination;
-        let names = gateway.codec.headers();
-        let attempts = Attempts::new(route.is_repeatable(), deadline)
-            .with_max_run_attempts(route.max_attempts.max(1));
-        let last_event = header_text(req, &names.last_event_id).parse().ok();
-        let resumed_request = header_text(req, &names.resumed_request);
-        let customer_id = context.customer.as_ref().map(|customer| customer.id);
-        let is_resumption = last_event.is_some() && route.kind == RouteKind::Streaming;
-        let resumed_stream =
-            is_resumption.then(|| StreamId::of_request(customer_id, &resumed_request));
-        let target = req
-            .uri()
-            .path_and_query()
-            .map_or("/", |target| target.as_str());
-        let customer_name = context
-            .customer
-            .as_ref()
-            .map_or("", |customer| customer.name.as_str());
-        let fingerprint = hash64(&[
-            req.method().as_str().as_bytes(),
-            target.as_bytes(),
-            customer_name.as_bytes(),
-            &body,
-        ]);
-        parts.push(RequestPart::whole_request(&service, fingerprint));
-        Self {
-            service,
-            parts,
-            stream: StreamId::of_request(customer_id, &id),
-            resumed_stream,
-            version: None,
-            method: req.method().clone(),
-            target: target.to_owned(),
-            headers: forwarded_headers(gateway, req),
-            authorization: req.headers().get(header::AUTHORIZATION).cloned(),
-            is_from_member: req.headers().contains_key(&MEMBER_HOP),
-            unreachable: 0,
-            has_begun: false,
-            customer: context.customer.clone(),
-            id,
-            route,
-            arrival,
-            deadline,
-            attempts,
-            last_event,
-            resumed_request,
-            body,
-            tried: Vec::new(),
-            refusals: 0,
-            allowed_after: None,
-        }
-    }
-
-    /// Lets the request go on only at a software version of a service.
-    pub(super) fn bind(&mut self, service: String, version: SoftwareVersion) {
-        self.service = service;
-        self.version = Some(version);
-    }
-
-    /// Records that an event of a stream which may be resumed is passed on, the first one
-    /// of this response: from now on the stream stays at the replica's software version.
-    pub(super) fn note_stream_began(&mut self, gateway: &Gateway, replica: &Registration) {
-        self.has_begun = true;
-        let version = *self.version.get_or_insert_with(|| replica.version());
-        gateway.note_stream_began(self.stream, version);
-        // Members that knew it may have ended since.
-        if let Some(resumed) = self.resumed_stream {
-            gateway.note_stream_began(resumed, version);
-        }
-    }
-
-    fn build_request(
-        &self,
-        gateway: &Gateway,
-        replica: &Registration,
-        now: Time,
-    ) -> ReplicaRequest {
-        let names = gateway.codec.headers();
-        let mut headers = self.headers.clone();
-        let customer = self
-            .customer
-            .as_ref()
-            .map(|customer| customer.name.as_str());
-        set_replica_headers(gateway, &mut headers, replica, customer);
-        let left_ms = self.deadline.since(now);
-        headers.insert(names.deadline_ms.clone(), HeaderValue::from(left_ms));
-        if let Some(last) = self.last_event {
-            headers.insert(names.last_event_id.clone(), HeaderValue::from(last));
-        }
-        ReplicaRequest {
-            method: self.method.clone(),
-            target: self.target.clone(),
-            headers,
-            body: self.body.clone(),
-            id: Some((names.request_id.clone(), self.id.clone())),
-        }
-    }
-
-    /// Records how long the request occupied its replica's slot.
-    pub(super) fn record_hold_time(&self, gateway: &Gateway, since: Time) {
-        let held_ms = gateway.now().since(since);
-        let mut hold_times = gateway.hold_times.borrow_mut();
-        hold_times
-            .entry(self.service.clone())
-            .or_default()
-            .note(held_ms);
-    }
-
     /// Sends the request, with retries, until a replica responds or no further
     /// attempt is allowed.
     pub(super) async fn send(&mut self, gateway: &Rc<Gateway>) -> SendOutcome {
--- a/cicadagate-gateway/src/request/mod.rs
+++ b/cicadagate-gateway/src/request/mod.rs
@@ -9,6 +9,7 @@
 * `buffer`: reads short responses before they are passed on.
 * `forward`: attempts at replicas.
 * `headers`: headers of requests to replicas and of their responses.
+* `pending`: a request while it is sent to replicas.
 * `placement`: choice of a replica, with a slot there.
 * `quarantine`: checks against the quarantined parts of requests.
 * `resumption`: streams that callers resume.
@@ -22,6 +23,7 @@
 mod forward;
 mod headers;
 mod job_requests;
+mod pending;
 mod placement;
 mod quarantine;
 mod relay;
--- a/cicadagate-gateway/src/request/placement.rs
+++ b/cicadagate-gateway/src/request/placement.rs
@@ -7,7 +7,7 @@
 */
 
 use {
-    super::forward::PendingRequest,
+    super::pending::PendingRequest,
     crate::process::{
         Gateway, InFlightGuard,
         slots::{SlotOutcome, acquire, acquire_without_grant},
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -14,9 +14,7 @@
 
 use {
     super::{
-        event_id_text,
-        forward::{PendingRequest, SendOutcome},
-        placement::AttemptTarget,
+        event_id_text, forward::SendOutcome, pending::PendingRequest, placement::AttemptTarget,
         quarantine::PartList,
     },
     crate::process::{Gateway, RequestGuard},
--- a/cicadagate-gateway/src/request/resumption.rs
+++ b/cicadagate-gateway/src/request/resumption.rs
@@ -6,7 +6,7 @@
 */
 
 use {
-    super::{RequestError, event_id_text, forward::PendingRequest},
+    super::{RequestError, event_id_text, pending::PendingRequest},
     crate::process::{
         Gateway,
         stream_origins::{self, OriginSource},
--- a/cicadagate-gateway/src/request/through_member.rs
+++ b/cicadagate-gateway/src/request/through_member.rs
@@ -9,8 +9,8 @@
 use {
     super::{
         RequestError, Response,
-        forward::PendingRequest,
         headers::{MEMBER_HOP, content_length, response_from_replica},
+        pending::PendingRequest,
     },
     crate::process::{Gateway, RequestGuard, reachability::pick_member},
     actix_http::{
@@ -60,6 +60,8 @@
         };
         tried.push(member);
         let reach = gateway.reach(&request.service);
+        let attempts = &gateway.metrics.attempts;
+        attempts.with_label_values(&["through_member"]).inc();
         event!(
             SENT_THROUGH_MEMBER,
             request = request.id.as_str(),
@@ -72,14 +74,16 @@
         );
         let left = Duration::from_millis(request.deadline.since(now));
         let outgoing = build_request(gateway, request, now);
-        // What runs once at most must not be sent where it may run and look lost.
+        // If a connection that is closed meanwhile is used, the request may have run.
         let reuse = if request.attempts.is_idempotent() {
             Reuse::Any
         } else {
             Reuse::RecentOrGuaranteed
         };
-        let key = EndpointId::from_raw(member.raw());
-        let send = gateway.member_pool.send(now, key, addr, reuse, &outgoing);
+        let pool_key = EndpointId::from_raw(member.raw());
+        let send = gateway
+            .member_pool
+            .send(now, pool_key, addr, reuse, &outgoing);
         match timeout(left, send).await {
             Ok(Ok(response)) if response.head.headers.contains_key(&MEMBER_HOP) => {
                 event!(
