--- a/cicadagate-node/src/metrics.rs
+++ b/cicadagate-node/src/metrics.rs
@@ -202,6 +202,10 @@
                 "Requests that leaving replicas responded to, by how the leaving was known.",
             ),
             ("cicadagate_requests_total", "Requests by outcome."),
+            (
+                "cicadagate_resumptions_total",
+                "Streams that callers resume, by how their software version was known or why they were refused.",
+            ),
             ("cicadagate_state", "Sizes of state, by kind."),
             (
                 "cicadagate_waiting_tokens",
--- a/cicadagate-node/tests/docs.rs
+++ b/cicadagate-node/tests/docs.rs
@@ -81,6 +81,7 @@
         &metrics.datagram_bytes,
         &metrics.preemptions,
         &metrics.requests_to_leaving,
+        &metrics.resumptions,
     ] {
         counter.with_label_values(&["x"]).inc();
     }
