--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -53,7 +53,7 @@
         clock::{Clock, unix_time_ms},
         connection::{
             http::{ConnectionTimeouts, serve_with},
-            http_client::{ExchangeError, Pool},
+            http_client::Pool,
         },
         event,
         metrics::Metrics,
@@ -109,8 +109,6 @@
 const RESERVED_DESCRIPTORS: usize = 1_200;
 /// Most parts of a prompt that are considered.
 const MAX_PROMPT_PARTS: usize = 15;
-/// Interval between checks of idle connections and unreachable replicas.
-const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// State of a gateway process.
 pub struct Gateway {
@@ -334,19 +332,6 @@
         }
     }
 
-    /// Records that an exchange with a replica failed.
-    pub fn note_failed(self: &Rc<Self>, endpoint: EndpointId, err: &ExchangeError) {
-        let now = self.now();
-        if err.is_unreachable() {
-            self.replicas.borrow_mut().note_unreachable(now, endpoint);
-            self.pool.close_idle(endpoint);
-            event!(REPLICA_UNREACHABLE, endpoint: = endpoint, reason: = err);
-            reachability::test_reach(self, endpoint, err.is_timeout());
-        } else {
-            self.replicas.borrow_mut().note_failure(now, endpoint);
-        }
-    }
-
     /// Returns the parts of a prompt that requests of a service may share.
     /// `value` is the header that lists them.
     #[must_use]
@@ -555,7 +540,7 @@
     spawn_task("work_run", item_runner::run(Rc::clone(&gateway)));
     spawn_task(
         "maintain_connections",
-        maintain_connections(Rc::clone(&gateway)),
+        reachability::maintain_connections(Rc::clone(&gateway)),
     );
     spawn_server(&gateway, callers, request::serve_caller);
     spawn_server(&gateway, readiness, directory::serve_readiness);
@@ -599,28 +584,3 @@
         handler,
     ));
 }
-
-async fn maintain_connections(gateway: Rc<Gateway>) {
-    loop {
-        actix_rt::time::sleep(MAINTENANCE_INTERVAL).await;
-        let due = gateway.replicas.borrow_mut().due_probes(gateway.now());
-        for (endpoint, addr) in due {
-            actix_rt::spawn(probe(Rc::clone(&gateway), endpoint, addr));
-        }
-        let replicas = gateway.replicas.borrow();
-        gateway
-            .pool
-            .expire(gateway.now(), |endpoint| replicas.get(endpoint).is_some());
-        drop(replicas);
-        gateway.member_pool.expire(gateway.now(), |_| true);
-        reachability::tick(&gateway);
-    }
-}
-
-async fn probe(gateway: Rc<Gateway>, endpoint: EndpointId, addr: SocketAddr) {
-    let reached = gateway.pool.probe(gateway.now(), endpoint, addr).await;
-    let now = gateway.now();
-    if reached.is_ok() && gateway.replicas.borrow_mut().note_reachable(now, endpoint) {
-        event!(REPLICA_REACHED, endpoint: = endpoint, addr: = addr);
-    }
-}
--- a/cicadagate-gateway/src/process/reachability.rs
+++ b/cicadagate-gateway/src/process/reachability.rs
@@ -1,5 +1,5 @@
 /*!
-Services whose replicas this instance can't reach.
+Connections to replicas: which fail, and services whose replicas this instance can't reach.
 
 [`reachability`](cicadagate_policy::process::reachability) decides; this module tests
 connections, tells the other gateways, and picks one to send requests through.
@@ -7,7 +7,7 @@
 
 use {
     super::{Gateway, item_runner, peers},
-    cicadagate_node::event,
+    cicadagate_node::{connection::http_client::ExchangeError, event},
     cicadagate_policy::{
         ids::{EndpointId, MemberId, ServiceId},
         process::{
@@ -18,9 +18,11 @@
         time::Time,
     },
     cicadagate_wire::datagram::GatewayDatagram,
-    std::{collections::BTreeSet, net::SocketAddr, rc::Rc},
+    std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration},
 };
 
+/// Interval between checks of idle connections and unreachable replicas.
+const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
 /// Replicas of a service that refuse connections from which on others are tested. One that
 /// does not respond suffices, since a crashed replica's instance refuses connections.
 const MIN_REFUSING: usize = 2;
@@ -32,6 +34,19 @@
 const TEST_INTERVAL_MS: u64 = 500;
 
 impl Gateway {
+    /// Records that an exchange with a replica failed.
+    pub fn note_failed(self: &Rc<Self>, endpoint: EndpointId, err: &ExchangeError) {
+        let now = self.now();
+        if err.is_unreachable() {
+            self.replicas.borrow_mut().note_unreachable(now, endpoint);
+            self.pool.close_idle(endpoint);
+            event!(REPLICA_UNREACHABLE, endpoint: = endpoint, reason: = err);
+            test_reach(self, endpoint, err.is_timeout());
+        } else {
+            self.replicas.borrow_mut().note_failure(now, endpoint);
+        }
+    }
+
     /// Returns how many replicas of a service this instance reaches.
     #[must_use]
     pub fn reach(&self, service: &str) -> Reach {
@@ -53,6 +68,33 @@
     }
 }
 
+/// Checks idle connections, unreachable replicas and whether services are reached, until the
+/// process ends.
+pub(super) async fn maintain_connections(gateway: Rc<Gateway>) {
+    loop {
+        actix_rt::time::sleep(MAINTENANCE_INTERVAL).await;
+        let due = gateway.replicas.borrow_mut().due_probes(gateway.now());
+        for (endpoint, addr) in due {
+            actix_rt::spawn(probe(Rc::clone(&gateway), endpoint, addr));
+        }
+        let replicas = gateway.replicas.borrow();
+        gateway
+            .pool
+            .expire(gateway.now(), |endpoint| replicas.get(endpoint).is_some());
+        drop(replicas);
+        gateway.member_pool.expire(gateway.now(), |_| true);
+        tick(&gateway);
+    }
+}
+
+async fn probe(gateway: Rc<Gateway>, endpoint: EndpointId, addr: SocketAddr) {
+    let reached = gateway.pool.probe(gateway.now(), endpoint, addr).await;
+    let now = gateway.now();
+    if reached.is_ok() && gateway.replicas.borrow_mut().note_reachable(now, endpoint) {
+        event!(REPLICA_REACHED, endpoint: = endpoint, addr: = addr);
+    }
+}
+
 /// Picks a working gateway that is not cut off from a service and not in `excluded`.
 pub fn pick_member(
     gateway: &Gateway,
@@ -82,7 +124,7 @@
 
 /// Tests connections to other replicas after one was found unreachable. `is_silent` says
 /// that it did not respond at all.
-pub(super) fn test_reach(gateway: &Rc<Gateway>, endpoint: EndpointId, is_silent: bool) {
+fn test_reach(gateway: &Rc<Gateway>, endpoint: EndpointId, is_silent: bool) {
     let service = {
         let replicas = gateway.replicas.borrow();
         let found = replicas.get(endpoint);
@@ -125,7 +167,7 @@
 }
 
 /// Logs and tells the other gateways from which services this one is cut off.
-pub(super) fn tick(gateway: &Rc<Gateway>) {
+fn tick(gateway: &Rc<Gateway>) {
     let now = gateway.now();
     let cut_off: BTreeSet<String> = {
         let replicas = gateway.replicas.borrow();
--- a/cicadagate-gateway/src/request/resumption.rs
+++ b/cicadagate-gateway/src/request/resumption.rs
@@ -49,7 +49,7 @@
         .with_label_values(&[outcome])
         .inc();
     event!(
-        STREAM_TAKEN_UP,
+        STREAM_RESUMPTION,
         request = request.id.as_str(),
         resumes = request.resumed_request.as_str(),
         after_event = event_id_text(request.last_event),
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -95,7 +95,7 @@
     SERVICE_CUT_OFF = 535, Warn, "Most replicas of a service can't be reached from here; requests go through other instances.";
     SERVICE_REACHED = 536, Info, "The replicas of a service can be reached from here again.";
     SENT_THROUGH_MEMBER = 534, Info, "A request is sent through another instance, since replicas can't be reached from here.";
-    STREAM_TAKEN_UP = 533, Info, "A caller resumes a stream; it goes on at the software version that began it, or is refused.";
+    STREAM_RESUMPTION = 533, Info, "A caller resumes a stream; it goes on at the software version that began it, or is refused.";
     ATTEMPT_FAILED = 523, Warn, "An attempt at a replica failed.";
     REQUEST_BROKEN = 524, Warn, "A request ended without its complete response.";
     CALLER_LEFT = 525, Info, "A caller disconnected before its response was complete.";
--- a/cicadagate-wire/src/datagram.rs
+++ b/cicadagate-wire/src/datagram.rs
@@ -8,8 +8,9 @@
 the replica their sender occupies in total, so a replay has no lasting effect. A
 replayed word about a stream's software version changes nothing, since the first one counts.
 A replayed message about crashes can suspect parts of prompts again until a request with
-them completes. A replayed rate-limit request takes another token at the owner of the customer's
-limit.
+them completes. A replayed request for a slot at a replica that names a request rate takes another of its
+tokens at the owner of the slots; a replayed rate-limit request takes another token at the owner of
+the customer's limit.
 */
 
 use {
