Remember no origin for streams whose callers name none

Found by reading the change: a caller that resumes without Resumes was remembered under an empty id, and later such callers of the same customer were bound to that version, which may not be theirs. Nothing is remembered without a name; the only version decides, as before.

--- a/cicadagate-gateway/src/request/pending.rs
+++ b/cicadagate-gateway/src/request/pending.rs
@@ -147,7 +147,8 @@
         let version = *self.version.get_or_insert_with(|| replica.version());
         gateway.note_stream_began(self.stream, version);
         // Members that knew it may have ended since.
-        if let Some(resumed) = self.resumed_stream {
+        let is_named = !self.resumed_request.is_empty();
+        if let Some(resumed) = self.resumed_stream.filter(|_| is_named) {
             gateway.note_stream_began(resumed, version);
         }
     }
