Evacuate data centres at the operators' word

Change: config.rs follows all keys of the topic, decoded by the codec into a typed record. ReplicaSet leaves replicas of evacuated data centres out of its index and is_usable, on which selection, slots, reach, versions, second attempts, resumptions and items rest. Owners answer slot queries for them with AnswerEvacuated, upon which a member that lags reads the topic. If all replicas of a service are evacuated, requests are refused at once (all_evacuated).

Ruled out: the topic's offset in load reports (reports of earlier builds could not be decoded any more), marking replicas as leaving (does not end with the evacuation).

--- a/cicadagate-gateway/src/platform.rs
+++ b/cicadagate-gateway/src/platform.rs
@@ -221,17 +221,38 @@
     pub output: Option<Bytes>,
 }
 
+/// A record that operators wrote.
+#[derive(Debug)]
+pub enum OperatorRecord {
+    /// A version of the configuration.
+    Config(Box<ServingConfig>),
+    /// The evacuation of a data centre, or its end.
+    Evacuation {
+        /// Name of the data centre.
+        data_centre: String,
+        /// Whether the evacuation is in force.
+        is_in_force: bool,
+    },
+}
+
 /// Converts between the platform's encodings and cicadagate's types.
 pub trait Codec {
     /// Returns the names of the headers.
     fn headers(&self) -> &HeaderNames;
 
-    /// Returns the compacted topic and the key of the configuration.
-    fn config_topic_and_key(&self) -> (&'static str, &'static str);
+    /// Returns the compacted topic that operators write to.
+    fn operator_topic(&self) -> &'static str;
 
     /// Returns the compacted topic of the replicas' registrations.
     fn replica_topic(&self) -> &'static str;
 
+    /// Decodes an operators' record.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is invalid.
+    fn operator_record(&self, record: &KeyedRecord) -> std::result::Result<OperatorRecord, String>;
+
     /// Decodes a configuration.
     ///
     /// # Errors
--- a/cicadagate-gateway/src/process/config.rs
+++ b/cicadagate-gateway/src/process/config.rs
@@ -1,36 +1,42 @@
 /*!
-Follows the operators' configuration in the store.
+Follows the operators' records in the store: the configuration, and the data centres
+that are evacuated.
 
 A long-polling read waits for the next version, so that a new version is in
 force within a few milliseconds of its acknowledgement. When another gateway
 reports a newer version, the records are read at once, since the connection of
-the waiting read may be dead. A failed read is retried after a delay with
-jitter. When the requested records have expired, the latest version is read
+the waiting read may be dead. So they are when another gateway knows of an evacuation
+that this one doesn't. A failed read is retried after a delay with
+jitter. When the requested records have expired, the latest record of each key is read
 instead. A version that is not newer than the one in force is ignored.
+
+The latest records are applied together once all of them are read, evacuations
+first. A process serves only with a configuration, so one that starts serves
+nothing before it knows the evacuations.
 */
 
 use {
-    super::{Gateway, fleet_store::StoreReachability},
-    crate::platform::{KeyedRecord, StoreError},
+    super::{Gateway, evacuation, fleet_store::StoreReachability},
+    crate::platform::{KeyedRecord, OperatorRecord, StoreError},
     actix_rt::time::sleep,
     cicadagate_node::event,
     cicadagate_policy::{ids::Offset, version::serving::ServingConfig},
-    std::{rc::Rc, time::Duration},
+    std::{collections::BTreeSet, rc::Rc, time::Duration},
 };
 
-/// Fraction (1/2) of the time within which a version must be in force for which
+/// Fraction (1/2) of the time within which a record must be in force for which
 /// a long-polling read waits, so that a dead connection does not use up all of
 /// that time.
 const WAIT_DIVISOR: u32 = 2;
 /// Delay after a failed read, in milliseconds; a random part of at most the
 /// same length is added.
 const RETRY_DELAY_MS: u64 = 100;
-/// Most bytes of one read; a configuration is far smaller.
+/// Most bytes of one read; a configuration is far smaller, and so are all evacuations.
 const MAX_READ_BYTES: usize = 1024 * 1024;
 
-/// Follows the configuration until the process ends.
+/// Follows the operators' records until the process ends.
 pub(super) async fn follow(gateway: Rc<Gateway>) {
-    let (topic, _) = gateway.codec.config_topic_and_key();
+    let topic = gateway.codec.operator_topic();
     let mut next: Option<u64> = None;
     let mut reachability = StoreReachability::new("config");
     loop {
@@ -51,19 +57,47 @@
 }
 
 async fn read_latest(gateway: &Rc<Gateway>, topic: &str) -> Result<u64, StoreError> {
-    let page = gateway.store.latest(topic, None).await?;
-    for item in page.items {
-        apply_record(gateway, &item);
+    let mut items = Vec::new();
+    let mut after: Option<String> = None;
+    let mut end = None;
+    loop {
+        let page = gateway.store.latest(topic, after.as_deref()).await?;
+        // The pages are not one snapshot: records appended after the first page
+        // was read are read again from this offset.
+        end = end.or(Some(page.end));
+        after = page.items.last().map(|item| item.key.clone());
+        items.extend(page.items);
+        if !page.has_more || after.is_none() {
+            break;
+        }
+    }
+    let (mut config, mut evacuated) = (None, BTreeSet::new());
+    for record in items.iter().filter_map(|item| decode(gateway, item)) {
+        match record {
+            OperatorRecord::Config(latest) => config = Some(latest),
+            OperatorRecord::Evacuation {
+                data_centre,
+                is_in_force: true,
+            } => {
+                evacuated.insert(data_centre);
+            }
+            OperatorRecord::Evacuation { .. } => {}
+        }
+    }
+    evacuation::apply_all(gateway, &evacuated);
+    if let Some(config) = config {
+        put_in_force(gateway, *config);
     }
-    Ok(page.end)
+    Ok(end.unwrap_or_default())
 }
 
 async fn read_next(gateway: &Rc<Gateway>, topic: &str, from: u64) -> Result<u64, StoreError> {
-    let wait = gateway.bounds().config_in_force / WAIT_DIVISOR;
+    let bounds = gateway.bounds();
+    let wait = bounds.config_in_force.min(bounds.evacuation) / WAIT_DIVISOR;
     let read = gateway.store.read(topic, 0, from, MAX_READ_BYTES, wait);
     let page = tokio::select! {
         page = read => page?,
-        () = gateway.newer_config_reported.notified() => {
+        () = gateway.newer_operator_record.notified() => {
             let read = gateway
                 .store
                 .read(topic, 0, from, MAX_READ_BYTES, Duration::ZERO);
@@ -71,22 +105,32 @@
         }
     };
     for record in &page.records {
-        if let Some(item) = gateway.store.decode_keyed(record) {
-            apply_record(gateway, &item);
+        let Some(item) = gateway.store.decode_keyed(record) else {
+            event!(RECORD_SKIPPED, key = topic, reason = "record has no key");
+            continue;
+        };
+        match decode(gateway, &item) {
+            Some(OperatorRecord::Config(config)) => put_in_force(gateway, *config),
+            Some(OperatorRecord::Evacuation {
+                data_centre,
+                is_in_force,
+            }) => evacuation::apply(gateway, &data_centre, is_in_force),
+            None => {}
         }
     }
     Ok(page.from + page.records.len() as u64)
 }
 
-fn apply_record(gateway: &Rc<Gateway>, item: &KeyedRecord) {
-    let (_, key) = gateway.codec.config_topic_and_key();
-    let Some(value) = item.value.as_ref().filter(|_| item.key == key) else {
-        return;
+fn decode(gateway: &Gateway, item: &KeyedRecord) -> Option<OperatorRecord> {
+    let record = gateway.codec.operator_record(item);
+    let log_skipped = |reason: &String| {
+        event!(
+            RECORD_SKIPPED,
+            key = item.key.as_str(),
+            reason = reason.as_str()
+        );
     };
-    match gateway.codec.config(value) {
-        Ok(config) => put_in_force(gateway, config),
-        Err(reason) => event!(RECORD_SKIPPED, key, reason),
-    }
+    record.inspect_err(log_skipped).ok()
 }
 
 fn put_in_force(gateway: &Rc<Gateway>, config: ServingConfig) {
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -4,7 +4,8 @@
 [`run`] binds the addresses, starts the background tasks and the servers, and
 waits for the stop signal.
 
-* `config`: follows the operators' configuration.
+* `config`: follows the operators' records.
+* `evacuation`: applies evacuations of data centres.
 * `reachability`: services whose replicas this instance can't reach.
 * `registry`: follows the replicas' registrations.
 * `peers`: membership and load reports of the gateways.
@@ -26,6 +27,7 @@
 mod config;
 pub mod contents;
 pub mod directory;
+mod evacuation;
 pub mod fleet_store;
 pub mod item_runner;
 pub mod jobs;
@@ -172,7 +174,10 @@
     pub item_runner: item_runner::ItemRunner,
     bounds: Cell<Bounds>,
     peer_socket: OnceCell<peers::PeerSocket>,
-    newer_config_reported: Notify,
+    /// A newer record of the operators is known elsewhere.
+    newer_operator_record: Notify,
+    /// Time at which another gateway last told of an evacuation that was not known here.
+    last_evacuation_wake: Cell<Time>,
     clock: Clock,
     in_flight: RefCell<HashMap<EndpointId, InFlight>>,
     phase: Cell<Phase>,
@@ -242,7 +247,8 @@
             item_runner: item_runner::ItemRunner::default(),
             bounds: Cell::new(settings.bounds),
             peer_socket: OnceCell::new(),
-            newer_config_reported: Notify::new(),
+            newer_operator_record: Notify::new(),
+            last_evacuation_wake: Cell::default(),
             clock,
             in_flight: RefCell::default(),
             phase: Cell::default(),
--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -172,7 +172,7 @@
     let now = gateway.now();
     let member = report.member;
     if report.config_version > gateway.config.borrow().version().unwrap_or_default() {
-        gateway.newer_config_reported.notify_one();
+        gateway.newer_operator_record.notify_one();
     }
     let admitted = report.admitted.clone();
     let in_flight = report.in_flight.clone();
--- a/cicadagate-gateway/src/process/slots.rs
+++ b/cicadagate-gateway/src/process/slots.rs
@@ -3,7 +3,7 @@
 */
 
 use {
-    super::{Gateway, InFlightGuard, owners::owner_of, rates, registry},
+    super::{Gateway, InFlightGuard, evacuation, owners::owner_of, rates, registry},
     actix_rt::time::sleep,
     cicadagate_policy::{
         ids::{EndpointId, MemberId},
@@ -33,6 +33,8 @@
     Limited(u64),
     /// The replica is leaving.
     Leaving,
+    /// The replica's data centre is evacuated.
+    Evacuated,
 }
 
 /// Outcome of a slot query. Dropping the guard releases the slot.
@@ -47,7 +49,7 @@
     /// The rate that the replica names allows a request only after this time,
     /// in milliseconds.
     Limited(u64),
-    /// The owner says that the replica is leaving.
+    /// The owner says that the replica is leaving, or in an evacuated data centre.
     Leaving,
 }
 
@@ -80,7 +82,7 @@
         }
         Some(SlotReply::Full(load)) => SlotOutcome::Full(load),
         Some(SlotReply::Limited(wait_ms)) => SlotOutcome::Limited(wait_ms),
-        Some(SlotReply::Leaving) => SlotOutcome::Leaving,
+        Some(SlotReply::Leaving | SlotReply::Evacuated) => SlotOutcome::Leaving,
         None if gateway.is_limited(endpoint) => SlotOutcome::Limited(OWNER_RETRY_MS),
         None => {
             update_owner(gateway, endpoint);
@@ -214,6 +216,9 @@
         replica.registration.slots
     };
     let now = gateway.now();
+    if gateway.replicas.borrow().is_evacuated(endpoint) {
+        return Some(SlotReply::Evacuated);
+    }
     let source = gateway.replicas.borrow().leaving_source(now, endpoint);
     if source.is_some() {
         return Some(SlotReply::Leaving);
@@ -264,6 +269,10 @@
         SlotReply::Granted(wait_ms) => (true, InFlight::default(), wait_ms),
         SlotReply::Full(load) => (false, load, 0),
         SlotReply::Limited(wait_ms) => (false, InFlight::default(), wait_ms),
+        SlotReply::Evacuated => {
+            send(gateway, to, SlotMessage::AnswerEvacuated { seq, endpoint });
+            return;
+        }
         SlotReply::Leaving => {
             let now = gateway.now();
             let leaving = gateway.replicas.borrow().leaving_replica(now, endpoint);
@@ -374,6 +383,10 @@
                 gateway.slot_queries.complete(seq, SlotReply::Leaving);
             }
         }
+        SlotMessage::AnswerEvacuated { seq, endpoint } => {
+            evacuation::note_told(gateway, endpoint);
+            gateway.slot_queries.complete(seq, SlotReply::Evacuated);
+        }
         SlotMessage::Leaving { endpoint, leaving } => {
             registry::note_told_leaving(gateway, endpoint, leaving, from);
         }
--- a/cicadagate-gateway/src/request/admission.rs
+++ b/cicadagate-gateway/src/request/admission.rs
@@ -169,6 +169,9 @@
     let customer = context.customer.as_deref();
     quarantine::check(gateway, id, &destination.prompt_parts)
         .map_err(|delay| (RequestError::Quarantined, delay))?;
+    if let Some(delay) = gateway.retry_after_evacuation(&destination.service) {
+        return Err((RequestError::AllEvacuated, delay));
+    }
     // A request that is refused because of the load takes no token.
     forward::check_load(gateway, id, destination, customer)
         .map_err(|delay| (RequestError::Overloaded, delay))?;
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -439,7 +439,13 @@
     request_error: RequestError,
 ) -> Response {
     let now = gateway.now();
+    // The evacuation may have begun after the request was admitted.
+    let evacuated = gateway
+        .retry_after_evacuation(&request.service)
+        .filter(|_| request_error == RequestError::NoReplica);
+    let request_error = evacuated.map_or(request_error, |_| RequestError::AllEvacuated);
     let retry_after = match request_error {
+        RequestError::AllEvacuated => evacuated,
         RequestError::NoReplica => Some(request.allowed_after.unwrap_or(RETRY_AFTER)),
         RequestError::Quarantined => {
             quarantine::time_left(gateway, &request.parts).or(Some(RETRY_AFTER))
--- a/cicadagate-gateway/src/request/mod.rs
+++ b/cicadagate-gateway/src/request/mod.rs
@@ -103,6 +103,8 @@
     NoAnswer,
     /// The request's deadline has passed.
     TimedOut,
+    /// All data centres with replicas of the service are evacuated.
+    AllEvacuated,
 }
 
 impl RequestError {
@@ -144,6 +146,11 @@
             Self::StoreUnavailable => (503, "store_away", "the store can't be reached"),
             Self::NoAnswer => (502, "no_answer", "the replica's answer was lost"),
             Self::TimedOut => (504, "timed_out", "the request's time is up"),
+            Self::AllEvacuated => (
+                503,
+                "all_evacuated",
+                "all data centres with replicas of the service are evacuated",
+            ),
         }
     }
 
--- a/cicadagate-gateway/src/settings.rs
+++ b/cicadagate-gateway/src/settings.rs
@@ -70,6 +70,8 @@
     pub memory_bytes: usize,
     /// File descriptor limit of the process.
     pub descriptors: usize,
+    /// Time in which the evacuation of a data centre must be in force.
+    pub evacuation: Duration,
 }
 
 /// Settings of a gateway.
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -119,6 +119,8 @@
     JOB_REFUSED = 615, Warn, "A job was refused or its acceptance is unknown.";
     JOB_OVER_LIMIT = 619, Info, "A job does not fit into the tokens that its customer may have waiting on the route.";
     JOB_CALL_FAILED = 616, Warn, "A request about a job could not be served.";
+    EVACUATION_BEGUN = 540, Info, "A data centre is evacuated: its replicas get no new work.";
+    EVACUATION_ENDED = 541, Info, "The evacuation of a data centre has ended; its replicas may be used.";
     LOG_LINES_DROPPED = 110, Warn, "Log lines were dropped, since standard output does not take them.";
     CHANGE_DECIDED = 700, Info, "An operator's change was accepted or rejected.";
 }
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -79,6 +79,8 @@
     AskOneHolder,
     /// A resumed stream goes to a replica of any software version.
     IgnoreSoftwareVersion,
+    /// Replicas of an evacuated data centre get new requests.
+    IgnoreEvacuation,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -22,6 +22,9 @@
 that asks for a slot there. The word of a member only ranks the replica last, and for a
 limited time: a sound replica never becomes unusable by it.
 
+Replicas in a data centre that the operators have evacuated get nothing new until the
+evacuation ends; see [`evacuation`](super::evacuation).
+
 A replica that failed is avoided for a time that doubles with each further
 failure up to [`MAX_AVOID_MS`]; it is still used if no other is left. A
 success ends the avoidance. A replica that takes no connections is avoided
@@ -42,6 +45,7 @@
 
 use {
     super::{
+        evacuation::{EvacuationChange, Evacuations},
         reachability::{REACHED_MS, Reach},
         reports::InFlight,
     },
@@ -230,6 +234,7 @@
     told_leaving: HashMap<EndpointId, (u64, Time)>,
     store_unreachable_since: Option<Time>,
     store_recovered_at: Option<Time>,
+    evacuations: Evacuations,
 }
 
 impl ReplicaSet {
@@ -371,9 +376,56 @@
     /// Returns whether a replica may be sent new requests.
     #[must_use]
     pub fn is_usable(&self, endpoint: EndpointId) -> bool {
+        self.replicas.get(&endpoint).is_some_and(|replica| {
+            self.takes_requests(&replica.registration)
+                && !self.is_in_evacuated(&replica.registration)
+        })
+    }
+
+    /// Begins or ends the evacuation of a data centre.
+    pub fn set_evacuated(&mut self, data_centre: &str, is_in_force: bool) -> EvacuationChange {
+        let change = self.evacuations.set(data_centre, is_in_force);
+        if matches!(change, EvacuationChange::Begun | EvacuationChange::Ended) {
+            self.rebuild_index();
+        }
+        change
+    }
+
+    /// Returns the data centres that are evacuated.
+    #[must_use]
+    pub const fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns the replicas of a data centre.
+    pub fn replicas_in(&self, data_centre: &str) -> impl Iterator<Item = &Replica> {
         self.replicas
-            .get(&endpoint)
-            .is_some_and(|replica| self.takes_requests(&replica.registration))
+            .values()
+            .filter(move |replica| replica.registration.data_centre == data_centre)
+    }
+
+    /// Returns whether a replica is in an evacuated data centre.
+    #[must_use]
+    pub fn is_evacuated(&self, endpoint: EndpointId) -> bool {
+        let replica = self.replicas.get(&endpoint);
+        replica.is_some_and(|replica| self.is_in_evacuated(&replica.registration))
+    }
+
+    /// Returns whether a service has replicas that would take requests, all of them in
+    /// evacuated data centres.
+    #[must_use]
+    pub fn is_service_evacuated(&self, service: &str) -> bool {
+        !self.evacuations.is_empty()
+            && !self.by_service.contains_key(service)
+            && self.replicas.values().any(|replica| {
+                replica.registration.service == service
+                    && self.takes_requests(&replica.registration)
+            })
+    }
+
+    fn is_in_evacuated(&self, registration: &Registration) -> bool {
+        self.evacuations.contains(&registration.data_centre)
+            && !is_injected(Fault::IgnoreEvacuation)
     }
 
     fn takes_requests(&self, registration: &Registration) -> bool {
@@ -435,7 +487,8 @@
     fn rebuild_index(&mut self) {
         self.by_service.clear();
         for replica in self.replicas.values() {
-            if self.takes_requests(&replica.registration) {
+            let registration = &replica.registration;
+            if self.takes_requests(registration) && !self.is_in_evacuated(registration) {
                 self.by_service
                     .entry(replica.registration.service.clone())
                     .or_default()
@@ -450,7 +503,8 @@
         self.replicas.get(&endpoint)
     }
 
-    /// Returns an iterator over a service's replicas that are not draining.
+    /// Returns an iterator over a service's replicas that are not draining and not in an
+    /// evacuated data centre.
     pub fn replicas_of(&self, service: &str) -> impl Iterator<Item = &Replica> {
         self.by_service
             .get(service)
@@ -488,7 +542,8 @@
         untested.take(count).collect()
     }
 
-    /// Returns the services that have replicas which are not draining.
+    /// Returns the services that have replicas which are not draining and not in an
+    /// evacuated data centre.
     pub fn services(&self) -> impl Iterator<Item = &str> {
         self.by_service.keys().map(String::as_str)
     }
--- a/cicadagate-policy/src/process/slot_ledger.rs
+++ b/cicadagate-policy/src/process/slot_ledger.rs
@@ -155,6 +155,14 @@
         /// What the sender knows.
         named: NamedRate,
     },
+    /// The owner's reply that no slot is granted since the replica's data centre is
+    /// evacuated.
+    AnswerEvacuated {
+        /// Sequence number of the request.
+        seq: u64,
+        /// Replica.
+        endpoint: EndpointId,
+    },
 }
 
 /// The owner's decision on a request for a slot.
