Few members read the replicas' registrations for all

Every process read every renewal of every replica: at 300 instances and 3,000 replicas worked out to be 150 MB/s, where the store serves 80 MB/s to all reads.

Above a quarter of the store's platform.readMbPerS, one in 16 members, at least 3, reads; each other member gets ranges of offsets with the records that change something from two of them, and reads the store itself from its own offset after half of drainMs without news. Without readMbPerS all members read, as before.

Ruled out: asking a reader (one more round trip and a timeout), sending the whole state (0.6 MB a member and read), one reader a member (its loss makes 16 read). Not measured at 300 instances.

--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -7,6 +7,7 @@
 * `config`: follows the operators' configuration.
 * `reachability`: services whose replicas this instance can't reach.
 * `registry`: follows the replicas' registrations.
+* `registration_news`: changes of registrations, read by few gateways for all.
 * `peers`: membership and load reports of the gateways.
 * `jobs`: follows the index of batch jobs.
 * `contents`: bodies and outputs of items in the store.
@@ -36,6 +37,7 @@
 pub mod queries;
 mod rates;
 pub mod reachability;
+mod registration_news;
 mod registry;
 pub mod slots;
 mod stop;
@@ -66,6 +68,7 @@
             quarantine::Quarantine,
             rate_limit::RateLimiter,
             reachability::CutOffMembers,
+            registration_readers::RegistrationFeed,
             replica_rates::{ReplicaRates, usable_slots_milli},
             replicas::{ReplicaLoad, ReplicaSet},
             reports::{InFlight, ReportTable, period_ms, remaining_percent},
@@ -181,6 +184,10 @@
     /// Time at which the other members were first read from the store.
     members_read_at: Cell<Option<Time>>,
     random_state: Cell<u64>,
+    /// Position in the topic of registrations.
+    registration_feed: RefCell<RegistrationFeed>,
+    /// Notified when a message has brought the registrations up to date.
+    registrations_current: Notify,
 }
 
 impl Gateway {
@@ -250,6 +257,8 @@
             registrations_loaded: Cell::default(),
             members_read_at: Cell::default(),
             random_state: Cell::new(seed),
+            registration_feed: RefCell::default(),
+            registrations_current: Notify::new(),
             settings,
         })
     }
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -4,18 +4,24 @@
 Every replica renews its registration about once a second, and each of those
 records would complete a read that waits for new records. Reads therefore do not
 wait but are made at fixed intervals, so that their number does not grow with
-the number of replicas.
+the number of replicas. In a large fleet few gateways read for all, see
+[`registration_news`](super::registration_news); then this gateway reads only if it is one of
+them, or if they don't tell it the latest state in time.
 */
 
 use {
-    super::{Gateway, fleet_store::StoreReachability, rates, slots},
+    super::{Gateway, fleet_store::StoreReachability, rates, registration_news, slots},
     crate::platform::{KeyedRecord, StoreError},
     actix_http::ResponseHead,
     actix_rt::time::sleep,
+    bytes::Bytes,
     cicadagate_node::event,
     cicadagate_policy::{
         ids::EndpointId,
-        process::replicas::{LeavingReplica, LeavingSource, Registration, ReplicaChange},
+        process::{
+            registration_readers::Role,
+            replicas::{LeavingReplica, LeavingSource, Registration, ReplicaChange},
+        },
         time::Time,
     },
     std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration},
@@ -29,52 +35,105 @@
 /// Most bytes of one read.
 const MAX_READ_BYTES: usize = 1024 * 1024;
 
-/// Reads the registrations periodically until the process ends.
+/// Follows the registrations until the process ends.
 pub(super) async fn follow(gateway: Rc<Gateway>) {
-    let mut next: Option<u64> = None;
     let mut reachability = StoreReachability::new("replicas");
+    let mut role = Role::default();
+    let mut is_missing_news = false;
     loop {
+        let started = gateway.now();
+        role = registration_news::next_role(&gateway, role);
+        let interval = gateway.bounds().drain / READS_PER_DRAIN;
+        if let Some(wait) = time_until_read(&gateway, role) {
+            note_outcome(&gateway, &mut reachability, None);
+            if std::mem::take(&mut is_missing_news) {
+                event!(REGISTRATION_NEWS_RESUMED);
+            }
+            sleep(wait.min(interval)).await;
+            continue;
+        }
+        if role == Role::Served && !std::mem::replace(&mut is_missing_news, true) {
+            event!(REGISTRATION_NEWS_MISSING);
+        }
+        let next = gateway.registration_feed.borrow().next();
         let outcome = match next {
             None => read_latest(&gateway).await,
-            Some(from) => read_next(&gateway, from).await,
+            Some(from) => tokio::select! {
+                outcome = read_next(&gateway, from, role) => outcome,
+                // The read is no longer needed, and others may wait for the store.
+                () = gateway.registrations_current.notified(), if role == Role::Served => {
+                    continue;
+                }
+            },
         };
-        let now = gateway.now();
-        let is_reachable = reachability.note(outcome.as_ref().err());
-        gateway
-            .replicas
-            .borrow_mut()
-            .set_store_reachable(now, is_reachable);
-        let lapsed = gateway.replicas.borrow_mut().remove_lapsed(now);
-        for replica in lapsed {
-            event!(
-                REPLICA_REMOVED,
-                replica = replica.id.as_str(),
-                reason = "no new registration after a store outage"
-            );
-        }
+        note_outcome(&gateway, &mut reachability, outcome.as_ref().err());
         match outcome {
-            Ok(offset) => {
-                next = Some(offset);
-                gateway.registrations_loaded.set(true);
-                sleep(gateway.bounds().drain / READS_PER_DRAIN).await;
+            Ok(Position::End) if role == Role::Reader => {
+                let elapsed = Duration::from_millis(gateway.now().since(started));
+                sleep(interval.saturating_sub(elapsed)).await;
             }
-            Err(StoreError::Expired { .. }) => next = None,
+            Ok(Position::End) => sleep(interval).await,
+            Ok(Position::Behind) => {}
+            Err(StoreError::Expired { .. }) => gateway.registration_feed.borrow_mut().expire(),
             Err(_) => sleep(RETRY_DELAY).await,
         }
     }
 }
 
+/// Returns the time until this gateway reads the registrations, if others read them for it.
+fn time_until_read(gateway: &Gateway, role: Role) -> Option<Duration> {
+    let feed = gateway.registration_feed.borrow();
+    if role != Role::Served || feed.next().is_none() {
+        return None;
+    }
+    let limits = registration_news::read_limits(gateway);
+    let due = feed.read_due(gateway.member_id, &limits);
+    let wait_ms = due.since(gateway.now());
+    (wait_ms > 0).then(|| Duration::from_millis(wait_ms))
+}
+
+fn note_outcome(
+    gateway: &Gateway,
+    reachability: &mut StoreReachability,
+    failure: Option<&StoreError>,
+) {
+    let now = gateway.now();
+    let is_reachable = reachability.note(failure);
+    let mut replicas = gateway.replicas.borrow_mut();
+    replicas.set_store_reachable(now, is_reachable);
+    let lapsed = replicas.remove_lapsed(now);
+    drop(replicas);
+    for replica in lapsed {
+        event!(
+            REPLICA_REMOVED,
+            replica = replica.id.as_str(),
+            reason = "no new registration after a store outage"
+        );
+    }
+}
+
+/// Where a read has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Position {
+    /// At the end of the topic, or reads are repeated at intervals.
+    End,
+    /// Before the end of the topic; the next read follows at once.
+    Behind,
+}
+
 /// Reads all registrations, and removes replicas that are not among them.
-async fn read_latest(gateway: &Rc<Gateway>) -> Result<u64, StoreError> {
+async fn read_latest(gateway: &Rc<Gateway>) -> Result<Position, StoreError> {
+    registration_news::count(gateway, "latest");
     let topic = gateway.codec.replica_topic();
     let mut listed = HashSet::new();
     let mut after: Option<String> = None;
-    let mut end = None;
+    let mut ends = None;
     loop {
         let page = gateway.store.latest(topic, after.as_deref()).await?;
         // The pages are not one snapshot: records appended after the first page
         // was read are read again from this offset.
-        end = end.or(Some(page.end));
+        let (first, _) = ends.unwrap_or((page.end, page.end));
+        ends = Some((first, page.end));
         after = page.items.last().map(|item| item.key.clone());
         for item in page.items {
             listed.insert(item.key.clone());
@@ -88,52 +147,121 @@
     for key in known.into_iter().filter(|id| !listed.contains(id)) {
         apply_record(gateway, &KeyedRecord { key, value: None });
     }
-    Ok(end.unwrap_or_default())
+    let (first, last) = ends.unwrap_or_default();
+    let now = gateway.now();
+    let mut feed = gateway.registration_feed.borrow_mut();
+    feed.restart(now, first, last);
+    gateway.registrations_loaded.set(true);
+    Ok(Position::End)
 }
 
-async fn read_next(gateway: &Rc<Gateway>, from: u64) -> Result<u64, StoreError> {
+async fn read_next(gateway: &Rc<Gateway>, from: u64, role: Role) -> Result<Position, StoreError> {
+    let kind = match role {
+        Role::Independent => "independent",
+        Role::Reader => "reader",
+        Role::Served => "fallback",
+    };
+    registration_news::count(gateway, kind);
     let topic = gateway.codec.replica_topic();
     let read = gateway
         .store
         .read(topic, 0, from, MAX_READ_BYTES, Duration::ZERO);
     let page = read.await?;
-    for record in &page.records {
-        if let Some(item) = gateway.store.decode_keyed(record) {
-            apply_record(gateway, &item);
-        } else {
-            event!(RECORD_SKIPPED, key = topic, reason = "record has no key");
-        }
+    // News may have arrived during the read.
+    let known = gateway.registration_feed.borrow().known_records(page.from);
+    for record in page.records.iter().skip(known.unwrap_or(usize::MAX)) {
+        let is_change = apply_raw(gateway, record);
+        let mut feed = gateway.registration_feed.borrow_mut();
+        feed.note_read(record, is_change);
+    }
+    let now = gateway.now();
+    let mut feed = gateway.registration_feed.borrow_mut();
+    feed.finish_read(now, page.end);
+    if role == Role::Reader {
+        drop(feed);
+        registration_news::send(gateway, page.end);
+    } else {
+        feed.skip_news();
+        drop(feed);
+    }
+    let is_behind = role != Role::Independent
+        && !page.records.is_empty()
+        && gateway.registration_feed.borrow().next() < Some(page.end);
+    Ok(if is_behind {
+        Position::Behind
+    } else {
+        Position::End
+    })
+}
+
+/// Applies a record; returns whether it changes a registration.
+pub(super) fn apply_raw(gateway: &Rc<Gateway>, record: &Bytes) -> bool {
+    if let Some(item) = gateway.store.decode_keyed(record) {
+        apply_record(gateway, &item)
+    } else {
+        let topic = gateway.codec.replica_topic();
+        event!(RECORD_SKIPPED, key = topic, reason = "record has no key");
+        false
     }
-    Ok(page.from + page.records.len() as u64)
 }
 
-fn apply_record(gateway: &Rc<Gateway>, item: &KeyedRecord) {
+fn apply_record(gateway: &Rc<Gateway>, item: &KeyedRecord) -> bool {
     let now = gateway.now();
     let id = item.key.as_str();
+    let endpoint = EndpointId::of(id);
+    let mut feed = gateway.registration_feed.borrow_mut();
     let Some(value) = &item.value else {
+        let is_change = feed.note(endpoint, None, 0);
+        drop(feed);
+        note_last_version(gateway, endpoint);
         let change = gateway.replicas.borrow_mut().remove(now, id);
         handle_change(gateway, id, change);
-        return;
+        return is_change;
     };
     match gateway.codec.registration(id, value) {
         Ok(registration) => {
+            let bytes = id.len() + value.len();
+            let is_change = feed.note(endpoint, Some(&registration), bytes);
+            drop(feed);
+            if is_change {
+                note_last_version(gateway, endpoint);
+            }
             let version = registration.version();
             let mut history = gateway.version_history.borrow_mut();
             history.note(now, &registration.service, version);
             drop(history);
             let change = gateway.replicas.borrow_mut().register(registration);
             handle_change(gateway, id, change);
+            is_change
         }
         Err(reason) => {
+            let is_change = feed.note(endpoint, None, 0);
+            drop(feed);
+            note_last_version(gateway, endpoint);
             let change = gateway.replicas.borrow_mut().remove(now, id);
             if change != ReplicaChange::None {
                 event!(RECORD_SKIPPED, key = id, reason);
             }
             handle_change(gateway, id, change);
+            is_change
         }
     }
 }
 
+/// Records that the version of a replica whose registration ends or changes was registered
+/// until now. Where others read the registrations, its renewals are not seen here.
+fn note_last_version(gateway: &Gateway, endpoint: EndpointId) {
+    if !gateway.registration_feed.borrow().is_shared() {
+        return;
+    }
+    let replicas = gateway.replicas.borrow();
+    if let Some(replica) = replicas.get(endpoint) {
+        let service = &replica.registration.service;
+        let mut history = gateway.version_history.borrow_mut();
+        history.note(gateway.now(), service, replica.version);
+    }
+}
+
 impl Gateway {
     /// Records what the head of a replica's response says of the replica. The
     /// request was sent at `sent_at` or later.
--- a/cicadagate-gateway/src/settings.rs
+++ b/cicadagate-gateway/src/settings.rs
@@ -70,6 +70,11 @@
     pub memory_bytes: usize,
     /// File descriptor limit of the process.
     pub descriptors: usize,
+    /// Bytes per second that the store serves to all reads of the fleet together;
+    /// `None` if the platform states no limit.
+    pub store_read_bytes_per_s: Option<u64>,
+    /// Time between two renewals of a replica's registration.
+    pub heartbeat: Duration,
 }
 
 /// Settings of a gateway.
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -95,6 +95,9 @@
     SERVICE_CUT_OFF = 535, Warn, "Most replicas of a service can't be reached from here; requests go through other instances.";
     SERVICE_REACHED = 536, Info, "The replicas of a service can be reached from here again.";
     SENT_THROUGH_MEMBER = 534, Info, "A request is sent through another instance, since replicas can't be reached from here.";
+    REGISTRATION_READS_CHANGED = 560, Info, "Who reads the replicas' registrations has changed: all instances (independent), this one for others (reader), or others for this one (served).";
+    REGISTRATION_NEWS_MISSING = 561, Warn, "No instance that reads the replicas' registrations has told this one of their latest state in time; it reads them itself.";
+    REGISTRATION_NEWS_RESUMED = 562, Info, "Other instances tell this one of the replicas' registrations again.";
     STREAM_RESUMPTION = 533, Info, "A caller resumes a stream; it goes on at the software version that began it, or is refused.";
     ATTEMPT_FAILED = 523, Warn, "An attempt at a replica failed.";
     REQUEST_BROKEN = 524, Warn, "A request ended without its complete response.";
--- a/cicadagate-node/src/metrics.rs
+++ b/cicadagate-node/src/metrics.rs
@@ -50,6 +50,8 @@
     pub first_piece_seconds: Histogram,
     /// Duration of requests, in seconds.
     pub request_seconds: Histogram,
+    /// Reads of replicas' registrations and messages about them, by kind.
+    pub registration_reads: IntCounterVec,
 }
 
 impl Metrics {
@@ -77,25 +79,20 @@
                 .expect("names differ");
             histogram
         };
-        let state = IntGaugeVec::new(
-            Opts::new("cicadagate_state", "Sizes of state, by kind."),
-            &["kind"],
-        )
-        .expect("constant names are valid");
-        registry
-            .register(Box::new(state.clone()))
-            .expect("names differ");
-        let waiting_tokens = IntGaugeVec::new(
-            Opts::new(
-                "cicadagate_waiting_tokens",
-                "Tokens of accepted items without a result, and their limit, by customer and route.",
-            ),
+        let gauge = |name: &str, help: &str, labels: &[&str]| {
+            let gauge = IntGaugeVec::new(Opts::new(name, help), labels);
+            let gauge = gauge.expect("constant names are valid");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("names differ");
+            gauge
+        };
+        let state = gauge("cicadagate_state", "Sizes of state, by kind.", &["kind"]);
+        let waiting_tokens = gauge(
+            "cicadagate_waiting_tokens",
+            "Tokens of accepted items without a result, and their limit, by customer and route.",
             &["customer", "route", "kind"],
-        )
-        .expect("constant names are valid");
-        registry
-            .register(Box::new(waiting_tokens.clone()))
-            .expect("names differ");
+        );
         Self {
             requests: counter(
                 "cicadagate_requests_total",
@@ -153,6 +150,11 @@
                 "Seconds until the first piece of an answer.",
             ),
             request_seconds: histogram("cicadagate_request_seconds", "Seconds that requests took."),
+            registration_reads: counter(
+                "cicadagate_registration_reads_total",
+                "Reads of replicas' registrations and messages about them, by kind.",
+                "kind",
+            ),
             state,
             waiting_tokens,
             registry,
@@ -192,6 +194,10 @@
                 "Batch streams that gave way, by deployment.",
             ),
             ("cicadagate_refusals_total", "Refusals by reason."),
+            (
+                "cicadagate_registration_reads_total",
+                "Reads of replicas' registrations and messages about them, by kind.",
+            ),
             (
                 "cicadagate_refused_messages_total",
                 "Frames and datagrams refused, by kind.",
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -79,6 +79,10 @@
     AskOneHolder,
     /// A resumed stream goes to a replica of any software version.
     IgnoreSoftwareVersion,
+    /// A member that others read registrations for never reads them itself.
+    TrustRegistrationReaders,
+    /// Changes of registrations are applied although changes before them are missing.
+    IgnoreRegistrationGap,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/process/mod.rs
+++ b/cicadagate-policy/src/process/mod.rs
@@ -10,6 +10,7 @@
 pub mod quarantine;
 pub mod rate_limit;
 pub mod reachability;
+pub mod registration_readers;
 pub mod replica_queue;
 pub mod replica_rates;
 pub mod replicas;
--- a/cicadagate-wire/src/datagram.rs
+++ b/cicadagate-wire/src/datagram.rs
@@ -7,6 +7,7 @@
 reports are numbered by their sender, and slot messages state how many slots of
 the replica their sender occupies in total, so a replay has no lasting effect. A
 replayed word about a stream's software version changes nothing, since the first one counts.
+Replayed changes of registrations are at offsets that the receiver already has.
 A replayed message about crashes can suspect parts of prompts again until a request with
 them completes. A replayed request for a slot at a replica that names a request rate takes another of its
 tokens at the owner of the slots; a replayed rate-limit request takes another token at the owner of
@@ -20,8 +21,8 @@
     },
     cicadagate_policy::process::{
         membership::Message, quarantine::QuarantineMessage, rate_limit::LimitMessage,
-        reachability::CutOffMessage, reports::Report, slot_ledger::SlotMessage,
-        stream_origins::StreamOriginMessage,
+        reachability::CutOffMessage, registration_readers::RegistrationNews, reports::Report,
+        slot_ledger::SlotMessage, stream_origins::StreamOriginMessage,
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
 };
@@ -47,6 +48,8 @@
     StreamOrigin(StreamOriginMessage),
     /// Services from which the sender is cut off.
     CutOff(CutOffMessage),
+    /// Changes of replicas' registrations, from a member that reads them for others.
+    Registrations(RegistrationNews),
 }
 
 /// Encodes and decodes datagrams.
