--- a/cicadagate-gateway/src/settings.rs
+++ b/cicadagate-gateway/src/settings.rs
@@ -72,6 +72,11 @@
     pub descriptors: usize,
     /// Time in which the evacuation of a data centre must be in force.
     pub evacuation: Duration,
+    /// Bytes per second that the store serves to all reads of the fleet together;
+    /// `None` if the platform states no limit.
+    pub store_read_bytes_per_s: Option<u64>,
+    /// Time between two renewals of a replica's registration.
+    pub heartbeat: Duration,
 }
 
 /// Settings of a gateway.
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -81,6 +81,10 @@
     IgnoreSoftwareVersion,
     /// Replicas of an evacuated data centre get new requests.
     IgnoreEvacuation,
+    /// A member that others read registrations for never reads them itself.
+    TrustRegistrationReaders,
+    /// Changes of registrations are applied although changes before them are missing.
+    IgnoreRegistrationGap,
 }
 
 #[cfg(feature = "planted-faults")]
