--- a/cicadagate-gateway/src/process/registration_news.rs
+++ b/cicadagate-gateway/src/process/registration_news.rs
@@ -75,14 +75,13 @@
 /// Tells the gateways that this one reads for what it has just read; `end` is the end of the
 /// topic at the read.
 pub(super) fn send(gateway: &Gateway, end: u64) {
-    let messages = gateway.registration_feed.borrow_mut().news(end);
     let Some(peer_socket) = gateway.peer_socket.get() else {
         return;
     };
-    if messages.is_empty() {
-        return;
-    }
     let served = served_addrs(gateway);
+    let mut feed = gateway.registration_feed.borrow_mut();
+    let messages = feed.news(served.len(), end);
+    drop(feed);
     for message in messages {
         let datagram = GatewayDatagram::Registrations(message);
         for to in &served {
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -184,6 +184,10 @@
         feed.skip_news();
         drop(feed);
     }
+    if role != Role::Independent && gateway.registration_feed.borrow().is_far_behind(page.end) {
+        gateway.registration_feed.borrow_mut().expire();
+        return Ok(Position::Behind);
+    }
     let is_behind = role != Role::Independent
         && !page.records.is_empty()
         && gateway.registration_feed.borrow().next() < Some(page.end);
--- a/cicadagate-policy/src/process/registration_readers.rs
+++ b/cicadagate-policy/src/process/registration_readers.rs
@@ -60,9 +60,15 @@
 /// Share of the drain time over which the reads of members without news are spread, in
 /// percent.
 pub const FALLBACK_SPREAD_PERCENT: u64 = 10;
-/// Most bytes of the changes of one read that a reader sends. A link of 22 Mbit/s takes
-/// 0.3 s to send this to 32 members.
+/// Most bytes of the changes of one read that a reader sends to one member.
 pub const MAX_NEWS_BYTES: usize = 24 * 1024;
+/// Most bytes of the changes of one read that a reader sends to all members: a link of
+/// 22 Mbit/s takes 0.2 s for them. It has few members to serve except at a start of the whole
+/// fleet, when only the first ones can read.
+pub const MAX_SENT_BYTES: usize = 512 * 1024;
+/// Records per replica by which a member may lag behind before it reads the latest records
+/// instead: two renewals of each registration are more bytes than its latest record.
+pub const MAX_LAG_PER_REPLICA: u64 = 2;
 /// Most bytes of ranges in one datagram, below the 8 KiB of a datagram by its other fields.
 pub const MAX_DATAGRAM_NEWS_BYTES: usize = 7 * 1024;
 /// Previous reads whose ranges are sent again.
@@ -353,18 +359,27 @@
         }
     }
 
+    /// Returns whether the latest records are fewer bytes than the records from the member's
+    /// offset to `end`.
+    #[must_use]
+    pub fn is_far_behind(&self, end: u64) -> bool {
+        let max_lag = self.known.len() as u64 * MAX_LAG_PER_REPLICA;
+        self.next.is_some_and(|next| end > next + max_lag)
+    }
+
     /// Drops the changes that were read for the member itself only.
     pub fn skip_news(&mut self) {
         self.clear_sent();
     }
 
-    /// Returns the messages that a reader sends after a read to each member that it serves.
+    /// Returns the messages that a reader sends after a read to each of the `served` members.
     /// `end` is the end of the topic at the read.
-    pub fn news(&mut self, end: u64) -> Vec<RegistrationNews> {
+    pub fn news(&mut self, served: usize, end: u64) -> Vec<RegistrationNews> {
         let Some(read) = self.pending.take() else {
             return Vec::new();
         };
-        if read.size() > MAX_NEWS_BYTES {
+        let max_bytes = (MAX_SENT_BYTES / served.max(1)).min(MAX_NEWS_BYTES);
+        if read.size() > max_bytes {
             self.sent.clear();
             return Vec::new();
         }
@@ -376,7 +391,7 @@
         let mut repeated_bytes = 0;
         for range in self.sent.iter().flatten().rev() {
             repeated_bytes += range.size();
-            if repeated_bytes > MAX_REPEATED_BYTES {
+            if repeated_bytes > max_bytes.min(MAX_REPEATED_BYTES) {
                 break;
             }
             ranges.insert(0, range.clone());
