Design note of batch items beside peaks; limits on items by the swing of online load

Plans followed the momentary load, as old as the reports (0.85 s at 85 members): items were started into slots that the next peak took back, and started again 150 ms later.

Where online load swings and reports are old, items are started up to what is left now in a trough and to what the peak leaves otherwise, and are kept up to what the trough leaves. A preempted item waits until the reports show the peak. Otherwise the plan is as before.

Ruled out: only what the peak leaves, since items then miss their due time.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -24,6 +24,7 @@
         ids::{EndpointId, MemberId, ServiceId, SoftwareVersion},
         process::{
             batch_share::{Slots, fill_percent, plan, plan_interval_ms, runner},
+            demand_swing::{DemandSwing, ItemLimits, MAX_FRESH_PERIOD_MS, Running, plan_by_limits},
             item_order::{self, OpenItem, RunRate},
             membership::Health,
             reports::period_ms,
@@ -49,6 +50,9 @@
 /// load peak lasts longer, and each start makes the engine process the prompt
 /// again.
 const RESTART_DELAY_MS: u64 = 150;
+/// Time between two samples of the services' online load, in milliseconds: several in
+/// each bucket of [`DemandSwing`].
+const LOAD_SAMPLE_INTERVAL_MS: u64 = 200;
 /// Time after a preemption during which new runs leave a slot free, in
 /// milliseconds.
 const RESERVE_AFTER_PREEMPTION_MS: u64 = 1000;
@@ -138,6 +142,10 @@
     /// Time of the last preemption.
     last_preemption: Cell<Option<Time>>,
     is_handing_off: Cell<bool>,
+    /// Recent online load, by service.
+    swings: RefCell<HashMap<String, DemandSwing>>,
+    /// Time of the last sample of the online load.
+    load_sampled: Cell<Option<Time>>,
 }
 
 impl ItemRunner {
@@ -159,6 +167,23 @@
         }
     }
 
+    /// Returns the limits on a service's items; `None` if its load does not vary enough
+    /// or the reports are fresh.
+    fn limits(&self, gateway: &Gateway, service: &str, slots: Slots) -> Option<ItemLimits> {
+        let swings = self.swings.borrow();
+        let period_ms = period_ms(gateway.member_count());
+        swings
+            .get(service)?
+            .limits(gateway.now(), slots, period_ms)
+    }
+
+    /// Returns the items of this process that wait for a slot.
+    fn waiting(&self) -> HashSet<ItemRef> {
+        let runs = self.runs.borrow();
+        let waiting = runs.iter().filter(|(_, run)| run.endpoint.get().is_none());
+        waiting.map(|(item, _)| *item).collect()
+    }
+
     /// Pauses the item that comes last in the order among those at a replica.
     pub fn preempt_item(&self, gateway: &Gateway, endpoint: EndpointId) {
         let item = {
@@ -187,13 +212,35 @@
             event!(ITEM_PAUSED, item: = ItemName(item), endpoint: = endpoint);
             let now = gateway.now();
             self.last_preemption.set(Some(now));
+            let delay_ms = self.restart_delay_ms(gateway, endpoint);
             self.restart_after
                 .borrow_mut()
-                .insert(item, now.plus(RESTART_DELAY_MS));
+                .insert(item, now.plus(delay_ms));
             self.stop(item);
         }
     }
 
+    /// Returns the time for which an item that was preempted at a replica is not started
+    /// again, in milliseconds. Where load swings, it lasts until the reports of all
+    /// members show the peak: before, the item would be preempted again.
+    fn restart_delay_ms(&self, gateway: &Gateway, endpoint: EndpointId) -> u64 {
+        let replicas = gateway.replicas.borrow();
+        let replica = replicas.get(endpoint);
+        let total = |service: &str| gateway.total_slots(service);
+        let period_ms = period_ms(gateway.member_count());
+        let swings = self.swings.borrow();
+        let swings_here = replica.is_some_and(|replica| {
+            let service = &replica.registration.service;
+            let swing = swings.get(service).and_then(DemandSwing::estimate);
+            swing.is_some_and(|swing| swing.applies(total(service), period_ms))
+        });
+        if swings_here {
+            RESTART_DELAY_MS.max(period_ms)
+        } else {
+            RESTART_DELAY_MS
+        }
+    }
+
     /// Returns the number of slots that a new run must leave free, so that an
     /// item is not started where the next online request would preempt it.
     fn reserve(&self, now: Time) -> u32 {
@@ -266,7 +313,9 @@
         return;
     };
     let now = gateway.now();
+    sample_load(gateway, now);
     let here: HashSet<ItemRef> = gateway.item_runner.running().into_iter().collect();
+    let waiting = gateway.item_runner.waiting();
     let elsewhere = gateway.reports.borrow().items_running_elsewhere(now);
     let mut by_service: HashMap<String, Vec<OpenItem>> = HashMap::new();
     let mut to_abandon = Vec::new();
@@ -307,17 +356,25 @@
     for (service, mut items) in by_service {
         let members = members_for(gateway, &service, &members);
         let due_in_ms = first_due_in_ms(&items, now_ms);
-        let slots = slots(gateway, &service, due_in_ms).for_batch();
+        let service_slots = slots(gateway, &service, due_in_ms);
+        let slots = service_slots.for_batch();
         gateway.metrics.set_state("batch_slots", slots);
         item_order::sort(&mut items, now_ms);
-        let plan = plan(
-            slots,
-            items.iter().map(|open| open.item),
-            &here,
-            &elsewhere,
-            gateway.member_id,
-            &members,
-        );
+        let items = items.iter().map(|open| open.item);
+        let me = gateway.member_id;
+        let plan = match gateway.item_runner.limits(gateway, &service, service_slots) {
+            Some(limits) => {
+                gateway.metrics.set_state("batch_slots_start", limits.start);
+                gateway.metrics.set_state("batch_slots_keep", limits.keep);
+                let running = Running {
+                    here: &here,
+                    waiting: &waiting,
+                    elsewhere: &elsewhere,
+                };
+                plan_by_limits(limits, items, running, me, &members)
+            }
+            None => plan(slots, items, &here, &elsewhere, me, &members),
+        };
         for item in plan.pause {
             event!(ITEM_PAUSED, item: = ItemName(item), slots);
             gateway.item_runner.stop(item);
@@ -336,6 +393,31 @@
     }
 }
 
+/// Adds a sample of the online load of each service, if members' reports are too old to
+/// follow it.
+fn sample_load(gateway: &Gateway, now: Time) {
+    let runner = &gateway.item_runner;
+    if period_ms(gateway.member_count()) <= MAX_FRESH_PERIOD_MS {
+        runner.swings.borrow_mut().clear();
+        return;
+    }
+    let is_recent = |at| now.since(at) < LOAD_SAMPLE_INTERVAL_MS;
+    if runner.load_sampled.get().is_some_and(is_recent) {
+        return;
+    }
+    runner.load_sampled.set(Some(now));
+    let services: Vec<String> = {
+        let replicas = gateway.replicas.borrow();
+        replicas.services().map(str::to_owned).collect()
+    };
+    let mut swings = runner.swings.borrow_mut();
+    swings.retain(|service, _| services.contains(service));
+    for service in services {
+        let online = gateway.service_load(&service).online;
+        swings.entry(service).or_default().note(now, online);
+    }
+}
+
 /// Returns what this process knows of an item of a job; `None` if the item has a
 /// result. `rate` is the run rate of the item's service.
 fn open_item(
--- a/cicadagate-policy/src/process/mod.rs
+++ b/cicadagate-policy/src/process/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod batch_share;
 pub mod contact;
+pub mod demand_swing;
 pub mod item_order;
 pub mod membership;
 pub mod placement;
