Batch items keep their progress beside peaks of online load

Each step up in online load preempted the items of the trough, and they were started again into the peak.

Where the load swings (peak 1.5 times the trough) and reports are older than 250 ms, the plan starts items by limits from the recent peak and trough, holds an item back if a start in the next trough means fewer preemptions and its due time allows it, and starts a preempted item only after the reports show the peak. An online request first asks up to two replicas for a free slot; the member that pauses an item picks the cheapest one.

Ruled out: no starts in the last part of each trough whatever the item, since a short rest of an item fits there.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -24,10 +24,13 @@
         ids::{EndpointId, MemberId, ServiceId, SoftwareVersion},
         process::{
             batch_share::{Slots, fill_percent, plan, plan_interval_ms, runner},
-            demand_swing::{DemandSwing, ItemLimits, MAX_FRESH_PERIOD_MS, Running, plan_by_limits},
+            demand_swing::{
+                DemandSwing, ItemLimits, MAX_FRESH_PERIOD_MS, Running, free_slot_queries,
+                plan_by_limits,
+            },
             item_order::{self, OpenItem, RunRate},
             membership::Health,
-            reports::period_ms,
+            reports::{InFlight, period_ms},
         },
         request::sse::EventSequencer,
         time::Time,
@@ -144,6 +147,8 @@
     is_handing_off: Cell<bool>,
     /// Recent online load, by service.
     swings: RefCell<HashMap<String, DemandSwing>>,
+    /// Replicas that an online request of a service asks for a free slot only.
+    free_slot_queries: RefCell<HashMap<String, usize>>,
     /// Time of the last sample of the online load.
     load_sampled: Cell<Option<Time>>,
 }
@@ -172,9 +177,15 @@
     fn limits(&self, gateway: &Gateway, service: &str, slots: Slots) -> Option<ItemLimits> {
         let swings = self.swings.borrow();
         let period_ms = period_ms(gateway.member_count());
-        swings
-            .get(service)?
-            .limits(gateway.now(), slots, period_ms)
+        swings.get(service)?.limits(gateway.now(), slots, period_ms)
+    }
+
+    /// Returns the number of events that an item's output has grown by since it was saved.
+    fn unsaved_events(&self, item: ItemRef) -> u64 {
+        let outputs = self.outputs.borrow();
+        outputs.get(&item).map_or(0, |output| {
+            output.events.saturating_sub(output.saved_events)
+        })
     }
 
     /// Returns the items of this process that wait for a slot.
@@ -184,8 +195,17 @@
         waiting.map(|(item, _)| *item).collect()
     }
 
-    /// Pauses the item that comes last in the order among those at a replica.
+    /// Pauses an item at a replica: the cheapest one where online load swings, otherwise
+    /// the one that comes last in the order.
     pub fn preempt_item(&self, gateway: &Gateway, endpoint: EndpointId) {
+        let service = {
+            let replicas = gateway.replicas.borrow();
+            let replica = replicas.get(endpoint);
+            replica.map(|replica| replica.registration.service.clone())
+        };
+        let swings = service
+            .as_deref()
+            .is_some_and(|service| self.swings(gateway, service));
         let item = {
             let now_ms = unix_time_ms();
             let runs = self.runs.borrow();
@@ -193,26 +213,31 @@
                 .iter()
                 .filter(|(_, run)| run.endpoint.get() == Some(endpoint) && !run.is_stopping.get())
                 .map(|(item, _)| *item);
-            let rate = gateway
-                .replicas
-                .borrow()
-                .get(endpoint)
-                .map(|replica| self.run_rate(&replica.registration.service))
-                .unwrap_or_default();
+            let rate = service.map_or_else(RunRate::default, |service| self.run_rate(&service));
             let index = gateway.jobs.index.borrow();
             let elsewhere = HashSet::new();
             let open =
                 |item: ItemRef| open_item(gateway, index.job(item.job)?, item, rate, &elsewhere);
             let items = at_replica.filter_map(open);
-            items
-                .max_by_key(|open| open.rank(now_ms))
-                .map(|open| open.item)
+            let chosen = if swings {
+                items
+                    .min_by_key(|open| open.preemption_rank(self.unsaved_events(open.item), now_ms))
+            } else {
+                items.max_by_key(|open| open.rank(now_ms))
+            };
+            chosen.map(|open| open.item)
         };
         if let Some(item) = item {
             event!(ITEM_PAUSED, item: = ItemName(item), endpoint: = endpoint);
             let now = gateway.now();
             self.last_preemption.set(Some(now));
-            let delay_ms = self.restart_delay_ms(gateway, endpoint);
+            // Until the reports of all members show a peak, the item would be preempted
+            // again.
+            let delay_ms = if swings {
+                RESTART_DELAY_MS.max(period_ms(gateway.member_count()))
+            } else {
+                RESTART_DELAY_MS
+            };
             self.restart_after
                 .borrow_mut()
                 .insert(item, now.plus(delay_ms));
@@ -220,25 +245,23 @@
         }
     }
 
-    /// Returns the time for which an item that was preempted at a replica is not started
-    /// again, in milliseconds. Where load swings, it lasts until the reports of all
-    /// members show the peak: before, the item would be preempted again.
-    fn restart_delay_ms(&self, gateway: &Gateway, endpoint: EndpointId) -> u64 {
-        let replicas = gateway.replicas.borrow();
-        let replica = replicas.get(endpoint);
-        let total = |service: &str| gateway.total_slots(service);
-        let period_ms = period_ms(gateway.member_count());
+    /// Returns whether the online load of a service swings and the reports are too old to
+    /// follow it.
+    fn swings(&self, gateway: &Gateway, service: &str) -> bool {
         let swings = self.swings.borrow();
-        let swings_here = replica.is_some_and(|replica| {
-            let service = &replica.registration.service;
-            let swing = swings.get(service).and_then(DemandSwing::estimate);
-            swing.is_some_and(|swing| swing.applies(total(service), period_ms))
-        });
-        if swings_here {
-            RESTART_DELAY_MS.max(period_ms)
-        } else {
-            RESTART_DELAY_MS
-        }
+        let estimate = swings.get(service).and_then(DemandSwing::estimate);
+        estimate.is_some_and(|swing| {
+            let period_ms = period_ms(gateway.member_count());
+            swing.applies(gateway.total_slots(service), period_ms)
+        })
+    }
+
+    /// Returns how many replicas an online request of a service asks for a free slot only,
+    /// before it may preempt an item.
+    #[must_use]
+    pub fn free_slot_queries(&self, service: &str) -> usize {
+        let queries = self.free_slot_queries.borrow();
+        queries.get(service).copied().unwrap_or_default()
     }
 
     /// Returns the number of slots that a new run must leave free, so that an
@@ -360,7 +383,6 @@
         let slots = service_slots.for_batch();
         gateway.metrics.set_state("batch_slots", slots);
         item_order::sort(&mut items, now_ms);
-        let items = items.iter().map(|open| open.item);
         let me = gateway.member_id;
         let plan = match gateway.item_runner.limits(gateway, &service, service_slots) {
             Some(limits) => {
@@ -371,9 +393,13 @@
                     waiting: &waiting,
                     elsewhere: &elsewhere,
                 };
-                plan_by_limits(limits, items, running, me, &members)
+                let open_count = items.len();
+                plan_by_limits(limits, &items, open_count, now_ms, running, me, &members)
+            }
+            None => {
+                let ordered = items.iter().map(|open| open.item);
+                plan(slots, ordered, &here, &elsewhere, me, &members)
             }
-            None => plan(slots, items, &here, &elsewhere, me, &members),
         };
         for item in plan.pause {
             event!(ITEM_PAUSED, item: = ItemName(item), slots);
@@ -399,6 +425,7 @@
     let runner = &gateway.item_runner;
     if period_ms(gateway.member_count()) <= MAX_FRESH_PERIOD_MS {
         runner.swings.borrow_mut().clear();
+        runner.free_slot_queries.borrow_mut().clear();
         return;
     }
     let is_recent = |at| now.since(at) < LOAD_SAMPLE_INTERVAL_MS;
@@ -410,12 +437,38 @@
         let replicas = gateway.replicas.borrow();
         replicas.services().map(str::to_owned).collect()
     };
-    let mut swings = runner.swings.borrow_mut();
-    swings.retain(|service, _| services.contains(service));
+    runner
+        .swings
+        .borrow_mut()
+        .retain(|service, _| services.contains(service));
+    let mut free_slot_queries_by_service = HashMap::new();
     for service in services {
-        let online = gateway.service_load(&service).online;
-        swings.entry(service).or_default().note(now, online);
+        let load = fleet_load_of(gateway, &service);
+        {
+            let mut swings = runner.swings.borrow_mut();
+            let swing = swings.entry(service.clone()).or_default();
+            swing.note(now, load.online);
+        }
+        if runner.swings(gateway, &service) {
+            let queries = free_slot_queries(load.total(), gateway.total_slots(&service));
+            free_slot_queries_by_service.insert(service, queries);
+        }
     }
+    runner
+        .free_slot_queries
+        .replace(free_slot_queries_by_service);
+}
+
+/// Returns the load of all replicas of a service that are not draining.
+fn fleet_load_of(gateway: &Gateway, service: &str) -> InFlight {
+    let replicas = gateway.replicas.borrow();
+    let loads = replicas
+        .replicas_of(service)
+        .map(|replica| gateway.fleet_load(replica.endpoint));
+    loads.fold(InFlight::default(), |sum, load| InFlight {
+        online: sum.online + load.online,
+        batch: sum.batch + load.batch,
+    })
 }
 
 /// Returns what this process knows of an item of a job; `None` if the item has a
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -435,7 +435,7 @@
         let mut in_flight = self.in_flight.borrow_mut();
         let load = in_flight.entry(endpoint).or_default();
         let count = match purpose {
-            Purpose::Online => &mut load.online,
+            Purpose::Online | Purpose::OnlineFree => &mut load.online,
             Purpose::Batch { .. } => &mut load.batch,
         };
         *count = count.saturating_add_signed(change);
--- a/cicadagate-gateway/src/request/mod.rs
+++ b/cicadagate-gateway/src/request/mod.rs
@@ -21,6 +21,7 @@
 mod admission;
 mod buffer;
 mod forward;
+mod free_slot;
 mod headers;
 mod job_requests;
 mod pending;
--- a/cicadagate-gateway/src/request/placement.rs
+++ b/cicadagate-gateway/src/request/placement.rs
@@ -7,7 +7,7 @@
 */
 
 use {
-    super::pending::PendingRequest,
+    super::{free_slot::FreeSlot, pending::PendingRequest},
     crate::process::{
         Gateway, InFlightGuard,
         slots::{SlotOutcome, acquire, acquire_without_grant},
@@ -39,14 +39,14 @@
 }
 
 /// A replica at which a slot may be taken.
-struct Candidate {
+pub(super) struct Candidate {
     registration: Rc<Registration>,
-    endpoint: EndpointId,
+    pub(super) endpoint: EndpointId,
 }
 
 impl Candidate {
     /// Adds the in-flight guard to the candidate.
-    fn with_guard(
+    pub(super) fn with_guard(
         self,
         gateway: &Rc<Gateway>,
         guard: InFlightGuard,
@@ -72,8 +72,13 @@
         let mut first_allowed: Option<(u64, Candidate)> = None;
         // Used if no other is left, since only another gateway says so.
         let mut told_leaving: Option<Candidate> = None;
+        let mut first = match self.take_free_slot(gateway, &mut excluded).await {
+            FreeSlot::Taken(target) => return Some(target),
+            FreeSlot::None(candidate) => candidate,
+        };
         for _ in 0..MAX_SLOT_QUERIES {
-            let Some(candidate) = self.choose(gateway, &excluded) else {
+            let candidate = first.take().or_else(|| self.choose(gateway, &excluded));
+            let Some(candidate) = candidate else {
                 break;
             };
             let endpoint = candidate.endpoint;
@@ -162,7 +167,11 @@
         max_wait_ms(self.route.objective_ms, rank).min(left_ms)
     }
 
-    fn choose(&self, gateway: &Rc<Gateway>, excluded: &[EndpointId]) -> Option<Candidate> {
+    pub(super) fn choose(
+        &self,
+        gateway: &Rc<Gateway>,
+        excluded: &[EndpointId],
+    ) -> Option<Candidate> {
         let now = gateway.now();
         let replicas = gateway.replicas.borrow();
         let reports = gateway.reports.borrow();
--- a/cicadagate-policy/src/process/demand_swing.rs
+++ b/cicadagate-policy/src/process/demand_swing.rs
@@ -17,18 +17,22 @@
 they are *kept* up to what the trough leaves. An item between the limits runs
 until an online request needs its slot.
 
-Shortly before a trough is expected to end, by the length of the troughs before,
-no item is started that the peak leaves no room for: it would be preempted
-before it has done much.
+An item is preempted about once for each peak between its start and its end. From
+the lengths of the peaks and troughs before, an item is held back if a start in
+the next trough means fewer preemptions, its due time allows that, and the
+troughs have room for all open items.
 
 # Cost
 
 The estimate needs half a window of samples, and follows a change of the pattern
-within a window.
+within a window. Slots stay free at the end of a trough while items are held back.
 */
 
 use {
-    super::batch_share::{Plan, Slots, runner},
+    super::{
+        batch_share::{Plan, Slots, runner},
+        item_order::OpenItem,
+    },
     crate::{average::MovingAverage, ids::MemberId, time::Time, version::job_index::ItemRef},
     std::{
         collections::{HashSet, VecDeque},
@@ -54,9 +58,17 @@
 /// Reporting period up to which the limits don't apply, in milliseconds: the plan
 /// follows the load closely enough.
 pub const MAX_FRESH_PERIOD_MS: u64 = 250;
-/// Expected rest of a trough below which no further item is started, in
-/// milliseconds: about a tenth of the time of an item.
-pub const MIN_USEFUL_RUN_MS: u64 = 500;
+/// Time by which a trough may outlast the expected length before its end counts as
+/// unknown, in milliseconds: about half a reporting period.
+const TROUGH_TOLERANCE_MS: u64 = 500;
+/// Factor on the time that an item needs in troughs until its due time to be held back,
+/// in percent: it may find no slot in one of them.
+pub const HOLD_BACK_MARGIN_PERCENT: u64 = 150;
+/// Replicas that an online request asks for a free slot only, before it may preempt an
+/// item. Each costs a round trip to an owner.
+pub const FREE_SLOT_QUERIES: usize = 2;
+/// Share of the slots that must be free by the reports for such a query, in percent.
+pub const MIN_FREE_PERCENT: u32 = 5;
 /// Longest phase that counts for the expected length of a trough, in milliseconds.
 const MAX_PHASE_MS: u64 = WINDOW_MS / 2;
 
@@ -82,6 +94,50 @@
     }
 }
 
+/// Returns how many replicas an online request asks for a free slot only.
+///
+/// `used` is the number of slots that online requests and items occupy by the reports.
+#[must_use]
+pub const fn free_slot_queries(used: u32, total_slots: u32) -> usize {
+    let free = total_slots.saturating_sub(used);
+    if free * 100 >= total_slots * MIN_FREE_PERCENT && total_slots > 0 {
+        FREE_SLOT_QUERIES
+    } else {
+        0
+    }
+}
+
+/// Expected lengths of troughs and peaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cycle {
+    /// Expected rest of the present trough, in milliseconds; 0 in a peak.
+    pub left_ms: u64,
+    /// Length of a trough, in milliseconds.
+    pub trough_ms: u64,
+    /// Length of a peak, in milliseconds.
+    pub peak_ms: u64,
+}
+
+impl Cycle {
+    /// Returns whether an item that is due in `due_in_ms` should be started in the next
+    /// trough instead of now, since that means fewer preemptions.
+    #[must_use]
+    pub fn is_better_later(self, remaining_ms: u64, due_in_ms: u64) -> bool {
+        let Self {
+            left_ms,
+            trough_ms,
+            peak_ms,
+        } = self;
+        let remaining_ms = remaining_ms.max(1);
+        let troughs = |ms: u64| ms.div_ceil(trough_ms.max(1));
+        let troughs_now = 1 + troughs(remaining_ms.saturating_sub(left_ms));
+        let troughs_later = troughs(remaining_ms);
+        let run_ms = remaining_ms + (troughs_later - 1) * peak_ms;
+        let needed_ms = left_ms + peak_ms + run_ms * HOLD_BACK_MARGIN_PERCENT / 100;
+        troughs_now > troughs_later && needed_ms < due_in_ms
+    }
+}
+
 /// How many items of a service the fleet may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ItemLimits {
@@ -89,6 +145,8 @@
     pub start: usize,
     /// Items up to which those that run are kept.
     pub keep: usize,
+    /// Expected lengths of troughs and peaks, if known.
+    pub cycle: Option<Cycle>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -111,6 +169,7 @@
     is_peak: bool,
     phase_since: Time,
     trough_ms: MovingAverage<2>,
+    peak_ms: MovingAverage<2>,
 }
 
 impl DemandSwing {
@@ -150,8 +209,13 @@
             return;
         }
         let lasted_ms = now.since(self.phase_since);
-        if is_peak && lasted_ms <= MAX_PHASE_MS {
-            self.trough_ms.note(lasted_ms);
+        if lasted_ms <= MAX_PHASE_MS {
+            let average = if is_peak {
+                &mut self.trough_ms
+            } else {
+                &mut self.peak_ms
+            };
+            average.note(lasted_ms);
         }
         self.is_peak = is_peak;
         self.phase_since = now;
@@ -177,14 +241,26 @@
         })
     }
 
-    /// Returns whether a trough is expected to end too soon for a further item.
-    fn ends_soon(&self, now: Time) -> bool {
-        let (lasted_ms, expected_ms) = (now.since(self.phase_since), self.trough_ms.value());
-        // A trough that lasts longer than expected says nothing of its end.
-        !self.is_peak
-            && expected_ms > 0
-            && lasted_ms + MIN_USEFUL_RUN_MS >= expected_ms
-            && lasted_ms <= expected_ms + MIN_USEFUL_RUN_MS
+    /// Returns the expected lengths of troughs and peaks, if both are known.
+    fn cycle(&self, now: Time) -> Option<Cycle> {
+        let (trough_ms, peak_ms) = (self.trough_ms.value(), self.peak_ms.value());
+        if trough_ms == 0 || peak_ms == 0 {
+            return None;
+        }
+        let lasted_ms = now.since(self.phase_since);
+        let left_ms = if self.is_peak {
+            0
+        } else if lasted_ms > trough_ms + TROUGH_TOLERANCE_MS {
+            // The trough is longer than the ones before, and its end is not known.
+            return None;
+        } else {
+            trough_ms.saturating_sub(lasted_ms)
+        };
+        Some(Cycle {
+            left_ms,
+            trough_ms,
+            peak_ms,
+        })
     }
 
     /// Returns the limits on items, `None` if the load does not vary enough or the
@@ -200,14 +276,15 @@
         }
         let room = |online| Slots { online, ..slots }.for_batch();
         let at_present = slots.for_batch();
-        let start = if self.is_peak || self.ends_soon(now) {
-            at_present.min(room(swing.peak))
+        let start = if self.is_peak {
+            at_present.min(room(swing.peak + swing.peak.isqrt()))
         } else {
             at_present
         };
         Some(ItemLimits {
             start,
             keep: room(swing.trough).max(start),
+            cycle: self.cycle(now),
         })
     }
 }
@@ -225,37 +302,48 @@
 
 /// Decides which items to start and to pause by the limits.
 ///
-/// `ordered_items` are the open items of the service, those first that get a slot
-/// first. `me` and `members` are as in [`plan`](super::batch_share::plan).
+/// `ordered` are the open items of the service, those first that get a slot first, and
+/// `open_count` is the number of all open items if some are left out. `now_ms` is the time
+/// since the Unix epoch. `me` and `members` are as in
+/// [`plan`](super::batch_share::plan).
 #[must_use]
 pub fn plan_by_limits<S: BuildHasher>(
     limits: ItemLimits,
-    ordered_items: impl Iterator<Item = ItemRef> + Clone,
+    ordered: &[OpenItem],
+    open_count: usize,
+    now_ms: u64,
     running: Running<'_, S>,
     me: MemberId,
     members: &[MemberId],
 ) -> Plan {
     let mut plan = Plan::default();
-    let runs = |item: &ItemRef| {
-        (running.here.contains(item) && !running.waiting.contains(item))
-            || running.elsewhere.contains(item)
+    let runs = |open: &OpenItem| {
+        let is_here = running.here.contains(&open.item) && !running.waiting.contains(&open.item);
+        is_here || running.elsewhere.contains(&open.item)
     };
-    let running_count = ordered_items.clone().filter(runs).count();
+    let running_count = ordered.iter().filter(|open| runs(open)).count();
     // Slots that no item occupies go to the first items that don't run.
     let mut free = limits.start.saturating_sub(running_count);
+    let cycle = limits.cycle.filter(|_| open_count <= limits.keep);
+    let is_held_back = |open: &OpenItem| {
+        let due_in_ms = open.due_ms.saturating_sub(now_ms);
+        cycle.is_some_and(|cycle| cycle.is_better_later(open.remaining_ms, due_in_ms))
+    };
     let mut kept = 0;
-    for item in ordered_items {
-        if runs(&item) {
+    for open in ordered {
+        let item = open.item;
+        if runs(open) {
             kept += 1;
             if kept > limits.keep && running.here.contains(&item) {
                 plan.pause.push(item);
             }
         } else if running.waiting.contains(&item) {
-            if free == 0 {
+            if free == 0 || is_held_back(open) {
                 plan.pause.push(item);
+            } else {
+                free -= 1;
             }
-            free = free.saturating_sub(1);
-        } else if free > 0 {
+        } else if free > 0 && !is_held_back(open) {
             free -= 1;
             if runner(item, members) == Some(me) {
                 plan.start.push(item);
--- a/cicadagate-policy/src/process/item_order.rs
+++ b/cicadagate-policy/src/process/item_order.rs
@@ -28,7 +28,10 @@
 each plan.
 */
 
-use crate::{average::MovingAverage, version::job_index::ItemRef};
+use {
+    crate::{average::MovingAverage, version::job_index::ItemRef},
+    std::cmp::Reverse,
+};
 
 /// Factor on the estimated time of a run that an item needs until its due time
 /// to be started, in percent: it may be paused once for a peak of online load.
@@ -67,6 +70,31 @@
     }
 }
 
+impl OpenItem {
+    /// Returns the sort key for preemption: the item with the lowest one is preempted
+    /// first.
+    ///
+    /// Items that are late anyway come first and those without a margin to their due time
+    /// last; among equal ones, the least work since the last saved output and the latest
+    /// due time decide.
+    #[must_use]
+    pub const fn preemption_rank(
+        &self,
+        unsaved_events: u64,
+        now_ms: u64,
+    ) -> (u8, u64, Reverse<u64>, ItemRef) {
+        let with_margin_ms = self.remaining_ms * START_MARGIN_PERCENT / 100;
+        let risk = if !self.can_meet_due_time(now_ms) {
+            0
+        } else if now_ms + with_margin_ms < self.due_ms {
+            1
+        } else {
+            2
+        };
+        (risk, unsaved_events, Reverse(self.due_ms), self.item)
+    }
+}
+
 /// Sorts items by the order in which they get slots.
 pub fn sort(items: &mut [OpenItem], now_ms: u64) {
     items.sort_unstable_by_key(|item| item.rank(now_ms));
--- a/cicadagate-policy/src/process/replica_rates.rs
+++ b/cicadagate-policy/src/process/replica_rates.rs
@@ -291,7 +291,7 @@
         };
         known.bucket.fill(now, rate);
         let (tokens, max_wait_ms) = match purpose {
-            Purpose::Online => (TOKEN, max_wait_ms),
+            Purpose::Online | Purpose::OnlineFree => (TOKEN, max_wait_ms),
             Purpose::Batch { .. } => (Bucket::capacity(rate.milli().cast_signed()), 0),
         };
         let wait_ms = known.bucket.wait_ms(rate, tokens);
--- a/cicadagate-policy/src/process/slot_ledger.rs
+++ b/cicadagate-policy/src/process/slot_ledger.rs
@@ -58,6 +58,9 @@
         /// Number of slots that must stay free beside it.
         reserve: u32,
     },
+    /// An online request that takes only a slot that nothing occupies, since there may
+    /// be a free one at another replica.
+    OnlineFree,
 }
 
 /// A message between members about a replica's slots.
@@ -255,6 +258,7 @@
         let is_granted = match purpose {
             Purpose::Online => load.online < slots,
             Purpose::Batch { reserve } => load.total() + reserve < slots,
+            Purpose::OnlineFree => load.total() < slots,
         };
         let is_full = load.total() >= slots;
         let pause_at = (purpose == Purpose::Online && is_full)
@@ -263,7 +267,7 @@
         if is_granted {
             let mut held = own;
             match purpose {
-                Purpose::Online => held.online += 1,
+                Purpose::Online | Purpose::OnlineFree => held.online += 1,
                 Purpose::Batch { .. } => held.batch += 1,
             }
             self.update(now, endpoint, member, held);
--- a/cicadagate-policy/tests/slot_ledger.rs
+++ b/cicadagate-policy/tests/slot_ledger.rs
@@ -56,6 +56,20 @@
     assert_eq!(beyond_slots.pause_at, None, "no batch item is left");
 }
 
+// Guards against a preemption for a request that may find a free slot elsewhere.
+#[test]
+fn a_request_for_a_free_slot_preempts_nothing() {
+    let mut ledger = SlotLedger::default();
+    ledger.update(NOW, REPLICA, member(1), holding(0, SLOTS - 1));
+    let free = Purpose::OnlineFree;
+    let first = ledger.request_slot(NOW, REPLICA, SLOTS, member(2), holding(0, 0), free);
+    assert!(first.is_granted);
+    assert_eq!(ledger.load(NOW, REPLICA), holding(1, SLOTS - 1));
+    let second = ledger.request_slot(NOW, REPLICA, SLOTS, member(3), holding(0, 0), free);
+    assert!(!second.is_granted);
+    assert_eq!(second.pause_at, None);
+}
+
 #[test]
 fn batch_work_leaves_its_reserve_free() {
     let mut ledger = SlotLedger::default();
