A preempted item asks its last replica first

A preempted item continued at any replica of its version and had its prompt read again there. Where the load swings, it asks the replica at which it was preempted once, if that is usable, of its version and has a free slot by the reports; otherwise any replica as before. The replica is noted at a preemption only: after a failure another one is better.

Ruled out: waiting for the last replica, since a prompt takes 5 ms to read.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -138,6 +138,8 @@
     runs: RefCell<HashMap<ItemRef, Rc<ItemRun>>>,
     outputs: RefCell<HashMap<ItemRef, PartialOutput>>,
     failures: RefCell<HashMap<ItemRef, u32>>,
+    /// Replica at which each item was preempted last.
+    last_replicas: RefCell<HashMap<ItemRef, EndpointId>>,
     /// Time before which a preempted item must not be started again.
     restart_after: RefCell<HashMap<ItemRef, Time>>,
     /// Time of runs, by service.
@@ -241,6 +243,7 @@
             self.restart_after
                 .borrow_mut()
                 .insert(item, now.plus(delay_ms));
+            self.last_replicas.borrow_mut().insert(item, endpoint);
             self.stop(item);
         }
     }
@@ -325,6 +328,8 @@
     }
     let mut outputs = gateway.item_runner.outputs.borrow_mut();
     outputs.retain(|item, _| index.is_item_open(*item));
+    let mut last_replicas = gateway.item_runner.last_replicas.borrow_mut();
+    last_replicas.retain(|item, _| index.is_item_open(*item));
     let mut restart_after = gateway.item_runner.restart_after.borrow_mut();
     restart_after.retain(|item, _| index.is_item_open(*item));
     let mut failures = gateway.item_runner.failures.borrow_mut();
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -27,6 +27,7 @@
     cicadagate_policy::{
         ids::{EndpointId, RequestPart, SoftwareVersion},
         process::{
+            last_replica::last_replica,
             replicas::{Registration, Wanted},
             reports::InFlight,
             slot_ledger::Purpose,
@@ -282,6 +283,20 @@
     };
     let replicas = gateway.replicas.borrow();
     let reports = gateway.reports.borrow();
+    // Asked once for each start, so that it does not keep the item from other replicas.
+    let last = gateway
+        .item_runner
+        .last_replicas
+        .borrow_mut()
+        .remove(&task.item);
+    let last = last.filter(|_| gateway.item_runner.swings(gateway, service));
+    let last = last.and_then(|last| {
+        let load = gateway.batch_load_estimate(&reports, last);
+        last_replica(now, &replicas, &wanted, last, load)
+    });
+    if let Some(replica) = last {
+        return Some((replica.endpoint, Rc::clone(&replica.registration)));
+    }
     let replica = replicas.choose(now, &wanted, gateway.next_random(), |id| {
         gateway.batch_load_estimate(&reports, id)
     })?;
