Plans of batch items examine a bounded number of items

A plan collects the items that run or have output, and of the others as many as the service has slots, in the order of their due times; the index lists the items with output. The first items of the order stay the same. A plan abandons at most 500 items.

Ruled out: a longer interval, since it delays starts and pauses; an incremental order, since whether an item can be in time changes with time alone.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -29,6 +29,7 @@
                 plan_by_limits,
             },
             item_order::{self, OpenItem, RunRate},
+            item_scan::{ServiceItems, scan},
             membership::Health,
             reports::{InFlight, period_ms},
         },
@@ -36,13 +37,13 @@
         time::Time,
         version::{
             job_index::{ItemRef, ItemState, Job, Submission},
-            serving::Route,
+            serving::{Route, ServingConfig},
         },
     },
     serde::{Deserialize, Serialize},
     std::{
         cell::{Cell, RefCell},
-        collections::{HashMap, HashSet},
+        collections::{BTreeMap, HashMap, HashSet},
         rc::Rc,
         time::Duration,
     },
@@ -62,6 +63,9 @@
 /// Clock skew between instances that is allowed for, in milliseconds: an
 /// instance whose clock is ahead must not abandon an item early.
 const MAX_CLOCK_SKEW_MS: u64 = 5_000;
+/// Most items that are abandoned by one plan, beside those that run here. The others are
+/// left to the next plans.
+const MAX_ABANDONED_PER_PLAN: usize = 500;
 /// Least delay between the start and the first plan, in milliseconds: before
 /// the other members are known, each process would assign all items to itself.
 const MIN_STARTUP_DELAY_MS: u64 = 700;
@@ -336,6 +340,57 @@
     failures.retain(|item, _| index.is_item_open(*item));
 }
 
+/// What is done with the items of a job.
+enum JobUse<'a> {
+    /// They run on this service.
+    Run(&'a str),
+    /// They wait for a newer configuration.
+    Wait,
+    /// They are abandoned.
+    Abandon,
+}
+
+/// Open jobs of a service.
+#[derive(Default)]
+struct OpenJobs<'a> {
+    /// Jobs, in the order of their due times.
+    jobs: Vec<&'a Job>,
+    /// Items that run or wait for a slot, or have output.
+    known: Vec<(&'a Job, ItemRef)>,
+}
+
+impl OpenJobs<'_> {
+    fn open_count(&self) -> usize {
+        self.jobs.iter().map(|job| job.open_count()).sum()
+    }
+}
+
+/// Returns what is done with the items of a job. `services` caches the service of each
+/// route, which is `None` without a route.
+fn job_use<'a>(
+    config: &'a ServingConfig,
+    services: &mut HashMap<&'a str, Option<Option<&'a str>>>,
+    job: &'a Job,
+    now_ms: u64,
+) -> JobUse<'a> {
+    let Submission {
+        route,
+        config_version,
+        give_up_ms,
+        ..
+    } = &job.submission;
+    let service = *services.entry(route).or_insert_with(|| {
+        let route = config.route_by_name(route)?;
+        Some(route.targets.first().map(|target| target.service.as_str()))
+    });
+    let has_no_route = service.is_none() && config.version() >= *config_version;
+    if has_no_route || now_ms >= give_up_ms + MAX_CLOCK_SKEW_MS {
+        JobUse::Abandon
+    } else {
+        service.flatten().map_or(JobUse::Wait, JobUse::Run)
+    }
+}
+
 fn plan_all(gateway: &Rc<Gateway>) {
     let Some(config) = gateway.current_config() else {
         return;
@@ -345,32 +400,44 @@
     let here: HashSet<ItemRef> = gateway.item_runner.running().into_iter().collect();
     let waiting = gateway.item_runner.waiting();
     let elsewhere = gateway.reports.borrow().items_running_elsewhere(now);
-    let mut by_service: HashMap<String, Vec<OpenItem>> = HashMap::new();
-    let mut to_abandon = Vec::new();
     let now_ms = unix_time_ms();
-    {
-        let index = gateway.jobs.index.borrow();
-        for job in index.open_jobs() {
-            let Submission {
-                route,
-                config_version,
-                give_up_ms,
-                ..
-            } = &job.submission;
-            let route = config.route_by_name(route);
-            let has_no_route = route.is_none() && config.version() >= *config_version;
-            let service = route.and_then(|route| route.targets.first());
-            if has_no_route || now_ms >= give_up_ms + MAX_CLOCK_SKEW_MS {
-                to_abandon.extend(job.open_items());
-            } else if let Some(target) = service {
-                let rate = gateway.item_runner.run_rate(&target.service);
-                let open = |item| open_item(gateway, job, item, rate, &elsewhere);
-                let items = by_service.entry(target.service.clone()).or_default();
-                items.extend(job.open_items().filter_map(open));
+    let index = gateway.jobs.index.borrow();
+    let known_set: HashSet<ItemRef> = {
+        let outputs = gateway.item_runner.outputs.borrow();
+        let known = here.iter().chain(&elsewhere).chain(outputs.keys());
+        known.copied().chain(index.saved_items()).collect()
+    };
+    let mut uses = HashMap::new();
+    let mut by_service: BTreeMap<&str, OpenJobs<'_>> = BTreeMap::new();
+    let mut to_abandon = Vec::new();
+    let mut open = 0;
+    for job in index.open_jobs() {
+        match job_use(&config, &mut uses, job, now_ms) {
+            JobUse::Abandon => {
+                let room = MAX_ABANDONED_PER_PLAN.saturating_sub(to_abandon.len());
+                to_abandon.extend(job.open_items().take(room));
+            }
+            JobUse::Run(service) => {
+                open += job.open_count();
+                by_service.entry(service).or_default().jobs.push(job);
             }
+            JobUse::Wait => {}
+        }
+    }
+    for item in &known_set {
+        let job = index.job(item.job).filter(|_| index.is_item_open(*item));
+        let Some(job) = job else {
+            continue;
+        };
+        match job_use(&config, &mut uses, job, now_ms) {
+            JobUse::Abandon if here.contains(item) => to_abandon.push(*item),
+            JobUse::Run(service) => {
+                let jobs = by_service.entry(service).or_default();
+                jobs.known.push((job, *item));
+            }
+            JobUse::Abandon | JobUse::Wait => {}
         }
     }
-    let open = by_service.values().map(Vec::len).sum();
     gateway.metrics.set_state("items_open", open);
     gateway.metrics.set_state("items_here", here.len());
     gateway
@@ -381,15 +448,31 @@
     for item in to_abandon {
         stop_or_abandon(gateway, item, &members, &here);
     }
-    for (service, mut items) in by_service {
-        let members = members_for(gateway, &service, &members);
-        let due_in_ms = first_due_in_ms(&items, now_ms);
-        let service_slots = slots(gateway, &service, due_in_ms);
+    let mut examined = 0;
+    for (service, jobs) in by_service {
+        let members = members_for(gateway, service, &members);
+        let due_in_ms = first_due_in_ms(&jobs.jobs, now_ms);
+        let service_slots = slots(gateway, service, due_in_ms);
+        let rate = gateway.item_runner.run_rate(service);
+        let items = ServiceItems {
+            jobs: &jobs.jobs,
+            known: &jobs.known,
+            known_set: &known_set,
+        };
+        let scan = scan(
+            items,
+            service_slots.total as usize,
+            now_ms,
+            |tokens| rate.estimate_ms(tokens),
+            |job, item| open_item(gateway, job, item, rate, &elsewhere),
+        );
+        examined += scan.examined;
+        let mut items = scan.items;
         let slots = service_slots.for_batch();
         gateway.metrics.set_state("batch_slots", slots);
         item_order::sort(&mut items, now_ms);
         let me = gateway.member_id;
-        let plan = match gateway.item_runner.limits(gateway, &service, service_slots) {
+        let plan = match gateway.item_runner.limits(gateway, service, service_slots) {
             Some(limits) => {
                 gateway.metrics.set_state("batch_slots_start", limits.start);
                 gateway.metrics.set_state("batch_slots_keep", limits.keep);
@@ -398,7 +481,7 @@
                     waiting: &waiting,
                     elsewhere: &elsewhere,
                 };
-                let open_count = items.len();
+                let open_count = jobs.open_count();
                 plan_by_limits(limits, &items, open_count, now_ms, running, me, &members)
             }
             None => {
@@ -422,6 +505,7 @@
             }
         }
     }
+    gateway.metrics.set_state("items_examined", examined);
 }
 
 /// Adds a sample of the online load of each service, if members' reports are too old to
@@ -570,10 +654,10 @@
 }
 
 /// Returns the time until the next due time that is still ahead, `u64::MAX` if
-/// there is none.
-fn first_due_in_ms(items: &[OpenItem], now_ms: u64) -> u64 {
-    let due = items.iter().map(|open| open.due_ms);
-    let ahead = due.filter(|due_ms| *due_ms > now_ms).min();
+/// there is none. `jobs` are in the order of their due times.
+fn first_due_in_ms(jobs: &[&Job], now_ms: u64) -> u64 {
+    let mut due = jobs.iter().map(|job| job.submission.due_ms);
+    let ahead = due.find(|due_ms| *due_ms > now_ms);
     ahead.map_or(u64::MAX, |due_ms| due_ms - now_ms)
 }
 
--- a/cicadagate-policy/src/process/mod.rs
+++ b/cicadagate-policy/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub mod contact;
 pub mod demand_swing;
 pub mod item_order;
+pub mod item_scan;
 pub mod last_replica;
 pub mod membership;
 pub mod placement;
--- a/cicadagate-policy/src/version/job_index.rs
+++ b/cicadagate-policy/src/version/job_index.rs
@@ -146,6 +146,11 @@
     }
 }
 
+fn least_tokens(items: &[ItemEntry]) -> u32 {
+    let tokens = items.iter().map(|entry| entry.tokens);
+    tokens.min().unwrap_or_default()
+}
+
 fn tokens_of(items: &[ItemEntry]) -> u64 {
     items.iter().map(|entry| u64::from(entry.tokens)).sum()
 }
@@ -238,6 +243,8 @@
     is_ended: bool,
     /// Tokens of the items without a result.
     open_tokens: u64,
+    /// Tokens of the smallest item.
+    least_tokens: u32,
 }
 
 impl Job {
@@ -248,6 +255,7 @@
             listed: Vec::new(),
             is_ended: false,
             open_tokens: submission.tokens(),
+            least_tokens: least_tokens(&submission.items),
             submission,
         }
     }
@@ -263,6 +271,18 @@
         self.submission.items.len()
     }
 
+    /// Returns the number of items without a result.
+    #[must_use]
+    pub const fn open_count(&self) -> usize {
+        self.submission.items.len() - self.listed.len()
+    }
+
+    /// Returns the tokens of the smallest item.
+    #[must_use]
+    pub const fn least_tokens(&self) -> u32 {
+        self.least_tokens
+    }
+
     /// Returns an item as submitted.
     #[must_use]
     pub fn item(&self, index: u32) -> Option<&ItemEntry> {
@@ -345,6 +365,8 @@
     jobs: BTreeMap<JobId, Job>,
     /// Open jobs, sorted by due time.
     open: BTreeSet<(u64, JobId)>,
+    /// Items without a result that have a partial output.
+    saved: BTreeSet<ItemRef>,
     /// Attempts to submit a job that were refused.
     refused: RefusedAttempts,
 }
@@ -478,6 +500,7 @@
         let tokens = job.submission.items[item.index as usize].tokens;
         job.open_tokens = job.open_tokens.saturating_sub(u64::from(tokens));
         job.listed.push(item.index);
+        self.saved.remove(&item);
         if !job.is_open() {
             self.open.remove(&job.due_key());
         }
@@ -495,9 +518,11 @@
 
     fn save(&mut self, item: ItemRef, progress: Progress) -> bool {
         let job = self.jobs.get_mut(&item.job);
-        let Some(ItemState::Open(known)) =
-            job.and_then(|job| job.states.get_mut(item.index as usize))
-        else {
+        let Some(job) = job else {
+            return false;
+        };
+        let is_ended = job.is_ended;
+        let Some(ItemState::Open(known)) = job.states.get_mut(item.index as usize) else {
             return false;
         };
         // An output of another version replaces a longer one: no replica was left that
@@ -509,6 +534,9 @@
             return false;
         }
         *known = Some(progress);
+        if !is_ended {
+            self.saved.insert(item);
+        }
         true
     }
 
@@ -519,6 +547,9 @@
         let was_ended = job.is_ended;
         job.is_ended = true;
         self.open.remove(&job.due_key());
+        for item in job.open_items() {
+            self.saved.remove(&item);
+        }
         !was_ended
     }
 
@@ -554,6 +585,12 @@
         self.open_jobs().flat_map(Job::open_items)
     }
 
+    /// Returns an iterator over the items that remain to be run and have a partial
+    /// output.
+    pub fn saved_items(&self) -> impl Iterator<Item = ItemRef> + '_ {
+        self.saved.iter().copied()
+    }
+
     /// Returns an iterator over the open jobs, in the order of their due times.
     pub fn open_jobs(&self) -> impl Iterator<Item = &Job> {
         self.open.iter().filter_map(|(_, id)| self.jobs.get(id))
