--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -24,21 +24,26 @@
         ids::{EndpointId, MemberId, ServiceId, SoftwareVersion},
         process::{
             batch_share::{Slots, fill_percent, plan, plan_interval_ms, runner},
+            demand_swing::{
+                DemandSwing, ItemLimits, MAX_FRESH_PERIOD_MS, Running, free_slot_queries,
+                plan_by_limits,
+            },
             item_order::{self, OpenItem, RunRate},
+            item_scan::{ServiceItems, scan},
             membership::Health,
-            reports::period_ms,
+            reports::{InFlight, period_ms},
         },
         request::sse::EventSequencer,
         time::Time,
         version::{
             job_index::{ItemRef, ItemState, Job, Submission},
-            serving::Route,
+            serving::{Route, ServingConfig},
         },
     },
     serde::{Deserialize, Serialize},
     std::{
         cell::{Cell, RefCell},
-        collections::{HashMap, HashSet},
+        collections::{BTreeMap, HashMap, HashSet},
         rc::Rc,
         time::Duration,
     },
@@ -49,12 +54,18 @@
 /// load peak lasts longer, and each start makes the engine process the prompt
 /// again.
 const RESTART_DELAY_MS: u64 = 150;
+/// Time between two samples of the services' online load, in milliseconds: several in
+/// each bucket of [`DemandSwing`].
+const LOAD_SAMPLE_INTERVAL_MS: u64 = 200;
 /// Time after a preemption during which new runs leave a slot free, in
 /// milliseconds.
 const RESERVE_AFTER_PREEMPTION_MS: u64 = 1000;
 /// Clock skew between instances that is allowed for, in milliseconds: an
 /// instance whose clock is ahead must not abandon an item early.
 const MAX_CLOCK_SKEW_MS: u64 = 5_000;
+/// Most items that are abandoned by one plan, beside those that run here. The others are
+/// left to the next plans.
+const MAX_ABANDONED_PER_PLAN: usize = 500;
 /// Least delay between the start and the first plan, in milliseconds: before
 /// the other members are known, each process would assign all items to itself.
 const MIN_STARTUP_DELAY_MS: u64 = 700;
@@ -131,6 +142,8 @@
     runs: RefCell<HashMap<ItemRef, Rc<ItemRun>>>,
     outputs: RefCell<HashMap<ItemRef, PartialOutput>>,
     failures: RefCell<HashMap<ItemRef, u32>>,
+    /// Replica at which each item was preempted last.
+    last_replicas: RefCell<HashMap<ItemRef, EndpointId>>,
     /// Time before which a preempted item must not be started again.
     restart_after: RefCell<HashMap<ItemRef, Time>>,
     /// Time of runs, by service.
@@ -138,6 +151,12 @@
     /// Time of the last preemption.
     last_preemption: Cell<Option<Time>>,
     is_handing_off: Cell<bool>,
+    /// Recent online load, by service.
+    swings: RefCell<HashMap<String, DemandSwing>>,
+    /// Replicas that an online request of a service asks for a free slot only.
+    free_slot_queries: RefCell<HashMap<String, usize>>,
+    /// Time of the last sample of the online load.
+    load_sampled: Cell<Option<Time>>,
 }
 
 impl ItemRunner {
@@ -159,8 +178,40 @@
         }
     }
 
-    /// Pauses the item that comes last in the order among those at a replica.
+    /// Returns the limits on a service's items; `None` if its load does not vary enough
+    /// or the reports are fresh.
+    fn limits(&self, gateway: &Gateway, service: &str, slots: Slots) -> Option<ItemLimits> {
+        let swings = self.swings.borrow();
+        let period_ms = period_ms(gateway.member_count());
+        swings.get(service)?.limits(gateway.now(), slots, period_ms)
+    }
+
+    /// Returns the number of events that an item's output has grown by since it was saved.
+    fn unsaved_events(&self, item: ItemRef) -> u64 {
+        let outputs = self.outputs.borrow();
+        outputs.get(&item).map_or(0, |output| {
+            output.events.saturating_sub(output.saved_events)
+        })
+    }
+
+    /// Returns the items of this process that wait for a slot.
+    fn waiting(&self) -> HashSet<ItemRef> {
+        let runs = self.runs.borrow();
+        let waiting = runs.iter().filter(|(_, run)| run.endpoint.get().is_none());
+        waiting.map(|(item, _)| *item).collect()
+    }
+
+    /// Pauses an item at a replica: the cheapest one where online load swings, otherwise
+    /// the one that comes last in the order.
     pub fn preempt_item(&self, gateway: &Gateway, endpoint: EndpointId) {
+        let service = {
+            let replicas = gateway.replicas.borrow();
+            let replica = replicas.get(endpoint);
+            replica.map(|replica| replica.registration.service.clone())
+        };
+        let swings = service
+            .as_deref()
+            .is_some_and(|service| self.swings(gateway, service));
         let item = {
             let now_ms = unix_time_ms();
             let runs = self.runs.borrow();
@@ -168,32 +219,58 @@
                 .iter()
                 .filter(|(_, run)| run.endpoint.get() == Some(endpoint) && !run.is_stopping.get())
                 .map(|(item, _)| *item);
-            let rate = gateway
-                .replicas
-                .borrow()
-                .get(endpoint)
-                .map(|replica| self.run_rate(&replica.registration.service))
-                .unwrap_or_default();
+            let rate = service.map_or_else(RunRate::default, |service| self.run_rate(&service));
             let index = gateway.jobs.index.borrow();
             let elsewhere = HashSet::new();
             let open =
                 |item: ItemRef| open_item(gateway, index.job(item.job)?, item, rate, &elsewhere);
             let items = at_replica.filter_map(open);
-            items
-                .max_by_key(|open| open.rank(now_ms))
-                .map(|open| open.item)
+            let chosen = if swings {
+                items
+                    .min_by_key(|open| open.preemption_rank(self.unsaved_events(open.item), now_ms))
+            } else {
+                items.max_by_key(|open| open.rank(now_ms))
+            };
+            chosen.map(|open| open.item)
         };
         if let Some(item) = item {
             event!(ITEM_PAUSED, item: = ItemName(item), endpoint: = endpoint);
             let now = gateway.now();
             self.last_preemption.set(Some(now));
+            // Until the reports of all members show a peak, the item would be preempted
+            // again.
+            let delay_ms = if swings {
+                RESTART_DELAY_MS.max(period_ms(gateway.member_count()))
+            } else {
+                RESTART_DELAY_MS
+            };
             self.restart_after
                 .borrow_mut()
-                .insert(item, now.plus(RESTART_DELAY_MS));
+                .insert(item, now.plus(delay_ms));
+            self.last_replicas.borrow_mut().insert(item, endpoint);
             self.stop(item);
         }
     }
 
+    /// Returns whether the online load of a service swings and the reports are too old to
+    /// follow it.
+    fn swings(&self, gateway: &Gateway, service: &str) -> bool {
+        let swings = self.swings.borrow();
+        let estimate = swings.get(service).and_then(DemandSwing::estimate);
+        estimate.is_some_and(|swing| {
+            let period_ms = period_ms(gateway.member_count());
+            swing.applies(gateway.total_slots(service), period_ms)
+        })
+    }
+
+    /// Returns how many replicas an online request of a service asks for a free slot only,
+    /// before it may preempt an item.
+    #[must_use]
+    pub fn free_slot_queries(&self, service: &str) -> usize {
+        let queries = self.free_slot_queries.borrow();
+        queries.get(service).copied().unwrap_or_default()
+    }
+
     /// Returns the number of slots that a new run must leave free, so that an
     /// item is not started where the next online request would preempt it.
     fn reserve(&self, now: Time) -> u32 {
@@ -255,45 +332,112 @@
     }
     let mut outputs = gateway.item_runner.outputs.borrow_mut();
     outputs.retain(|item, _| index.is_item_open(*item));
+    let mut last_replicas = gateway.item_runner.last_replicas.borrow_mut();
+    last_replicas.retain(|item, _| index.is_item_open(*item));
     let mut restart_after = gateway.item_runner.restart_after.borrow_mut();
     restart_after.retain(|item, _| index.is_item_open(*item));
     let mut failures = gateway.item_runner.failures.borrow_mut();
     failures.retain(|item, _| index.is_item_open(*item));
 }
 
+/// What is done with the items of a job.
+enum JobUse<'a> {
+    /// They run on this service.
+    Run(&'a str),
+    /// They wait for a newer configuration.
+    Wait,
+    /// They are abandoned.
+    Abandon,
+}
+
+/// Open jobs of a service.
+#[derive(Default)]
+struct OpenJobs<'a> {
+    /// Jobs, in the order of their due times.
+    jobs: Vec<&'a Job>,
+    /// Items that run or wait for a slot, or have output.
+    known: Vec<(&'a Job, ItemRef)>,
+}
+
+impl OpenJobs<'_> {
+    fn open_count(&self) -> usize {
+        self.jobs.iter().map(|job| job.open_count()).sum()
+    }
+}
+
+/// Returns what is done with the items of a job. `services` caches the service of each
+/// route, which is `None` without a route.
+fn job_use<'a>(
+    config: &'a ServingConfig,
+    services: &mut HashMap<&'a str, Option<Option<&'a str>>>,
+    job: &'a Job,
+    now_ms: u64,
+) -> JobUse<'a> {
+    let Submission {
+        route,
+        config_version,
+        give_up_ms,
+        ..
+    } = &job.submission;
+    let service = *services.entry(route).or_insert_with(|| {
+        let route = config.route_by_name(route)?;
+        Some(route.targets.first().map(|target| target.service.as_str()))
+    });
+    let has_no_route = service.is_none() && config.version() >= *config_version;
+    if has_no_route || now_ms >= give_up_ms + MAX_CLOCK_SKEW_MS {
+        JobUse::Abandon
+    } else {
+        service.flatten().map_or(JobUse::Wait, JobUse::Run)
+    }
+}
+
 fn plan_all(gateway: &Rc<Gateway>) {
     let Some(config) = gateway.current_config() else {
         return;
     };
     let now = gateway.now();
+    sample_load(gateway, now);
     let here: HashSet<ItemRef> = gateway.item_runner.running().into_iter().collect();
+    let waiting = gateway.item_runner.waiting();
     let elsewhere = gateway.reports.borrow().items_running_elsewhere(now);
-    let mut by_service: HashMap<String, Vec<OpenItem>> = HashMap::new();
-    let mut to_abandon = Vec::new();
     let now_ms = unix_time_ms();
-    {
-        let index = gateway.jobs.index.borrow();
-        for job in index.open_jobs() {
-            let Submission {
-                route,
-                config_version,
-                give_up_ms,
-                ..
-            } = &job.submission;
-            let route = config.route_by_name(route);
-            let has_no_route = route.is_none() && config.version() >= *config_version;
-            let service = route.and_then(|route| route.targets.first());
-            if has_no_route || now_ms >= give_up_ms + MAX_CLOCK_SKEW_MS {
-                to_abandon.extend(job.open_items());
-            } else if let Some(target) = service {
-                let rate = gateway.item_runner.run_rate(&target.service);
-                let open = |item| open_item(gateway, job, item, rate, &elsewhere);
-                let items = by_service.entry(target.service.clone()).or_default();
-                items.extend(job.open_items().filter_map(open));
+    let index = gateway.jobs.index.borrow();
+    let known_set: HashSet<ItemRef> = {
+        let outputs = gateway.item_runner.outputs.borrow();
+        let known = here.iter().chain(&elsewhere).chain(outputs.keys());
+        known.copied().chain(index.saved_items()).collect()
+    };
+    let mut uses = HashMap::new();
+    let mut by_service: BTreeMap<&str, OpenJobs<'_>> = BTreeMap::new();
+    let mut to_abandon = Vec::new();
+    let mut open = 0;
+    for job in index.open_jobs() {
+        match job_use(&config, &mut uses, job, now_ms) {
+            JobUse::Abandon => {
+                let room = MAX_ABANDONED_PER_PLAN.saturating_sub(to_abandon.len());
+                to_abandon.extend(job.open_items().take(room));
+            }
+            JobUse::Run(service) => {
+                open += job.open_count();
+                by_service.entry(service).or_default().jobs.push(job);
+            }
+            JobUse::Wait => {}
+        }
+    }
+    for item in &known_set {
+        let job = index.job(item.job).filter(|_| index.is_item_open(*item));
+        let Some(job) = job else {
+            continue;
+        };
+        match job_use(&config, &mut uses, job, now_ms) {
+            JobUse::Abandon if here.contains(item) => to_abandon.push(*item),
+            JobUse::Run(service) => {
+                let jobs = by_service.entry(service).or_default();
+                jobs.known.push((job, *item));
             }
+            JobUse::Abandon | JobUse::Wait => {}
         }
     }
-    let open = by_service.values().map(Vec::len).sum();
     gateway.metrics.set_state("items_open", open);
     gateway.metrics.set_state("items_here", here.len());
     gateway
@@ -304,20 +448,47 @@
     for item in to_abandon {
         stop_or_abandon(gateway, item, &members, &here);
     }
-    for (service, mut items) in by_service {
-        let members = members_for(gateway, &service, &members);
-        let due_in_ms = first_due_in_ms(&items, now_ms);
-        let slots = slots(gateway, &service, due_in_ms).for_batch();
+    let mut examined = 0;
+    for (service, jobs) in by_service {
+        let members = members_for(gateway, service, &members);
+        let due_in_ms = first_due_in_ms(&jobs.jobs, now_ms);
+        let service_slots = slots(gateway, service, due_in_ms);
+        let rate = gateway.item_runner.run_rate(service);
+        let items = ServiceItems {
+            jobs: &jobs.jobs,
+            known: &jobs.known,
+            known_set: &known_set,
+        };
+        let scan = scan(
+            items,
+            service_slots.total as usize,
+            now_ms,
+            |tokens| rate.estimate_ms(tokens),
+            |job, item| open_item(gateway, job, item, rate, &elsewhere),
+        );
+        examined += scan.examined;
+        let mut items = scan.items;
+        let slots = service_slots.for_batch();
         gateway.metrics.set_state("batch_slots", slots);
         item_order::sort(&mut items, now_ms);
-        let plan = plan(
-            slots,
-            items.iter().map(|open| open.item),
-            &here,
-            &elsewhere,
-            gateway.member_id,
-            &members,
-        );
+        let me = gateway.member_id;
+        let plan = match gateway.item_runner.limits(gateway, service, service_slots) {
+            Some(limits) => {
+                gateway.metrics.set_state("batch_slots_start", limits.start);
+                gateway.metrics.set_state("batch_slots_keep", limits.keep);
+                let running = Running {
+                    here: &here,
+                    waiting: &waiting,
+                    elsewhere: &elsewhere,
+                };
+                let open_count = jobs.open_count();
+                plan_by_limits(limits, &items, open_count, now_ms, running, me, &members)
+            }
+            None => {
+                let ordered = items.iter().map(|open| open.item);
+                plan(slots, ordered, &here, &elsewhere, me, &members)
+            }
+        };
         for item in plan.pause {
             event!(ITEM_PAUSED, item: = ItemName(item), slots);
             gateway.item_runner.stop(item);
@@ -334,6 +505,59 @@
             }
         }
     }
+    gateway.metrics.set_state("items_examined", examined);
+}
+
+/// Adds a sample of the online load of each service, if members' reports are too old to
+/// follow it.
+fn sample_load(gateway: &Gateway, now: Time) {
+    let runner = &gateway.item_runner;
+    if period_ms(gateway.member_count()) <= MAX_FRESH_PERIOD_MS {
+        runner.swings.borrow_mut().clear();
+        runner.free_slot_queries.borrow_mut().clear();
+        return;
+    }
+    let is_recent = |at| now.since(at) < LOAD_SAMPLE_INTERVAL_MS;
+    if runner.load_sampled.get().is_some_and(is_recent) {
+        return;
+    }
+    runner.load_sampled.set(Some(now));
+    let services: Vec<String> = {
+        let replicas = gateway.replicas.borrow();
+        replicas.services().map(str::to_owned).collect()
+    };
+    runner
+        .swings
+        .borrow_mut()
+        .retain(|service, _| services.contains(service));
+    let mut free_slot_queries_by_service = HashMap::new();
+    for service in services {
+        let load = fleet_load_of(gateway, &service);
+        {
+            let mut swings = runner.swings.borrow_mut();
+            let swing = swings.entry(service.clone()).or_default();
+            swing.note(now, load.online);
+        }
+        if runner.swings(gateway, &service) {
+            let queries = free_slot_queries(load.total(), gateway.total_slots(&service));
+            free_slot_queries_by_service.insert(service, queries);
+        }
+    }
+    runner
+        .free_slot_queries
+        .replace(free_slot_queries_by_service);
+}
+
+/// Returns the load of all replicas of a service that are not draining.
+fn fleet_load_of(gateway: &Gateway, service: &str) -> InFlight {
+    let replicas = gateway.replicas.borrow();
+    let loads = replicas
+        .replicas_of(service)
+        .map(|replica| gateway.fleet_load(replica.endpoint));
+    loads.fold(InFlight::default(), |sum, load| InFlight {
+        online: sum.online + load.online,
+        batch: sum.batch + load.batch,
+    })
 }
 
 /// Returns what this process knows of an item of a job; `None` if the item has a
@@ -430,10 +654,10 @@
 }
 
 /// Returns the time until the next due time that is still ahead, `u64::MAX` if
-/// there is none.
-fn first_due_in_ms(items: &[OpenItem], now_ms: u64) -> u64 {
-    let due = items.iter().map(|open| open.due_ms);
-    let ahead = due.filter(|due_ms| *due_ms > now_ms).min();
+/// there is none. `jobs` are in the order of their due times.
+fn first_due_in_ms(jobs: &[&Job], now_ms: u64) -> u64 {
+    let mut due = jobs.iter().map(|job| job.submission.due_ms);
+    let ahead = due.find(|due_ms| *due_ms > now_ms);
     ahead.map_or(u64::MAX, |due_ms| due_ms - now_ms)
 }
 
--- a/cicadagate-policy/src/process/mod.rs
+++ b/cicadagate-policy/src/process/mod.rs
@@ -5,7 +5,10 @@
 pub mod batch_share;
 pub mod contact;
 pub mod evacuation;
+pub mod demand_swing;
 pub mod item_order;
+pub mod item_scan;
+pub mod last_replica;
 pub mod membership;
 pub mod placement;
 pub mod quarantine;
