--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -21,6 +21,7 @@
         process::{
             registration_readers::Role,
             replicas::{LeavingReplica, LeavingSource, Registration, ReplicaChange},
+            reports::{MIN_PERIOD_MS, period_ms},
         },
         time::Time,
     },
@@ -32,6 +33,10 @@
 const READS_PER_DRAIN: u32 = 5;
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Reporting periods of the fleet over which failed reads of the latest records are retried.
+/// In a large fleet that starts as a whole these reads take the store seconds, and
+/// immediate retries would make all of them time out again.
+const LATEST_RETRY_PERIODS: u64 = 2;
 /// Most bytes of one read.
 const MAX_READ_BYTES: usize = 1024 * 1024;
 
@@ -40,6 +45,7 @@
     let mut reachability = StoreReachability::new("replicas");
     let mut role = Role::default();
     let mut is_missing_news = false;
+    let mut latest = LatestRead::default();
     loop {
         let started = gateway.now();
         role = registration_news::next_role(&gateway, role);
@@ -57,7 +63,7 @@
         }
         let next = gateway.registration_feed.borrow().next();
         let outcome = match next {
-            None => read_latest(&gateway).await,
+            None => read_latest(&gateway, &mut latest).await,
             Some(from) => tokio::select! {
                 outcome = read_next(&gateway, from, role) => outcome,
                 // The read is no longer needed, and others may wait for the store.
@@ -75,11 +81,23 @@
             Ok(Position::End) => sleep(interval).await,
             Ok(Position::Behind) => {}
             Err(StoreError::Expired { .. }) => gateway.registration_feed.borrow_mut().expire(),
+            Err(_) if next.is_none() => sleep(latest_retry_delay(&gateway)).await,
             Err(_) => sleep(RETRY_DELAY).await,
         }
     }
 }
 
+/// Returns the delay after a failed read of the latest records: in a large fleet a random
+/// one that grows with the number of members, otherwise [`RETRY_DELAY`].
+fn latest_retry_delay(gateway: &Gateway) -> Duration {
+    if gateway.bounds().store_read_bytes_per_s.is_none() {
+        return RETRY_DELAY;
+    }
+    let extra_ms = period_ms(gateway.member_count()) - MIN_PERIOD_MS;
+    let spread_ms = LATEST_RETRY_PERIODS * extra_ms;
+    RETRY_DELAY + Duration::from_millis(gateway.next_random() % (spread_ms + 1))
+}
+
 /// Returns the time until this gateway reads the registrations, if others read them for it.
 fn time_until_read(gateway: &Gateway, role: Role) -> Option<Duration> {
     let feed = gateway.registration_feed.borrow();
@@ -121,28 +139,36 @@
     Behind,
 }
 
+/// A read of the latest records in pages, which goes on after a failure.
+#[derive(Debug, Default)]
+struct LatestRead {
+    /// Keys of the pages so far.
+    listed: HashSet<String>,
+    after: Option<String>,
+    /// Ends of the topic at the first and at the last page.
+    ends: Option<(u64, u64)>,
+}
+
 /// Reads all registrations, and removes replicas that are not among them.
-async fn read_latest(gateway: &Rc<Gateway>) -> Result<Position, StoreError> {
+async fn read_latest(gateway: &Rc<Gateway>, read: &mut LatestRead) -> Result<Position, StoreError> {
     registration_news::count(gateway, "latest");
     let topic = gateway.codec.replica_topic();
-    let mut listed = HashSet::new();
-    let mut after: Option<String> = None;
-    let mut ends = None;
     loop {
-        let page = gateway.store.latest(topic, after.as_deref()).await?;
+        let page = gateway.store.latest(topic, read.after.as_deref()).await?;
         // The pages are not one snapshot: records appended after the first page
         // was read are read again from this offset.
-        let (first, _) = ends.unwrap_or((page.end, page.end));
-        ends = Some((first, page.end));
-        after = page.items.last().map(|item| item.key.clone());
+        let (first, _) = read.ends.unwrap_or((page.end, page.end));
+        read.ends = Some((first, page.end));
+        read.after = page.items.last().map(|item| item.key.clone());
         for item in page.items {
-            listed.insert(item.key.clone());
+            read.listed.insert(item.key.clone());
             apply_record(gateway, &item);
         }
-        if !page.has_more || after.is_none() {
+        if !page.has_more || read.after.is_none() {
             break;
         }
     }
+    let LatestRead { listed, ends, .. } = std::mem::take(read);
     let known = gateway.replicas.borrow().ids();
     for key in known.into_iter().filter(|id| !listed.contains(id)) {
         apply_record(gateway, &KeyedRecord { key, value: None });
