--- a/cicadagate-gateway/src/platform.rs
+++ b/cicadagate-gateway/src/platform.rs
@@ -267,6 +267,13 @@
     /// Returns what is invalid.
     fn registration(&self, id: &str, value: &[u8]) -> std::result::Result<Registration, String>;
 
+    /// Decodes for how long a replica remains cold, from its registration.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is invalid.
+    fn cold_left(&self, value: &[u8]) -> std::result::Result<Duration, String>;
+
     /// Decodes the header of prompt parts, and returns the ids of the parts
     /// that requests may share: all but the last one.
     fn shared_prompt_parts(&self, value: &str) -> Vec<u64>;
--- a/cicadagate-gateway/src/process/evacuation.rs
+++ b/cicadagate-gateway/src/process/evacuation.rs
@@ -3,7 +3,7 @@
 */
 
 use {
-    super::Gateway,
+    super::{Gateway, cold},
     cicadagate_node::event,
     cicadagate_policy::{
         ids::EndpointId,
@@ -42,6 +42,7 @@
         }
         EvacuationChange::Ended => {
             event!(EVACUATION_ENDED, data_centre, replicas = affected.len());
+            cold::presume(gateway, &affected);
         }
         EvacuationChange::TooMany => event!(
             RECORD_SKIPPED,
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -4,6 +4,7 @@
 [`run`] binds the addresses, starts the background tasks and the servers, and
 waits for the stop signal.
 
+* `cold`: replicas that are cold, and the rates that this allows.
 * `config`: follows the operators' records.
 * `evacuation`: applies evacuations of data centres.
 * `reachability`: services whose replicas this instance can't reach.
@@ -24,6 +25,7 @@
 * `stop`: shutdown without interrupting requests.
 */
 
+mod cold;
 mod config;
 pub mod contents;
 pub mod directory;
@@ -64,6 +66,7 @@
     cicadagate_policy::{
         ids::{EndpointId, MemberId, Offset, RequestPart, SoftwareVersion, hash64},
         process::{
+            cold_replicas::ColdReplicas,
             membership::{Info, Membership, Role},
             quarantine::Quarantine,
             rate_limit::RateLimiter,
@@ -130,6 +133,8 @@
     pub replicas: RefCell<ReplicaSet>,
     /// Request rates that replicas name.
     pub replica_rates: RefCell<ReplicaRates>,
+    /// Which replicas are cold.
+    pub cold_replicas: RefCell<ColdReplicas>,
     /// Other gateways.
     pub members: RefCell<Membership>,
     /// Load reports of the other gateways.
@@ -224,6 +229,7 @@
             config: RefCell::default(),
             replicas: RefCell::default(),
             replica_rates: RefCell::default(),
+            cold_replicas: RefCell::default(),
             members: RefCell::new(Membership::new(info, seed)),
             reports: RefCell::default(),
             hold_times: RefCell::default(),
@@ -362,10 +368,10 @@
             .map(|replica| self.fleet_load(replica.endpoint).online);
         let hold_times = self.hold_times.borrow();
         let slot_hold_ms = hold_times.get(service).map_or(0, |held| held.ms());
-        let rates = self.replica_rates.borrow();
+        let cold_start = self.cold_start(service);
         let slots = replicas.usable_slots(self.now(), service, |replica| {
             let slots = replica.registration.slots;
-            usable_slots_milli(slots, rates.rate(replica.endpoint), slot_hold_ms)
+            usable_slots_milli(slots, self.usable_rate(replica, cold_start), slot_hold_ms)
         });
         ServiceLoad {
             online: loads.sum(),
@@ -406,6 +412,7 @@
         ReplicaLoad {
             is_suspect: reports.suspicion_count(endpoint) > 0,
             is_connected: self.pool.has_idle(endpoint),
+            usable_slots: self.usable_cold_slots(endpoint),
             ..ReplicaLoad::for_online(own, others, remaining_percent)
         }
     }
@@ -418,6 +425,7 @@
         ReplicaLoad {
             is_suspect: reports.suspicion_count(endpoint) > 0,
             is_connected: self.pool.has_idle(endpoint),
+            usable_slots: self.usable_cold_slots(endpoint),
             ..ReplicaLoad::for_batch(own, others)
         }
     }
--- a/cicadagate-gateway/src/process/rates.rs
+++ b/cicadagate-gateway/src/process/rates.rs
@@ -22,9 +22,9 @@
 const MAX_LIMITED_MS: u64 = 1_000;
 
 impl Gateway {
-    /// Returns whether a replica is known to name a rate.
+    /// Returns whether a replica is known to name a rate, or to be cold.
     pub(crate) fn is_limited(&self, endpoint: EndpointId) -> bool {
-        self.replica_rates.borrow().rate(endpoint).is_some()
+        self.replica_rates.borrow().rate(endpoint).is_some() || self.cold_limit(endpoint).is_some()
     }
 
     /// Records that the rate of a replica allows no request for `wait_ms`
@@ -35,9 +35,13 @@
         replicas.note_full_for(self.now(), endpoint, wait_ms);
     }
 
-    /// Returns the rate that a replica names, or an empty text, for logs.
+    /// Returns the rate that a replica accepts, or an empty text, for logs.
     pub(crate) fn named_rate(&self, endpoint: EndpointId) -> String {
-        let rate = self.replica_rates.borrow().rate(endpoint);
+        let replicas = self.replicas.borrow();
+        let rate = replicas.get(endpoint).and_then(|replica| {
+            let cold_start = self.cold_start(&replica.registration.service);
+            self.usable_rate(replica, cold_start)
+        });
         rate.map_or_else(String::new, |rate| rate.to_string())
     }
 }
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -8,7 +8,7 @@
 */
 
 use {
-    super::{Gateway, fleet_store::StoreReachability, rates, slots},
+    super::{Gateway, cold, fleet_store::StoreReachability, rates, slots},
     crate::platform::{KeyedRecord, StoreError},
     actix_http::ResponseHead,
     actix_rt::time::sleep,
@@ -55,6 +55,7 @@
         match outcome {
             Ok(offset) => {
                 next = Some(offset);
+                cold::tick(&gateway);
                 gateway.registrations_loaded.set(true);
                 sleep(gateway.bounds().drain / READS_PER_DRAIN).await;
             }
@@ -111,6 +112,8 @@
     let now = gateway.now();
     let id = item.key.as_str();
     let Some(value) = &item.value else {
+        let endpoint = EndpointId::of(id);
+        gateway.cold_replicas.borrow_mut().note_removed(endpoint);
         let change = gateway.replicas.borrow_mut().remove(now, id);
         handle_change(gateway, id, change);
         return;
@@ -121,6 +124,12 @@
             let mut history = gateway.version_history.borrow_mut();
             history.note(now, &registration.service, version);
             drop(history);
+            let cold_left = gateway.codec.cold_left(value).unwrap_or_else(|reason| {
+                event!(RECORD_SKIPPED, key = id, reason);
+                Duration::ZERO
+            });
+            let left_ms = u64::try_from(cold_left.as_millis()).unwrap_or(u64::MAX);
+            cold::note_registration(gateway, &registration, left_ms);
             let change = gateway.replicas.borrow_mut().register(registration);
             handle_change(gateway, id, change);
         }
--- a/cicadagate-gateway/src/process/slots.rs
+++ b/cicadagate-gateway/src/process/slots.rs
@@ -3,7 +3,7 @@
 */
 
 use {
-    super::{Gateway, InFlightGuard, evacuation, owners::owner_of, rates, registry},
+    super::{Gateway, InFlightGuard, cold, evacuation, owners::owner_of, rates, registry},
     actix_rt::time::sleep,
     cicadagate_policy::{
         ids::{EndpointId, MemberId},
@@ -126,7 +126,7 @@
     if owner == member {
         return decide(gateway, member, query);
     }
-    let named = known_rate(gateway, endpoint);
+    let named = rate_in_message(gateway, endpoint);
     let send_query = |seq| {
         let message = match named {
             Some(named) => SlotMessage::AskLimited {
@@ -157,6 +157,13 @@
     rates.named(gateway.now(), endpoint)
 }
 
+/// Returns the rate in a message about a slot, `None` if the replica is not limited.
+fn rate_in_message(gateway: &Gateway, endpoint: EndpointId) -> Option<NamedRate> {
+    // Messages about cold replicas carry a wait, too.
+    let is_cold = || gateway.cold_limit(endpoint).is_some();
+    known_rate(gateway, endpoint).or_else(|| is_cold().then_some(NamedRate::UNKNOWN))
+}
+
 /// Tells the owner of a replica that the replica is leaving.
 pub(super) fn tell_owner_leaving(gateway: &Gateway, endpoint: EndpointId) {
     let now = gateway.now();
@@ -229,11 +236,19 @@
         RateDecision::After(wait_ms) => wait_ms,
         RateDecision::Denied(wait_ms) => return Some(SlotReply::Limited(wait_ms)),
     };
+    let (wait_ms, is_cold) = match cold::check(gateway, endpoint, purpose, max_wait_ms) {
+        RateDecision::Unlimited => (wait_ms, false),
+        RateDecision::After(cold_wait_ms) => (wait_ms.max(cold_wait_ms), true),
+        RateDecision::Denied(wait_ms) => return Some(SlotReply::Limited(wait_ms)),
+    };
     let mut ledger = gateway.slot_ledger.borrow_mut();
     let decision = ledger.request_slot(now, endpoint, slots, member, own, purpose);
     drop(ledger);
     if decision.is_granted {
         rates.take(endpoint);
+        if is_cold {
+            gateway.cold_replicas.borrow_mut().take(endpoint);
+        }
     }
     drop(rates);
     match decision.pause_at {
@@ -287,7 +302,7 @@
             return;
         }
     };
-    let named = known_rate(gateway, endpoint);
+    let named = rate_in_message(gateway, endpoint);
     let message = match named {
         Some(named) => SlotMessage::AnswerLimited {
             seq,
--- a/cicadagate-gateway/src/settings.rs
+++ b/cicadagate-gateway/src/settings.rs
@@ -72,6 +72,10 @@
     pub descriptors: usize,
     /// Time in which the evacuation of a data centre must be in force.
     pub evacuation: Duration,
+    /// Factor by which the requests to a cold replica may exceed what it sustains.
+    pub cold_excess: f64,
+    /// Requests to a cold replica in any second that are tolerated beyond that.
+    pub cold_slack: f64,
 }
 
 /// Settings of a gateway.
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -121,6 +121,8 @@
     JOB_CALL_FAILED = 616, Warn, "A request about a job could not be served.";
     EVACUATION_BEGUN = 540, Info, "A data centre is evacuated: its replicas get no new work.";
     EVACUATION_ENDED = 541, Info, "The evacuation of a data centre has ended; its replicas may be used.";
+    REPLICA_COLD = 542, Info, "A replica is cold, or counts as cold since nothing recent is known of it; it gets requests at the rate of cold replicas.";
+    REPLICA_WARM = 543, Info, "A replica is not cold any more.";
     LOG_LINES_DROPPED = 110, Warn, "Log lines were dropped, since standard output does not take them.";
     CHANGE_DECIDED = 700, Info, "An operator's change was accepted or rejected.";
 }
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -81,6 +81,10 @@
     IgnoreSoftwareVersion,
     /// Replicas of an evacuated data centre get new requests.
     IgnoreEvacuation,
+    /// The owner of a cold replica grants any number of requests.
+    IgnoreColdRate,
+    /// A registration of any age ends the presumption that a replica is cold.
+    TrustOldWarmth,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/process/mod.rs
+++ b/cicadagate-policy/src/process/mod.rs
@@ -3,6 +3,7 @@
 */
 
 pub mod batch_share;
+pub mod cold_replicas;
 pub mod contact;
 pub mod evacuation;
 pub mod item_order;
--- a/cicadagate-policy/src/process/replica_rates.rs
+++ b/cicadagate-policy/src/process/replica_rates.rs
@@ -59,7 +59,7 @@
 /// and forth would never get older.
 const MIN_NEWER_MS: u64 = 100;
 /// Parts of one token: thousandths of a request times milliseconds per second.
-const TOKEN: i64 = 1_000_000;
+pub(super) const TOKEN: i64 = 1_000_000;
 /// Least that a bucket holds: a token for an item, and one that is left for an online
 /// request.
 const MIN_CAPACITY: i64 = 2 * TOKEN;
@@ -108,6 +108,15 @@
     pub age_ms: u64,
 }
 
+impl NamedRate {
+    /// Says nothing of a replica's rate, in messages that carry one.
+    pub const UNKNOWN: Self = Self {
+        started_ms: 0,
+        rate: None,
+        age_ms: u64::MAX,
+    };
+}
+
 /// A change of a replica's rate, to be logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RateChange {
@@ -133,16 +142,19 @@
 
 /// Tokens in parts of [`TOKEN`]; negative if later ones are reserved.
 #[derive(Clone, Copy, Debug, Default)]
-struct Bucket {
+pub(super) struct Bucket {
     tokens: i64,
     filled_at: Time,
 }
 
 impl Bucket {
     fn fill(&mut self, now: Time, rate: RequestRate) {
+        self.fill_up_to(now, rate, Self::capacity(rate.milli().cast_signed()));
+    }
+
+    pub(super) fn fill_up_to(&mut self, now: Time, rate: RequestRate, capacity: i64) {
         let rate = rate.milli().cast_signed();
         let elapsed_ms = i64::try_from(now.since(self.filled_at)).unwrap_or(i64::MAX);
-        let capacity = Self::capacity(rate);
         let added = rate.saturating_mul(elapsed_ms);
         let capacity = if now.since(self.filled_at) < UNUSED_MS {
             capacity
@@ -158,10 +170,14 @@
     }
 
     /// Returns the time until the bucket holds `tokens`, in milliseconds.
-    fn wait_ms(&self, rate: RequestRate, tokens: i64) -> u64 {
+    pub(super) fn wait_ms(&self, rate: RequestRate, tokens: i64) -> u64 {
         let missing = (tokens - self.tokens).max(0).unsigned_abs();
         missing.div_ceil(rate.milli())
     }
+
+    pub(super) const fn take(&mut self) {
+        self.tokens = self.tokens.saturating_sub(TOKEN);
+    }
 }
 
 /// What is known of a replica's rate.
@@ -305,7 +321,7 @@
     /// Takes a token for a request that is sent to a replica.
     pub fn take(&mut self, endpoint: EndpointId) {
         if let Some(known) = self.replicas.get_mut(&endpoint) {
-            known.bucket.tokens = known.bucket.tokens.saturating_sub(TOKEN);
+            known.bucket.take();
         }
     }
 
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -397,6 +397,11 @@
         &self.evacuations
     }
 
+    /// Returns an iterator over all known replicas.
+    pub fn iter(&self) -> impl Iterator<Item = &Replica> {
+        self.replicas.values()
+    }
+
     /// Returns the replicas of a data centre.
     pub fn replicas_in(&self, data_centre: &str) -> impl Iterator<Item = &Replica> {
         self.replicas
@@ -698,9 +703,11 @@
                     in_flight,
                     is_suspect,
                     is_connected,
+                    usable_slots,
                 } = replica_load(replica.endpoint);
                 Candidate {
                     replica,
+                    usable_slots,
                     in_flight,
                     is_connected,
                     penalty: u8::from(self.is_told_leaving(
@@ -750,6 +757,8 @@
     pub is_suspect: bool,
     /// Whether an idle connection to it is kept.
     pub is_connected: bool,
+    /// Slots that can be used at the rate of a cold replica; `None` if all.
+    pub usable_slots: Option<u32>,
 }
 
 impl ReplicaLoad {
@@ -784,6 +793,7 @@
 
 struct Candidate<'a> {
     replica: &'a Replica,
+    usable_slots: Option<u32>,
     in_flight: u32,
     is_connected: bool,
     /// Sum of the reasons against this replica: 8 if another member says that it is
@@ -793,7 +803,10 @@
 
 impl Candidate<'_> {
     fn slots(&self) -> u32 {
-        self.replica.registration.slots.max(1)
+        let slots = self.replica.registration.slots;
+        self.usable_slots
+            .map_or(slots, |usable| usable.min(slots))
+            .max(1)
     }
 
     fn free_slots(&self) -> u32 {
--- a/cicadagate-policy/src/version/serving.rs
+++ b/cicadagate-policy/src/version/serving.rs
@@ -15,7 +15,10 @@
 */
 
 use {
-    crate::ids::{CustomerId, hash64},
+    crate::{
+        ids::{CustomerId, hash64},
+        process::cold_replicas::ColdStart,
+    },
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, rc::Rc},
 };
@@ -114,7 +117,7 @@
 }
 
 /// A service, run by a set of replicas.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Service {
     /// Name.
@@ -123,6 +126,9 @@
     pub max_connections: u32,
     /// The replicas are model engines.
     pub is_engine: bool,
+    /// What replicas sustain while they are cold; `None` if they take their full load at
+    /// once.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// A customer, its API keys and its rate limit across the whole fleet.
