--- a/cicadagate-gateway/src/process/cold.rs
+++ b/cicadagate-gateway/src/process/cold.rs
@@ -81,7 +81,7 @@
             .get(&registration.service)
             .map_or(0, |held| held.ms());
         let milli = usable_slots_milli(registration.slots, Some(limit.rate()), hold_ms);
-        u32::try_from(milli / 1_000).ok()
+        u32::try_from(milli.div_ceil(1_000)).ok()
     }
 }
 
