--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -10,7 +10,7 @@
 */
 
 use {
-    super::{Gateway, fleet_store::StoreReachability, rates, registration_news, slots},
+    super::{Gateway, cold, fleet_store::StoreReachability, rates, registration_news, slots},
     crate::platform::{KeyedRecord, StoreError},
     actix_http::ResponseHead,
     actix_rt::time::sleep,
@@ -48,6 +48,7 @@
     let mut latest = LatestRead::default();
     loop {
         let started = gateway.now();
+        cold::tick(&gateway);
         role = registration_news::next_role(&gateway, role);
         let interval = gateway.bounds().drain / READS_PER_DRAIN;
         if let Some(wait) = time_until_read(&gateway, role) {
@@ -244,14 +245,20 @@
         let is_change = feed.note(endpoint, None, 0);
         drop(feed);
         note_last_version(gateway, endpoint);
+        gateway.cold_replicas.borrow_mut().note_removed(endpoint);
         let change = gateway.replicas.borrow_mut().remove(now, id);
         handle_change(gateway, id, change);
         return is_change;
     };
     match gateway.codec.registration(id, value) {
         Ok(registration) => {
+            let cold_left = gateway.codec.cold_left(value).unwrap_or_else(|reason| {
+                event!(RECORD_SKIPPED, key = id, reason);
+                Duration::ZERO
+            });
             let bytes = id.len() + value.len();
-            let is_change = feed.note(endpoint, Some(&registration), bytes);
+            let is_cold = !cold_left.is_zero();
+            let is_change = feed.note(endpoint, Some((&registration, is_cold)), bytes);
             drop(feed);
             if is_change {
                 note_last_version(gateway, endpoint);
@@ -260,6 +267,8 @@
             let mut history = gateway.version_history.borrow_mut();
             history.note(now, &registration.service, version);
             drop(history);
+            let left_ms = u64::try_from(cold_left.as_millis()).unwrap_or(u64::MAX);
+            cold::note_registration(gateway, &registration, left_ms);
             let change = gateway.replicas.borrow_mut().register(registration);
             handle_change(gateway, id, change);
             is_change
--- a/cicadagate-gateway/src/settings.rs
+++ b/cicadagate-gateway/src/settings.rs
@@ -77,6 +77,10 @@
     pub store_read_bytes_per_s: Option<u64>,
     /// Time between two renewals of a replica's registration.
     pub heartbeat: Duration,
+    /// Factor by which the requests to a cold replica may exceed what it sustains.
+    pub cold_excess: f64,
+    /// Requests to a cold replica in any second that are tolerated beyond that.
+    pub cold_slack: f64,
 }
 
 /// Settings of a gateway.
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -85,6 +85,10 @@
     TrustRegistrationReaders,
     /// Changes of registrations are applied although changes before them are missing.
     IgnoreRegistrationGap,
+    /// The owner of a cold replica grants any number of requests.
+    IgnoreColdRate,
+    /// A registration of any age ends the presumption that a replica is cold.
+    TrustOldWarmth,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/process/registration_readers.rs
+++ b/cicadagate-policy/src/process/registration_readers.rs
@@ -83,9 +83,10 @@
 /// Returns a hash of all that counts as a change of a registration.
 ///
 /// This is the only place that decides it. A field whose value changes with every
-/// heartbeat must not be part of it as such.
+/// heartbeat must not be part of it as such: of the time for which a replica stays cold,
+/// only whether it is cold counts.
 #[must_use]
-pub fn fingerprint(registration: &Registration) -> u64 {
+pub fn fingerprint(registration: &Registration, is_cold: bool) -> u64 {
     // All fields are named, so that a new one must be considered here.
     let Registration {
         id: _,
@@ -103,7 +104,7 @@
         data_centre.as_bytes(),
         &slots.to_le_bytes(),
         software_version.as_bytes(),
-        &[u8::from(*is_draining)],
+        &[u8::from(*is_draining), u8::from(is_cold)],
         &started_ms.to_le_bytes(),
     ])
 }
@@ -258,11 +259,11 @@
     pub fn note(
         &mut self,
         endpoint: EndpointId,
-        registration: Option<&Registration>,
+        registration: Option<(&Registration, bool)>,
         bytes: usize,
     ) -> bool {
-        let new = registration.map(|registration| Known {
-            fingerprint: fingerprint(registration),
+        let new = registration.map(|(registration, is_cold)| Known {
+            fingerprint: fingerprint(registration, is_cold),
             bytes: bytes as u64,
         });
         let old = match new {
--- a/cicadagate-policy/tests/registration_readers.rs
+++ b/cicadagate-policy/tests/registration_readers.rs
@@ -81,7 +81,8 @@
     known[replica] = state;
     let endpoint = EndpointId::of(&format!("i-{replica}"));
     let registration = (state != REMOVED).then(|| registration(replica, state));
-    feed.note(endpoint, registration.as_ref(), record.len())
+    let known = registration.as_ref().map(|registration| (registration, false));
+    feed.note(endpoint, known, record.len())
 }
 
 struct Member {
@@ -628,6 +629,8 @@
     changed[4].software_version.push('x');
     changed[5].is_draining = true;
     changed[6].started_ms += 1;
-    let distinct: HashSet<u64> = changed.iter().chain([&base]).map(fingerprint).collect();
-    assert_eq!(distinct.len(), 8);
+    let warm = changed.iter().chain([&base]);
+    let warm = warm.map(|registration| fingerprint(registration, false));
+    let distinct: HashSet<u64> = warm.chain([fingerprint(&base, true)]).collect();
+    assert_eq!(distinct.len(), 9);
 }
