Batch items beside peaks: backlog rule, model under floods and losses, injected faults

With more open items than the troughs leave slots for, items are now started by rank into all slots that online work leaves, and restart after 150 ms as before.

The faults IgnoreDemandSwing and PreemptForFreeSlot are detected.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -153,6 +153,8 @@
     is_handing_off: Cell<bool>,
     /// Recent online load, by service.
     swings: RefCell<HashMap<String, DemandSwing>>,
+    /// Services with more open items than the troughs of their online load leave slots for.
+    backlogs: RefCell<HashSet<String>>,
     /// Replicas that an online request of a service asks for a free slot only.
     free_slot_queries: RefCell<HashMap<String, usize>>,
     /// Time of the last sample of the online load.
@@ -212,6 +214,9 @@
         let swings = service
             .as_deref()
             .is_some_and(|service| self.swings(gateway, service));
+        let has_backlog = service
+            .as_deref()
+            .is_some_and(|service| self.backlogs.borrow().contains(service));
         let item = {
             let now_ms = unix_time_ms();
             let runs = self.runs.borrow();
@@ -238,8 +243,8 @@
             let now = gateway.now();
             self.last_preemption.set(Some(now));
             // Until the reports of all members show a peak, the item would be preempted
-            // again.
-            let delay_ms = if swings {
+            // again. With a backlog, throughput decides.
+            let delay_ms = if swings && !has_backlog {
                 RESTART_DELAY_MS.max(period_ms(gateway.member_count()))
             } else {
                 RESTART_DELAY_MS
@@ -449,6 +454,7 @@
         stop_or_abandon(gateway, item, &members, &here);
     }
     let mut examined = 0;
+    let mut backlogs = HashSet::new();
     for (service, jobs) in by_service {
         let members = members_for(gateway, service, &members);
         let due_in_ms = first_due_in_ms(&jobs.jobs, now_ms);
@@ -460,7 +466,7 @@
             known_set: &known_set,
         };
         let scan = scan(
-            items,
+            &items,
             service_slots.total as usize,
             now_ms,
             |tokens| rate.estimate_ms(tokens),
@@ -482,7 +488,10 @@
                     elsewhere: &elsewhere,
                 };
                 let open_count = jobs.open_count();
-                plan_by_limits(limits, &items, open_count, now_ms, running, me, &members)
+                if limits.has_backlog(open_count) {
+                    backlogs.insert(service.to_owned());
+                }
+                plan_by_limits(limits, &items, open_count, now_ms, &running, me, &members)
             }
             None => {
                 let ordered = items.iter().map(|open| open.item);
@@ -506,6 +515,7 @@
         }
     }
     gateway.metrics.set_state("items_examined", examined);
+    gateway.item_runner.backlogs.replace(backlogs);
 }
 
 /// Adds a sample of the online load of each service, if members' reports are too old to
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -79,6 +79,10 @@
     AskOneHolder,
     /// A resumed stream goes to a replica of any software version.
     IgnoreSoftwareVersion,
+    /// Batch items are planned by the momentary load although it swings.
+    IgnoreDemandSwing,
+    /// A request for a free slot preempts a batch item.
+    PreemptForFreeSlot,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/process/demand_swing.rs
+++ b/cicadagate-policy/src/process/demand_swing.rs
@@ -33,7 +33,13 @@
         batch_share::{Plan, Slots, runner},
         item_order::OpenItem,
     },
-    crate::{average::MovingAverage, ids::MemberId, time::Time, version::job_index::ItemRef},
+    crate::{
+        average::MovingAverage,
+        fault_injection::{Fault, is_injected},
+        ids::MemberId,
+        time::Time,
+        version::job_index::ItemRef,
+    },
     std::{
         collections::{HashSet, VecDeque},
         hash::BuildHasher,
@@ -143,8 +149,11 @@
 pub struct ItemLimits {
     /// Items up to which further ones are started.
     pub start: usize,
-    /// Items up to which those that run are kept.
+    /// Items up to which those that run are kept. If more are open, all slots that online
+    /// work leaves are used, also in a peak.
     pub keep: usize,
+    /// Items for which online work leaves slots at present.
+    pub present: usize,
     /// Expected lengths of troughs and peaks, if known.
     pub cycle: Option<Cycle>,
 }
@@ -162,6 +171,15 @@
     }
 }
 
+impl ItemLimits {
+    /// Returns whether more items are open than the troughs leave slots for. Then
+    /// throughput decides.
+    #[must_use]
+    pub const fn has_backlog(self, open_count: usize) -> bool {
+        open_count > self.keep
+    }
+}
+
 /// Recent online load of one service.
 #[derive(Clone, Debug, Default)]
 pub struct DemandSwing {
@@ -270,6 +288,9 @@
     /// member.
     #[must_use]
     pub fn limits(&self, now: Time, slots: Slots, period_ms: u64) -> Option<ItemLimits> {
+        if is_injected(Fault::IgnoreDemandSwing) {
+            return None;
+        }
         let swing = self.estimate()?;
         if !swing.applies(slots.total, period_ms) {
             return None;
@@ -284,6 +305,7 @@
         Some(ItemLimits {
             start,
             keep: room(swing.trough).max(start),
+            present: at_present,
             cycle: self.cycle(now),
         })
     }
@@ -312,7 +334,7 @@
     ordered: &[OpenItem],
     open_count: usize,
     now_ms: u64,
-    running: Running<'_, S>,
+    running: &Running<'_, S>,
     me: MemberId,
     members: &[MemberId],
 ) -> Plan {
@@ -321,10 +343,16 @@
         let is_here = running.here.contains(&open.item) && !running.waiting.contains(&open.item);
         is_here || running.elsewhere.contains(&open.item)
     };
-    let running_count = ordered.iter().filter(|open| runs(open)).count();
-    // Slots that no item occupies go to the first items that don't run.
-    let mut free = limits.start.saturating_sub(running_count);
-    let cycle = limits.cycle.filter(|_| open_count <= limits.keep);
+    // With a backlog, throughput decides: the items are started by rank, as in `plan`.
+    // The owners refuse those for which there is no slot.
+    let has_backlog = limits.has_backlog(open_count);
+    let mut free = if has_backlog {
+        limits.present
+    } else {
+        let running_count = ordered.iter().filter(|open| runs(open)).count();
+        limits.start.saturating_sub(running_count)
+    };
+    let cycle = limits.cycle.filter(|_| !has_backlog);
     let is_held_back = |open: &OpenItem| {
         let due_in_ms = open.due_ms.saturating_sub(now_ms);
         cycle.is_some_and(|cycle| cycle.is_better_later(open.remaining_ms, due_in_ms))
@@ -334,6 +362,9 @@
         let item = open.item;
         if runs(open) {
             kept += 1;
+            if has_backlog {
+                free = free.saturating_sub(1);
+            }
             if kept > limits.keep && running.here.contains(&item) {
                 plan.pause.push(item);
             }
--- a/cicadagate-policy/src/process/item_scan.rs
+++ b/cicadagate-policy/src/process/item_scan.rs
@@ -60,8 +60,9 @@
 ///
 /// `run_ms` returns the estimated time of a run by the item's tokens, and `open` what is
 /// known of an item without a result.
+#[must_use]
 pub fn scan<S: BuildHasher>(
-    service: ServiceItems<'_, S>,
+    service: &ServiceItems<'_, S>,
     slots: usize,
     now_ms: u64,
     run_ms: impl Fn(u32) -> u64,
--- a/cicadagate-policy/src/process/last_replica.rs
+++ b/cicadagate-policy/src/process/last_replica.rs
@@ -13,6 +13,7 @@
 
 /// Returns the replica that ran an item last, if it is one of the wanted ones, is sound and
 /// has a free slot by the reports.
+#[must_use]
 pub fn last_replica<'a>(
     now: Time,
     replicas: &'a ReplicaSet,
--- a/cicadagate-policy/src/process/slot_ledger.rs
+++ b/cicadagate-policy/src/process/slot_ledger.rs
@@ -31,6 +31,7 @@
 use {
     super::{replica_rates::NamedRate, replicas::LeavingReplica, reports::InFlight},
     crate::{
+        fault_injection::{Fault, is_injected},
         ids::{EndpointId, MemberId, mix64},
         time::Time,
     },
@@ -253,6 +254,10 @@
         own: InFlight,
         purpose: Purpose,
     ) -> Decision {
+        let purpose = match purpose {
+            Purpose::OnlineFree if is_injected(Fault::PreemptForFreeSlot) => Purpose::Online,
+            purpose => purpose,
+        };
         self.update(now, endpoint, member, own);
         let load = self.load(now, endpoint);
         let is_granted = match purpose {
