--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -23,7 +23,7 @@
     cicadagate_policy::{
         ids::{EndpointId, MemberId, ServiceId, SoftwareVersion},
         process::{
-            batch_share::{Slots, fill_percent, plan, plan_interval_ms, runner},
+            batch_share::{Plan, Slots, fill_percent, plan, plan_interval_ms, runner},
             demand_swing::{
                 DemandSwing, ItemLimits, MAX_FRESH_PERIOD_MS, Running, free_slot_queries,
                 plan_by_limits,
@@ -36,7 +36,7 @@
         request::sse::EventSequencer,
         time::Time,
         version::{
-            job_index::{ItemRef, ItemState, Job, Submission},
+            job_index::{ItemRef, ItemState, Job, JobIndex, Submission},
             serving::{Route, ServingConfig},
         },
     },
@@ -355,6 +355,16 @@
     Abandon,
 }
 
+/// Service of a route.
+#[derive(Clone, Copy)]
+enum RouteService<'a> {
+    /// The configuration has no such route.
+    NoRoute,
+    /// The route has no target.
+    NoTarget,
+    Service(&'a str),
+}
+
 /// Open jobs of a service.
 #[derive(Default)]
 struct OpenJobs<'a> {
@@ -371,10 +381,10 @@
 }
 
 /// Returns what is done with the items of a job. `services` caches the service of each
-/// route, which is `None` without a route.
+/// route.
 fn job_use<'a>(
     config: &'a ServingConfig,
-    services: &mut HashMap<&'a str, Option<Option<&'a str>>>,
+    services: &mut HashMap<&'a str, RouteService<'a>>,
     job: &'a Job,
     now_ms: u64,
 ) -> JobUse<'a> {
@@ -385,14 +395,20 @@
         ..
     } = &job.submission;
     let service = *services.entry(route).or_insert_with(|| {
-        let route = config.route_by_name(route)?;
-        Some(route.targets.first().map(|target| target.service.as_str()))
+        let Some(route) = config.route_by_name(route) else {
+            return RouteService::NoRoute;
+        };
+        let target = route.targets.first();
+        target.map_or(RouteService::NoTarget, |target| {
+            RouteService::Service(&target.service)
+        })
     });
-    let has_no_route = service.is_none() && config.version() >= *config_version;
-    if has_no_route || now_ms >= give_up_ms + MAX_CLOCK_SKEW_MS {
-        JobUse::Abandon
-    } else {
-        service.flatten().map_or(JobUse::Wait, JobUse::Run)
+    let is_over = now_ms >= give_up_ms + MAX_CLOCK_SKEW_MS;
+    match service {
+        _ if is_over => JobUse::Abandon,
+        RouteService::NoRoute if config.version() >= *config_version => JobUse::Abandon,
+        RouteService::Service(service) => JobUse::Run(service),
+        RouteService::NoRoute | RouteService::NoTarget => JobUse::Wait,
     }
 }
 
@@ -407,11 +423,7 @@
     let elsewhere = gateway.reports.borrow().items_running_elsewhere(now);
     let now_ms = unix_time_ms();
     let index = gateway.jobs.index.borrow();
-    let known_set: HashSet<ItemRef> = {
-        let outputs = gateway.item_runner.outputs.borrow();
-        let known = here.iter().chain(&elsewhere).chain(outputs.keys());
-        known.copied().chain(index.saved_items()).collect()
-    };
+    let known_set = known_items(gateway, &index, &here, &elsewhere);
     let mut uses = HashMap::new();
     let mut by_service: BTreeMap<&str, OpenJobs<'_>> = BTreeMap::new();
     let mut to_abandon = Vec::new();
@@ -478,46 +490,59 @@
         gateway.metrics.set_state("batch_slots", slots);
         item_order::sort(&mut items, now_ms);
         let me = gateway.member_id;
-        let plan = match gateway.item_runner.limits(gateway, service, service_slots) {
-            Some(limits) => {
-                gateway.metrics.set_state("batch_slots_start", limits.start);
-                gateway.metrics.set_state("batch_slots_keep", limits.keep);
-                let running = Running {
-                    here: &here,
-                    waiting: &waiting,
-                    elsewhere: &elsewhere,
-                };
-                let open_count = jobs.open_count();
-                if limits.has_backlog(open_count) {
-                    backlogs.insert(service.to_owned());
-                }
-                plan_by_limits(limits, &items, open_count, now_ms, &running, me, &members)
-            }
-            None => {
-                let ordered = items.iter().map(|open| open.item);
-                plan(slots, ordered, &here, &elsewhere, me, &members)
+        let limits = gateway.item_runner.limits(gateway, service, service_slots);
+        let plan = if let Some(limits) = limits {
+            let running = Running {
+                here: &here,
+                waiting: &waiting,
+                elsewhere: &elsewhere,
+            };
+            let open_count = jobs.open_count();
+            if limits.has_backlog(open_count) {
+                backlogs.insert(service.to_owned());
             }
+            plan_by_limits(limits, &items, open_count, now_ms, &running, me, &members)
+        } else {
+            let ordered = items.iter().map(|open| open.item);
+            plan(slots, ordered, &here, &elsewhere, me, &members)
         };
-        for item in plan.pause {
-            event!(ITEM_PAUSED, item: = ItemName(item), slots);
-            gateway.item_runner.stop(item);
-        }
-        for item in plan.start {
-            let restart_after = gateway
-                .item_runner
-                .restart_after
-                .borrow()
-                .get(&item)
-                .copied();
-            if restart_after.is_none_or(|until| until <= now) {
-                start(gateway, item);
-            }
-        }
+        carry_out(gateway, plan, slots, now);
     }
     gateway.metrics.set_state("items_examined", examined);
     gateway.item_runner.backlogs.replace(backlogs);
 }
 
+/// Returns the items that run or wait for a slot, or have output.
+fn known_items(
+    gateway: &Gateway,
+    index: &JobIndex,
+    here: &HashSet<ItemRef>,
+    elsewhere: &HashSet<ItemRef>,
+) -> HashSet<ItemRef> {
+    let outputs = gateway.item_runner.outputs.borrow();
+    let known = here.iter().chain(elsewhere).chain(outputs.keys());
+    known.copied().chain(index.saved_items()).collect()
+}
+
+/// Pauses and starts the items of a plan.
+fn carry_out(gateway: &Rc<Gateway>, plan: Plan, slots: usize, now: Time) {
+    for item in plan.pause {
+        event!(ITEM_PAUSED, item: = ItemName(item), slots);
+        gateway.item_runner.stop(item);
+    }
+    for item in plan.start {
+        let restart_after = gateway
+            .item_runner
+            .restart_after
+            .borrow()
+            .get(&item)
+            .copied();
+        if restart_after.is_none_or(|until| until <= now) {
+            start(gateway, item);
+        }
+    }
+}
+
 /// Adds a sample of the online load of each service, if members' reports are too old to
 /// follow it.
 fn sample_load(gateway: &Gateway, now: Time) {
