--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -89,6 +89,10 @@
     IgnoreColdRate,
     /// A registration of any age ends the presumption that a replica is cold.
     TrustOldWarmth,
+    /// Batch items are planned by the momentary load although it swings.
+    IgnoreDemandSwing,
+    /// A request for a free slot preempts a batch item.
+    PreemptForFreeSlot,
 }
 
 #[cfg(feature = "planted-faults")]
