Record the software versions of a service in the store

After a restart of all processes, or of the only one that knew, a version that is the only one present was taken for the only one that existed, since the history of versions starts empty: resumed streams went on at another version than the one that began them.

The versions at which a live stream may have begun are now listed in keyed.cicadagate-versions, one key for each service and version. A version is written before resumable streams are sent to its replicas; those of others are used only if all replicas of listed versions are avoided. A process reads the list once at its start. It concludes the only version of a service only if the list was read and shows it, or if it has run for 60 s since. The owner removes a version 75 s after its last replica left. Replicas that are kept during an outage of the store count as present until they are removed.

Ruled out: one key per service with a set of versions (concurrent writes can lose one), times in the record (clocks), refusing all unknown streams after a start (refuses with one version, too).

--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -21,6 +21,7 @@
 * `queries`: queries to other gateways that wait for a reply.
 * `stream_origins`: which software version began a stream.
 * `stop`: shutdown without interrupting requests.
+* `version_record`: software versions that the store lists.
 */
 
 mod config;
@@ -40,6 +41,7 @@
 pub mod slots;
 mod stop;
 pub mod stream_origins;
+mod version_record;
 
 use {
     self::queries::PendingQueries,
@@ -72,6 +74,7 @@
             shutdown::Phase,
             slot_ledger::{Purpose, SlotLedger},
             stream_origins::{StreamOrigins, VersionHistory},
+            version_record::VersionRecord,
         },
         request::{
             attempt::RetryBudget,
@@ -181,6 +184,10 @@
     /// Time at which the other members were first read from the store.
     members_read_at: Cell<Option<Time>>,
     random_state: Cell<u64>,
+    /// Software versions that the store lists.
+    pub version_record: RefCell<VersionRecord>,
+    /// Whether the first attempt to read and complete the listed versions has ended.
+    version_record_tried: Cell<bool>,
 }
 
 impl Gateway {
@@ -250,6 +257,8 @@
             registrations_loaded: Cell::default(),
             members_read_at: Cell::default(),
             random_state: Cell::new(seed),
+            version_record: RefCell::default(),
+            version_record_tried: Cell::default(),
             settings,
         })
     }
@@ -289,6 +298,7 @@
     pub fn is_ready(&self) -> bool {
         self.phase.get().is_advertised()
             && self.registrations_loaded.get()
+            && self.version_record_tried.get()
             && self.config.borrow().version().is_some()
     }
 
@@ -536,6 +546,10 @@
     spawn_task("peers_run", peers::run(Rc::clone(&gateway), peers));
     spawn_task("peers_announce", peers::announce(Rc::clone(&gateway)));
     actix_rt::spawn(quarantine::load(Rc::clone(&gateway)));
+    spawn_task(
+        "version_record_run",
+        version_record::run(Rc::clone(&gateway)),
+    );
     spawn_task("jobs_follow", jobs::follow(Rc::clone(&gateway)));
     spawn_task("work_run", item_runner::run(Rc::clone(&gateway)));
     spawn_task(
--- a/cicadagate-gateway/src/process/stream_origins.rs
+++ b/cicadagate-gateway/src/process/stream_origins.rs
@@ -54,7 +54,8 @@
         let replicas = self.replicas.borrow();
         let present = replicas.versions_of(service);
         let history = self.version_history.borrow();
-        history.only_version(self.now(), service, present)
+        let record = self.version_record.borrow();
+        record.only_version(self.now(), service, present, &history)
     }
 }
 
@@ -121,7 +122,7 @@
     members.member(member).map(|(info, _)| info.udp)
 }
 
-fn send(gateway: &Gateway, to: SocketAddr, message: StreamOriginMessage) {
+pub(super) fn send(gateway: &Gateway, to: SocketAddr, message: StreamOriginMessage) {
     if let Some(peer_socket) = gateway.peer_socket.get() {
         peer_socket.send(gateway, to, &GatewayDatagram::StreamOrigin(message));
     }
@@ -143,5 +144,12 @@
         StreamOriginMessage::Answer { seq, version } => {
             gateway.origin_queries.complete(seq, version);
         }
+        StreamOriginMessage::Recorded { version } => {
+            let now = gateway.now();
+            gateway.version_record.borrow_mut().note_added(now, version);
+        }
+        StreamOriginMessage::Removed { version } => {
+            gateway.version_record.borrow_mut().note_removed(version);
+        }
     }
 }
--- a/cicadagate-gateway/src/request/pending.rs
+++ b/cicadagate-gateway/src/request/pending.rs
@@ -134,6 +134,11 @@
         }
     }
 
+    /// Returns whether the caller may resume the response.
+    pub(super) fn may_be_resumed(&self) -> bool {
+        self.route.is_resumable && self.route.kind == RouteKind::Streaming
+    }
+
     /// Lets the request go on only at a software version of a service.
     pub(super) fn bind(&mut self, service: String, version: SoftwareVersion) {
         self.service = service;
--- a/cicadagate-gateway/src/request/placement.rs
+++ b/cicadagate-gateway/src/request/placement.rs
@@ -167,10 +167,12 @@
         let replicas = gateway.replicas.borrow();
         let reports = gateway.reports.borrow();
         let remaining = gateway.remaining_percent(&self.service);
+        let recorded = gateway.version_record.borrow();
         let wanted = Wanted {
             service: &self.service,
             excluded,
             version: self.version,
+            recorded: self.may_be_resumed().then_some(&*recorded),
         };
         let chosen = replicas.choose(now, &wanted, gateway.next_random(), |id| {
             gateway.online_load_estimate(&reports, remaining, id)
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -96,6 +96,10 @@
     SERVICE_REACHED = 536, Info, "The replicas of a service can be reached from here again.";
     SENT_THROUGH_MEMBER = 534, Info, "A request is sent through another instance, since replicas can't be reached from here.";
     STREAM_RESUMPTION = 533, Info, "A caller resumes a stream; it goes on at the software version that began it, or is refused.";
+    VERSION_RECORDED = 537, Info, "A software version of a service is listed in the store, before resumable streams are sent to its replicas.";
+    VERSION_REMOVED = 538, Info, "A software version is no longer listed in the store: its last replica left more than a minute ago.";
+    VERSIONS_READ = 539, Info, "The listed software versions were read from the store.";
+    VERSIONS_UNREAD = 540, Warn, "The listed software versions can't be read from the store; resumed streams of unknown version are refused.";
     ATTEMPT_FAILED = 523, Warn, "An attempt at a replica failed.";
     REQUEST_BROKEN = 524, Warn, "A request ended without its complete response.";
     CALLER_LEFT = 525, Info, "A caller disconnected before its response was complete.";
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -79,6 +79,8 @@
     AskOneHolder,
     /// A resumed stream goes to a replica of any software version.
     IgnoreSoftwareVersion,
+    /// The versions that the store lists do not count after a restart.
+    IgnoreVersionRecord,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/process/mod.rs
+++ b/cicadagate-policy/src/process/mod.rs
@@ -19,3 +19,4 @@
 pub mod shutdown;
 pub mod slot_ledger;
 pub mod stream_origins;
+pub mod version_record;
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -44,6 +44,7 @@
     super::{
         reachability::{REACHED_MS, Reach},
         reports::InFlight,
+        version_record::VersionRecord,
     },
     crate::{
         fault_injection::{Fault, is_injected},
@@ -132,6 +133,9 @@
     pub excluded: &'a [EndpointId],
     /// Version of the software that the replica must run, any if `None`.
     pub version: Option<SoftwareVersion>,
+    /// Recorded versions. Replicas of others are chosen only if all those of recorded
+    /// versions are avoided; `None` if it does not matter.
+    pub recorded: Option<&'a VersionRecord>,
 }
 
 impl<'a> Wanted<'a> {
@@ -142,9 +146,22 @@
             service,
             excluded: &[],
             version: None,
+            recorded: None,
         }
     }
 
+    /// Returns the record if it has a version of replicas that are not avoided.
+    fn usable_record<'r>(
+        &self,
+        now: Time,
+        mut replicas: impl Iterator<Item = &'r Replica>,
+    ) -> Option<&'a VersionRecord> {
+        self.recorded.filter(|recorded| {
+            replicas
+                .any(|replica| !replica.is_avoided(now) && recorded.is_recorded(replica.version))
+        })
+    }
+
     fn allows(&self, replica: &Replica) -> bool {
         let has_version = self.version.is_none_or(|wanted| replica.version == wanted);
         !self.excluded.contains(&replica.endpoint)
@@ -624,6 +641,16 @@
             .map(|replica| replica.version)
     }
 
+    /// Returns the names of the software versions of a service's replicas, draining ones
+    /// included.
+    pub fn version_names_of(&self, service: &str) -> impl Iterator<Item = &str> {
+        self.replicas
+            .values()
+            .map(|replica| &replica.registration)
+            .filter(move |registration| registration.service == service)
+            .map(|registration| registration.software_version.as_str())
+    }
+
     /// Chooses one of the wanted replicas.
     ///
     /// `replica_load` returns the load and state of a replica. `seed` is a
@@ -635,9 +662,14 @@
         seed: u64,
         replica_load: impl Fn(EndpointId) -> ReplicaLoad,
     ) -> Option<&Replica> {
+        let recorded = wanted.usable_record(now, self.replicas_of(wanted.service));
         let candidates: Vec<Candidate<'_>> = self
             .replicas_of(wanted.service)
             .filter(|replica| wanted.allows(replica))
+            .filter(|replica| {
+                wanted.version.is_some()
+                    || recorded.is_none_or(|recorded| recorded.is_recorded(replica.version))
+            })
             .map(|replica| {
                 let ReplicaLoad {
                     in_flight,
--- a/cicadagate-policy/src/process/stream_origins.rs
+++ b/cicadagate-policy/src/process/stream_origins.rs
@@ -18,8 +18,8 @@
 changes, so that what is told about a stream is never corrected: the first word counts.
 
 If nobody knows, since all of them ended, the stream goes on only if the service has had
-a single version for [`VERSION_MEMORY_MS`], as far as the member knows; otherwise it is
-refused.
+a single version for [`VERSION_MEMORY_MS`]; otherwise it is refused.
+[`version_record`](super::version_record) shows that after a restart of all members.
 
 # Cost
 
@@ -77,6 +77,16 @@
         /// The version that began the stream, if it is known.
         version: Option<SoftwareVersion>,
     },
+    /// The store lists a version.
+    Recorded {
+        /// The version.
+        version: SoftwareVersion,
+    },
+    /// The store no longer lists a version.
+    Removed {
+        /// The version.
+        version: SoftwareVersion,
+    },
 }
 
 /// Returns the members to tell about a stream, from all that work.
--- a/cicadagate-policy/src/version/serving.rs
+++ b/cicadagate-policy/src/version/serving.rs
@@ -248,6 +248,12 @@
         &self.customers
     }
 
+    /// Returns the routes.
+    #[must_use]
+    pub fn routes(&self) -> &[Rc<Route>] {
+        &self.routes
+    }
+
     /// Returns the route of a host whose prefix is the longest that matches a
     /// path.
     #[must_use]
