Avoid replicas that may have restarted with other software

A replica that restarts under its id keeps its registration until a new one is read, so that streams of its old version went on there. A replica to which a connection was lost or refused is now in doubt until a registration that it wrote later is read; the other gateways are told. Resumable streams and items get another replica of their version if there is one. If the service has several versions, those that go on aren't sent to a replica that refused a connection.

Ruled out: refusing each replica whose connection was lost; a reset of all connections would end all streams, and the tests of streams resumed in the process with it.

--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -9,7 +9,7 @@
     },
     crate::{
         process::{
-            Gateway, contents,
+            Gateway, contents, lost_contact,
             slots::{SlotOutcome, acquire},
         },
         request::{event_id_text, is_hop_by_hop, set_replica_headers},
@@ -276,8 +276,10 @@
     let service = &task.route.target(&task.id)?.service;
     drop_output_of_gone_version(gateway, task.item, &task.id, service);
     let outputs = gateway.item_runner.outputs.borrow();
+    let version = outputs.get(&task.item).and_then(|output| output.version);
     let wanted = Wanted {
-        version: outputs.get(&task.item).and_then(|output| output.version),
+        version,
+        proof: gateway.version_proof(service, version.is_some()),
         ..Wanted::of(service)
     };
     let replicas = gateway.replicas.borrow();
@@ -369,6 +371,7 @@
     if matches!(outcome, RunOutcome::Interrupted(_)) {
         let now = gateway.now();
         gateway.replicas.borrow_mut().note_failure(now, endpoint);
+        lost_contact::note(gateway, endpoint, false);
     }
     outcome
 }
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -14,6 +14,7 @@
 * `fleet_store`: the store, reached directly or through another gateway.
 * `directory`: addresses of the gateways, readiness and metrics.
 * `limits`: rate limits of customers.
+* `lost_contact`: replicas that may have restarted with other software.
 * `owners`: which gateway owns a replica's slots or a customer's limit.
 * `quarantine`: requests under which replicas crash.
 * `rates`: request rates that replicas name.
@@ -31,6 +32,7 @@
 pub mod item_runner;
 pub mod jobs;
 pub mod limits;
+mod lost_contact;
 mod owners;
 mod peers;
 mod quarantine;
@@ -188,6 +190,8 @@
     pub version_record: RefCell<VersionRecord>,
     /// Whether the first attempt to read and complete the listed versions has ended.
     version_record_tried: Cell<bool>,
+    /// Notices of lost contact with replicas that may still be sent.
+    lost_contact_notices: lost_contact::NoticeBudget,
 }
 
 impl Gateway {
@@ -259,6 +263,7 @@
             random_state: Cell::new(seed),
             version_record: RefCell::default(),
             version_record_tried: Cell::default(),
+            lost_contact_notices: lost_contact::NoticeBudget::default(),
             settings,
         })
     }
--- a/cicadagate-gateway/src/process/quarantine.rs
+++ b/cicadagate-gateway/src/process/quarantine.rs
@@ -7,7 +7,7 @@
 */
 
 use {
-    super::{Gateway, owners::owner_of},
+    super::{Gateway, lost_contact, owners::owner_of},
     actix_rt::time::sleep,
     cicadagate_node::{clock::unix_time_ms, event},
     cicadagate_policy::{
@@ -42,10 +42,11 @@
 impl Gateway {
     /// Records that a replica ended while it had a request with these parts.
     pub fn note_crash(&self, replica: &Registration, parts: &[RequestPart]) {
+        let endpoint = EndpointId::of(&replica.id);
+        lost_contact::note(self, endpoint, false);
         if parts.is_empty() {
             return;
         }
-        let endpoint = EndpointId::of(&replica.id);
         let crash = Crash {
             replica: Incarnation::new(endpoint, replica.started_ms),
             parts: parts.to_vec(),
--- a/cicadagate-gateway/src/process/reachability.rs
+++ b/cicadagate-gateway/src/process/reachability.rs
@@ -6,7 +6,7 @@
 */
 
 use {
-    super::{Gateway, item_runner, peers},
+    super::{Gateway, item_runner, lost_contact, peers},
     cicadagate_node::{connection::http_client::ExchangeError, event},
     cicadagate_policy::{
         ids::{EndpointId, MemberId, ServiceId},
@@ -37,6 +37,9 @@
     /// Records that an exchange with a replica failed.
     pub fn note_failed(self: &Rc<Self>, endpoint: EndpointId, err: &ExchangeError) {
         let now = self.now();
+        if err.is_closed_by_peer() || err.is_refused() {
+            lost_contact::note(self, endpoint, err.is_refused());
+        }
         if err.is_unreachable() {
             self.replicas.borrow_mut().note_unreachable(now, endpoint);
             self.pool.close_idle(endpoint);
@@ -158,6 +161,10 @@
                 }
                 Err(err) => {
                     replicas.note_unreachable(now, endpoint);
+                    drop(replicas);
+                    if err.is_refused() {
+                        lost_contact::note(&gateway, endpoint, true);
+                    }
                     gateway.pool.close_idle(endpoint);
                     event!(REPLICA_UNREACHABLE, endpoint: = endpoint, reason: = err);
                 }
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -100,11 +100,17 @@
     for record in &page.records {
         if let Some(item) = gateway.store.decode_keyed(record) {
             apply_record(gateway, &item);
+            let endpoint = EndpointId::of(&item.key);
+            gateway.replicas.borrow_mut().note_renewed(endpoint);
         } else {
             event!(RECORD_SKIPPED, key = topic, reason = "record has no key");
         }
     }
-    Ok(page.from + page.records.len() as u64)
+    let next = page.from + page.records.len() as u64;
+    if next >= page.end {
+        gateway.replicas.borrow_mut().note_complete_read();
+    }
+    Ok(next)
 }
 
 fn apply_record(gateway: &Rc<Gateway>, item: &KeyedRecord) {
--- a/cicadagate-gateway/src/process/stream_origins.rs
+++ b/cicadagate-gateway/src/process/stream_origins.rs
@@ -148,6 +148,13 @@
             let now = gateway.now();
             gateway.version_record.borrow_mut().note_added(now, version);
         }
+        StreamOriginMessage::LostContact {
+            endpoint,
+            is_refused,
+        } => {
+            let mut replicas = gateway.replicas.borrow_mut();
+            replicas.note_lost_contact(endpoint, is_refused);
+        }
         StreamOriginMessage::Removed { version } => {
             gateway.version_record.borrow_mut().note_removed(version);
         }
--- a/cicadagate-gateway/src/request/placement.rs
+++ b/cicadagate-gateway/src/request/placement.rs
@@ -15,7 +15,7 @@
     cicadagate_policy::{
         ids::EndpointId,
         process::{
-            replicas::{Registration, Wanted},
+            replicas::{Registration, VersionProof, Wanted},
             slot_ledger::Purpose,
         },
         request::overload::max_wait_ms,
@@ -173,6 +173,11 @@
             excluded,
             version: self.version,
             recorded: self.may_be_resumed().then_some(&*recorded),
+            proof: if self.may_be_resumed() {
+                gateway.version_proof(&self.service, self.version.is_some())
+            } else {
+                VersionProof::None
+            },
         };
         let chosen = replicas.choose(now, &wanted, gateway.next_random(), |id| {
             gateway.online_load_estimate(&reports, remaining, id)
--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -104,6 +104,15 @@
         }
     }
 
+    /// Returns whether the replica refused the connection, as while it restarts.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        match self {
+            Self::Connect { source, .. } => source.kind() == io::ErrorKind::ConnectionRefused,
+            Self::Broken { .. } | Self::Malformed { .. } | Self::MismatchedId => false,
+        }
+    }
+
     /// Returns whether the replica did not respond at all.
     #[must_use]
     pub fn is_timeout(&self) -> bool {
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -100,6 +100,7 @@
     VERSION_REMOVED = 538, Info, "A software version is no longer listed in the store: its last replica left more than a minute ago.";
     VERSIONS_READ = 539, Info, "The listed software versions were read from the store.";
     VERSIONS_UNREAD = 540, Warn, "The listed software versions can't be read from the store; resumed streams of unknown version are refused.";
+    REPLICA_IN_DOUBT = 541, Info, "Contact with a replica was lost; streams and items go on there only if no other replica of their software version is left, until it has registered again.";
     ATTEMPT_FAILED = 523, Warn, "An attempt at a replica failed.";
     REQUEST_BROKEN = 524, Warn, "A request ended without its complete response.";
     CALLER_LEFT = 525, Info, "A caller disconnected before its response was complete.";
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -81,6 +81,9 @@
     IgnoreSoftwareVersion,
     /// The versions that the store lists do not count after a restart.
     IgnoreVersionRecord,
+    /// A replica that may have restarted with other software counts as what it is
+    /// registered as.
+    TrustLostReplicas,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -136,6 +136,31 @@
     /// Recorded versions. Replicas of others are chosen only if all those of recorded
     /// versions are avoided; `None` if it does not matter.
     pub recorded: Option<&'a VersionRecord>,
+    /// What is asked of the proof that the replica runs the version of its registration.
+    pub proof: VersionProof,
+}
+
+/// What is asked of the proof that a replica runs the version of its registration. After
+/// contact with a replica was lost it may have restarted under its id with other software,
+/// until a registration that it wrote later is read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum VersionProof {
+    /// The version does not matter.
+    #[default]
+    None,
+    /// Other replicas are preferred to those with which contact was lost.
+    Preferred,
+    /// Likewise, and those that refused connections are not chosen.
+    Required,
+}
+
+/// Contact with a replica was lost, so that it may have restarted.
+#[derive(Clone, Copy, Debug)]
+struct LostContact {
+    /// Complete reads of the registrations before.
+    reads: u64,
+    /// Whether the replica refused a connection, as while it restarts.
+    is_refused: bool,
 }
 
 impl<'a> Wanted<'a> {
@@ -147,6 +172,7 @@
             excluded: &[],
             version: None,
             recorded: None,
+            proof: VersionProof::None,
         }
     }
 
@@ -186,9 +212,20 @@
     last_reached: Option<Time>,
     /// Time of the next probe; `None` unless the replica is unreachable.
     next_probe_at: Option<Time>,
+    /// Set until a registration that was written later is read.
+    lost_contact: Option<LostContact>,
 }
 
 impl Replica {
+    /// Returns how doubtful it is that the replica runs the version of its registration:
+    /// 0 if there is no doubt, 1 if a connection was lost, 2 if it refused one.
+    fn doubt(&self) -> u8 {
+        let lost = self
+            .lost_contact
+            .filter(|_| !is_injected(Fault::TrustLostReplicas));
+        lost.map_or(0, |lost| 1 + u8::from(lost.is_refused))
+    }
+
     /// Returns whether the replica is avoided at `now`, after a failure or
     /// because it is unreachable.
     #[must_use]
@@ -247,6 +284,8 @@
     told_leaving: HashMap<EndpointId, (u64, Time)>,
     store_unreachable_since: Option<Time>,
     store_recovered_at: Option<Time>,
+    /// Reads of the registrations that reached their end.
+    complete_reads: u64,
 }
 
 impl ReplicaSet {
@@ -287,6 +326,10 @@
             Some(old) if was_usable => (old.failures, old.avoid_until, old.last_reached),
             _ => (0, Time::default(), None),
         };
+        // A later incarnation wrote its own version.
+        let lost_contact = old
+            .filter(|old| old.registration.started_ms >= registration.started_ms)
+            .and_then(|old| old.lost_contact);
         let replica = Replica {
             version: registration.version(),
             registration: Rc::new(registration),
@@ -297,6 +340,7 @@
             full_until: Time::default(),
             last_reached,
             next_probe_at: None,
+            lost_contact,
         };
         self.replicas.insert(endpoint, replica);
         self.rebuild_index();
@@ -552,6 +596,41 @@
         }
     }
 
+    /// Records that a read of the registrations reached their end.
+    pub const fn note_complete_read(&mut self) {
+        self.complete_reads += 1;
+    }
+
+    /// Records that a connection to a replica was lost or refused; returns whether that is
+    /// news since the last registration.
+    pub fn note_lost_contact(&mut self, endpoint: EndpointId, is_refused: bool) -> bool {
+        let reads = self.complete_reads;
+        let Some(replica) = self.replicas.get_mut(&endpoint) else {
+            return false;
+        };
+        let before = replica.doubt();
+        let was_refused = replica.lost_contact.is_some_and(|lost| lost.is_refused);
+        replica.lost_contact = Some(LostContact {
+            reads,
+            is_refused: is_refused || was_refused,
+        });
+        replica.doubt() > before
+    }
+
+    /// Records that a record of a replica's registration was read, in a read that follows
+    /// the previous one without a gap.
+    pub fn note_renewed(&mut self, endpoint: EndpointId) {
+        let reads = self.complete_reads;
+        if let Some(replica) = self.replicas.get_mut(&endpoint) {
+            // The read under way when contact was lost, and the one after it, may bring
+            // records that were written before.
+            let is_later = |lost: &LostContact| reads >= lost.reads + 2;
+            if replica.lost_contact.as_ref().is_some_and(is_later) {
+                replica.lost_contact = None;
+            }
+        }
+    }
+
     /// Returns the unreachable replicas that are due for a probe.
     pub fn due_probes(&mut self, now: Time) -> Vec<(EndpointId, SocketAddr)> {
         let due = self.replicas.values_mut().filter_map(|replica| {
@@ -663,13 +742,22 @@
         replica_load: impl Fn(EndpointId) -> ReplicaLoad,
     ) -> Option<&Replica> {
         let recorded = wanted.usable_record(now, self.replicas_of(wanted.service));
-        let candidates: Vec<Candidate<'_>> = self
+        let allowed = self
             .replicas_of(wanted.service)
             .filter(|replica| wanted.allows(replica))
             .filter(|replica| {
                 wanted.version.is_some()
                     || recorded.is_none_or(|recorded| recorded.is_recorded(replica.version))
-            })
+            });
+        let allowed: Vec<&Replica> = allowed.collect();
+        let max_doubt = match wanted.proof {
+            VersionProof::None => u8::MAX,
+            VersionProof::Preferred => allowed.iter().map(|it| it.doubt()).min()?,
+            VersionProof::Required => allowed.iter().map(|it| it.doubt()).min()?.min(1),
+        };
+        let candidates: Vec<Candidate<'_>> = allowed
+            .into_iter()
+            .filter(|replica| replica.doubt() <= max_doubt)
             .map(|replica| {
                 let ReplicaLoad {
                     in_flight,
--- a/cicadagate-policy/src/process/stream_origins.rs
+++ b/cicadagate-policy/src/process/stream_origins.rs
@@ -32,7 +32,7 @@
     super::placement::{PlacementCandidate, spread_over_data_centres},
     crate::{
         fault_injection::{Fault, is_injected},
-        ids::{MemberId, SoftwareVersion, StreamId},
+        ids::{EndpointId, MemberId, SoftwareVersion, StreamId},
         time::Time,
     },
     serde::{Deserialize, Serialize},
@@ -87,6 +87,13 @@
         /// The version.
         version: SoftwareVersion,
     },
+    /// Contact with a replica was lost, so that it may have restarted with other software.
+    LostContact {
+        /// The replica.
+        endpoint: EndpointId,
+        /// Whether it refused a connection.
+        is_refused: bool,
+    },
 }
 
 /// Returns the members to tell about a stream, from all that work.
@@ -179,6 +186,19 @@
         versions.push((version, now));
     }
 
+    /// Returns whether a service has replicas of several versions, or had some lately.
+    #[must_use]
+    pub fn has_several(
+        &self,
+        now: Time,
+        service: &str,
+        present: impl Iterator<Item = SoftwareVersion>,
+    ) -> bool {
+        let mut versions = self.versions(now, service, present);
+        let first = versions.next();
+        versions.any(|version| Some(version) != first)
+    }
+
     /// Returns the only version of a service at which a stream may have begun; `None` if
     /// there are several or none. `present` are the versions of the replicas that
     /// are known now.
@@ -189,12 +209,21 @@
         service: &str,
         present: impl Iterator<Item = SoftwareVersion>,
     ) -> Option<SoftwareVersion> {
+        let mut versions = self.versions(now, service, present);
+        let first = versions.next()?;
+        versions.all(|version| version == first).then_some(first)
+    }
+
+    fn versions(
+        &self,
+        now: Time,
+        service: &str,
+        present: impl Iterator<Item = SoftwareVersion>,
+    ) -> impl Iterator<Item = SoftwareVersion> {
         let remembered = self.last_registered.get(service).into_iter().flatten();
         let remembered = remembered
-            .filter(|(_, at)| now.since(*at) < VERSION_MEMORY_MS)
+            .filter(move |(_, at)| now.since(*at) < VERSION_MEMORY_MS)
             .map(|(version, _)| *version);
-        let mut versions = present.chain(remembered);
-        let first = versions.next()?;
-        versions.all(|version| version == first).then_some(first)
+        present.chain(remembered)
     }
 }
--- a/cicadagate-policy/tests/version_record.rs
+++ b/cicadagate-policy/tests/version_record.rs
@@ -4,9 +4,9 @@
 use {
     cicadagate_policy::{
         fault_injection::{Fault, inject},
-        ids::{EndpointId, SoftwareVersion},
+        ids::{EndpointId, SoftwareVersion, mix64},
         process::{
-            replicas::{Registration, ReplicaLoad, ReplicaSet, Wanted},
+            replicas::{Registration, ReplicaLoad, ReplicaSet, VersionProof, Wanted},
             stream_origins::{VERSION_MEMORY_MS, VersionHistory},
             version_record::{
                 MAX_VERSIONS, NOTICE_WAIT_MS, REMOVE_AFTER_MS, RecordChange, UNRECORDED_AFTER_MS,
@@ -65,6 +65,19 @@
     }
 }
 
+fn registration(id: &str, version: &str) -> Registration {
+    Registration {
+        id: id.to_owned(),
+        service: SERVICE.to_owned(),
+        addr: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: "a".to_owned(),
+        slots: 8,
+        software_version: version.to_owned(),
+        is_draining: false,
+        started_ms: 1,
+    }
+}
+
 fn add(version: &str) -> Vec<RecordChange> {
     vec![RecordChange::Add(name(version))]
 }
@@ -187,16 +200,7 @@
 fn replicas_of_unrecorded_versions_are_chosen_last() {
     let mut replicas = ReplicaSet::default();
     for (at, version) in ["v1", "v2", "v2"].into_iter().enumerate() {
-        let _ = replicas.register(Registration {
-            id: format!("i{at}"),
-            service: SERVICE.to_owned(),
-            addr: "10.0.0.1:80".parse().expect("an address"),
-            data_centre: "a".to_owned(),
-            slots: 8,
-            software_version: version.to_owned(),
-            is_draining: false,
-            started_ms: 1,
-        });
+        let _ = replicas.register(registration(&format!("i{at}"), version));
     }
     let mut record = VersionRecord::default();
     let chosen = |replicas: &ReplicaSet, record: &VersionRecord, seed| {
@@ -205,7 +209,7 @@
             ..Wanted::of(SERVICE)
         };
         let load = |_| ReplicaLoad::default();
-        let replica = replicas.choose(Time(10), &wanted, seed, load);
+        let replica = replicas.choose(Time(10), &wanted, mix64(seed, 3), load);
         replica.map(|replica| replica.version)
     };
     for seed in 0..50 {
@@ -222,3 +226,78 @@
         assert_eq!(version, Some(name("v2").id()));
     }
 }
+
+/// Returns how often a stream of v1 goes on at a replica that may have restarted with other
+/// software; another replica of v1 is not in doubt.
+fn choices_of_lost_replicas() -> usize {
+    let mut replicas = ReplicaSet::default();
+    for id in ["i0", "i1"] {
+        let _ = replicas.register(registration(id, "v1"));
+    }
+    replicas.note_lost_contact(EndpointId::of("i0"), false);
+    let wanted = Wanted {
+        version: Some(name("v1").id()),
+        proof: VersionProof::Required,
+        ..Wanted::of(SERVICE)
+    };
+    let lost = (0..50).filter(|seed| {
+        let seed = mix64(*seed, 3);
+        let chosen = replicas.choose(Time(10), &wanted, seed, |_| ReplicaLoad::default());
+        chosen.is_some_and(|replica| replica.endpoint == EndpointId::of("i0"))
+    });
+    lost.count()
+}
+
+// Guards against streams that go on at a replica that may have restarted with other
+// software, while another of their version is left.
+#[test]
+fn lost_replicas_are_chosen_last() {
+    assert_eq!(choices_of_lost_replicas(), 0);
+}
+
+#[test]
+fn detects_that_lost_replicas_are_trusted() {
+    inject(Some(Fault::TrustLostReplicas));
+    assert!(choices_of_lost_replicas() > 0);
+}
+
+// Guards against a replica that is trusted by a registration that it wrote before contact
+// was lost, and against one that is never trusted again.
+#[test]
+fn a_lost_replica_is_trusted_after_a_later_registration() {
+    let endpoint = EndpointId::of("i0");
+    let mut replicas = ReplicaSet::default();
+    let _ = replicas.register(registration("i0", "v1"));
+    let is_chosen = |replicas: &ReplicaSet, proof| {
+        let wanted = Wanted {
+            version: Some(name("v1").id()),
+            proof,
+            ..Wanted::of(SERVICE)
+        };
+        let chosen = replicas.choose(Time(10), &wanted, 1, |_| ReplicaLoad::default());
+        chosen.is_some()
+    };
+    // A connection that was lost is no reason to refuse; one that was refused is, if there
+    // are several versions.
+    assert!(replicas.note_lost_contact(endpoint, false));
+    assert!(is_chosen(&replicas, VersionProof::Required));
+    assert!(replicas.note_lost_contact(endpoint, true));
+    assert!(!replicas.note_lost_contact(endpoint, false));
+    for read in 0..2 {
+        replicas.note_renewed(endpoint);
+        assert!(!is_chosen(&replicas, VersionProof::Required), "{read}");
+        assert!(is_chosen(&replicas, VersionProof::Preferred), "{read}");
+        replicas.note_complete_read();
+    }
+    replicas.note_renewed(endpoint);
+    assert!(is_chosen(&replicas, VersionProof::Required));
+    // The registration of a later incarnation counts at once.
+    assert!(replicas.note_lost_contact(endpoint, true));
+    let _ = replicas.register(registration("i0", "v1"));
+    assert!(!is_chosen(&replicas, VersionProof::Required));
+    let _ = replicas.register(Registration {
+        started_ms: 2,
+        ..registration("i0", "v1")
+    });
+    assert!(is_chosen(&replicas, VersionProof::Required));
+}
