--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -17,6 +17,7 @@
 * `fleet_store`: the store, reached directly or through another gateway.
 * `directory`: addresses of the gateways, readiness and metrics.
 * `limits`: rate limits of customers.
+* `lost_contact`: replicas that may have restarted with other software.
 * `owners`: which gateway owns a replica's slots or a customer's limit.
 * `quarantine`: requests under which replicas crash.
 * `rates`: request rates that replicas name.
@@ -24,6 +25,7 @@
 * `queries`: queries to other gateways that wait for a reply.
 * `stream_origins`: which software version began a stream.
 * `stop`: shutdown without interrupting requests.
+* `version_record`: software versions that the store lists.
 */
 
 mod cold;
@@ -35,6 +37,7 @@
 pub mod item_runner;
 pub mod jobs;
 pub mod limits;
+mod lost_contact;
 mod owners;
 mod peers;
 mod quarantine;
@@ -46,6 +49,7 @@
 pub mod slots;
 mod stop;
 pub mod stream_origins;
+mod version_record;
 
 use {
     self::queries::PendingQueries,
@@ -80,6 +84,7 @@
             shutdown::Phase,
             slot_ledger::{Purpose, SlotLedger},
             stream_origins::{StreamOrigins, VersionHistory},
+            version_record::VersionRecord,
         },
         request::{
             attempt::RetryBudget,
@@ -198,6 +203,12 @@
     registration_feed: RefCell<RegistrationFeed>,
     /// Notified when a message has brought the registrations up to date.
     registrations_current: Notify,
+    /// Software versions that the store lists.
+    pub version_record: RefCell<VersionRecord>,
+    /// Whether the first attempt to read and complete the listed versions has ended.
+    version_record_tried: Cell<bool>,
+    /// Notices of lost contact with replicas that may still be sent.
+    lost_contact_notices: lost_contact::NoticeBudget,
 }
 
 impl Gateway {
@@ -271,6 +282,9 @@
             random_state: Cell::new(seed),
             registration_feed: RefCell::default(),
             registrations_current: Notify::new(),
+            version_record: RefCell::default(),
+            version_record_tried: Cell::default(),
+            lost_contact_notices: lost_contact::NoticeBudget::default(),
             settings,
         })
     }
@@ -310,6 +324,7 @@
     pub fn is_ready(&self) -> bool {
         self.phase.get().is_advertised()
             && self.registrations_loaded.get()
+            && self.version_record_tried.get()
             && self.config.borrow().version().is_some()
     }
 
@@ -559,6 +574,10 @@
     spawn_task("peers_run", peers::run(Rc::clone(&gateway), peers));
     spawn_task("peers_announce", peers::announce(Rc::clone(&gateway)));
     actix_rt::spawn(quarantine::load(Rc::clone(&gateway)));
+    spawn_task(
+        "version_record_run",
+        version_record::run(Rc::clone(&gateway)),
+    );
     spawn_task("jobs_follow", jobs::follow(Rc::clone(&gateway)));
     spawn_task("work_run", item_runner::run(Rc::clone(&gateway)));
     spawn_task(
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -53,6 +53,8 @@
         let interval = gateway.bounds().drain / READS_PER_DRAIN;
         if let Some(wait) = time_until_read(&gateway, role) {
             note_outcome(&gateway, &mut reachability, None);
+            // Renewals are not told, but a replica that restarted would have been.
+            gateway.replicas.borrow_mut().note_all_renewed();
             if std::mem::take(&mut is_missing_news) {
                 event!(REGISTRATION_NEWS_RESUMED);
             }
@@ -204,6 +206,9 @@
     let now = gateway.now();
     let mut feed = gateway.registration_feed.borrow_mut();
     feed.finish_read(now, page.end);
+    if feed.next() >= Some(page.end) {
+        gateway.replicas.borrow_mut().note_complete_read();
+    }
     if role == Role::Reader {
         drop(feed);
         registration_news::send(gateway, page.end);
@@ -228,7 +233,10 @@
 /// Applies a record; returns whether it changes a registration.
 pub(super) fn apply_raw(gateway: &Rc<Gateway>, record: &Bytes) -> bool {
     if let Some(item) = gateway.store.decode_keyed(record) {
-        apply_record(gateway, &item)
+        let is_change = apply_record(gateway, &item);
+        let endpoint = EndpointId::of(&item.key);
+        gateway.replicas.borrow_mut().note_renewed(endpoint);
+        is_change
     } else {
         let topic = gateway.codec.replica_topic();
         event!(RECORD_SKIPPED, key = topic, reason = "record has no key");
--- a/cicadagate-gateway/src/request/placement.rs
+++ b/cicadagate-gateway/src/request/placement.rs
@@ -15,7 +15,7 @@
     cicadagate_policy::{
         ids::EndpointId,
         process::{
-            replicas::{Registration, Wanted},
+            replicas::{Registration, VersionProof, Wanted},
             slot_ledger::Purpose,
         },
         request::overload::max_wait_ms,
@@ -176,10 +176,17 @@
         let replicas = gateway.replicas.borrow();
         let reports = gateway.reports.borrow();
         let remaining = gateway.remaining_percent(&self.service);
+        let recorded = gateway.version_record.borrow();
         let wanted = Wanted {
             service: &self.service,
             excluded,
             version: self.version,
+            recorded: self.may_be_resumed().then_some(&*recorded),
+            proof: if self.may_be_resumed() {
+                gateway.version_proof(&self.service, self.version.is_some())
+            } else {
+                VersionProof::None
+            },
         };
         let chosen = replicas.choose(now, &wanted, gateway.next_random(), |id| {
             gateway.online_load_estimate(&reports, remaining, id)
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -99,6 +99,11 @@
     REGISTRATION_NEWS_MISSING = 561, Warn, "No instance that reads the replicas' registrations has told this one of their latest state in time; it reads them itself.";
     REGISTRATION_NEWS_RESUMED = 562, Info, "Other instances tell this one of the replicas' registrations again.";
     STREAM_RESUMPTION = 533, Info, "A caller resumes a stream; it goes on at the software version that began it, or is refused.";
+    VERSION_RECORDED = 537, Info, "A software version of a service is listed in the store, before resumable streams are sent to its replicas.";
+    VERSION_REMOVED = 538, Info, "A software version is no longer listed in the store: its last replica left more than a minute ago.";
+    VERSIONS_READ = 539, Info, "The listed software versions were read from the store.";
+    VERSIONS_UNREAD = 546, Warn, "The listed software versions can't be read from the store; resumed streams of unknown version are refused.";
+    REPLICA_IN_DOUBT = 547, Info, "Contact with a replica was lost; streams and items go on there only if no other replica of their software version is left, until it has registered again.";
     ATTEMPT_FAILED = 523, Warn, "An attempt at a replica failed.";
     REQUEST_BROKEN = 524, Warn, "A request ended without its complete response.";
     CALLER_LEFT = 525, Info, "A caller disconnected before its response was complete.";
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -93,6 +93,11 @@
     IgnoreDemandSwing,
     /// A request for a free slot preempts a batch item.
     PreemptForFreeSlot,
+    /// The versions that the store lists do not count after a restart.
+    IgnoreVersionRecord,
+    /// A replica that may have restarted with other software counts as what it is
+    /// registered as.
+    TrustLostReplicas,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/process/mod.rs
+++ b/cicadagate-policy/src/process/mod.rs
@@ -5,8 +5,8 @@
 pub mod batch_share;
 pub mod cold_replicas;
 pub mod contact;
-pub mod evacuation;
 pub mod demand_swing;
+pub mod evacuation;
 pub mod item_order;
 pub mod item_scan;
 pub mod last_replica;
@@ -25,3 +25,4 @@
 pub mod shutdown;
 pub mod slot_ledger;
 pub mod stream_origins;
+pub mod version_record;
--- a/cicadagate-policy/tests/registration_readers.rs
+++ b/cicadagate-policy/tests/registration_readers.rs
@@ -81,7 +81,9 @@
     known[replica] = state;
     let endpoint = EndpointId::of(&format!("i-{replica}"));
     let registration = (state != REMOVED).then(|| registration(replica, state));
-    let known = registration.as_ref().map(|registration| (registration, false));
+    let known = registration
+        .as_ref()
+        .map(|registration| (registration, false));
     feed.note(endpoint, known, record.len())
 }
 
