--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -18,6 +18,7 @@
 * `directory`: addresses of the gateways, readiness and metrics.
 * `limits`: rate limits of customers.
 * `lost_contact`: replicas that may have restarted with other software.
+* `memory`: bytes held for callers.
 * `owners`: which gateway owns a replica's slots or a customer's limit.
 * `quarantine`: requests under which replicas crash.
 * `rates`: request rates that replicas name.
@@ -38,6 +39,7 @@
 pub mod jobs;
 pub mod limits;
 mod lost_contact;
+pub mod memory;
 mod owners;
 mod peers;
 mod quarantine;
@@ -74,6 +76,7 @@
         process::{
             cold_replicas::ColdReplicas,
             membership::{Info, Membership, Role},
+            memory_account::MemoryAccount,
             quarantine::Quarantine,
             rate_limit::RateLimiter,
             reachability::CutOffMembers,
@@ -185,6 +188,8 @@
     pub content_cache: contents::SharedCache,
     /// Items of jobs that run on this instance.
     pub item_runner: item_runner::ItemRunner,
+    /// Bytes held for callers.
+    pub memory: RefCell<MemoryAccount>,
     bounds: Cell<Bounds>,
     peer_socket: OnceCell<peers::PeerSocket>,
     /// A newer record of the operators is known elsewhere.
@@ -269,6 +274,7 @@
             jobs: jobs::Jobs::default(),
             content_cache: contents::SharedCache::default(),
             item_runner: item_runner::ItemRunner::default(),
+            memory: RefCell::new(MemoryAccount::new(settings.bounds.memory_bytes)),
             bounds: Cell::new(settings.bounds),
             peer_socket: OnceCell::new(),
             newer_operator_record: Notify::new(),
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -98,6 +98,8 @@
     /// A replica that may have restarted with other software counts as what it is
     /// registered as.
     TrustLostReplicas,
+    /// Bytes are held beyond the bound of the memory account.
+    IgnoreMemoryBound,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/process/mod.rs
+++ b/cicadagate-policy/src/process/mod.rs
@@ -11,6 +11,7 @@
 pub mod item_scan;
 pub mod last_replica;
 pub mod membership;
+pub mod memory_account;
 pub mod placement;
 pub mod quarantine;
 pub mod rate_limit;
