--- a/cicadagate-policy/tests/memory_account.rs
+++ b/cicadagate-policy/tests/memory_account.rs
@@ -10,8 +10,8 @@
 const BOUND: usize = MEMORY_LIMIT / 100 * BOUND_PERCENT;
 const LARGE_BODY: usize = 870_000;
 
-fn customer(number: u8) -> Option<CustomerId> {
-    Some(CustomerId::of(&format!("customer-{number}")))
+fn customer(number: u8) -> CustomerId {
+    CustomerId::of(&format!("customer-{number}"))
 }
 
 /// Guards against a process that is killed because of its memory: bodies of 870 kB come
@@ -21,7 +21,10 @@
     let mut account = MemoryAccount::new(MEMORY_LIMIT);
     let mut refused = 0;
     for number in 0..200 {
-        if account.reserve(customer(number % 20), LARGE_BODY).is_err() {
+        if account
+            .reserve(Some(customer(number % 20)), LARGE_BODY)
+            .is_err()
+        {
             refused += 1;
         }
     }
@@ -36,7 +39,7 @@
     inject(Some(Fault::IgnoreMemoryBound));
     let mut account = MemoryAccount::new(MEMORY_LIMIT);
     for number in 0..200 {
-        let reserved = account.reserve(customer(number % 20), LARGE_BODY);
+        let reserved = account.reserve(Some(customer(number % 20)), LARGE_BODY);
         reserved.expect("the fault lets everything in");
     }
     inject(None);
@@ -47,14 +50,14 @@
 #[test]
 fn the_largest_holder_is_refused_first() {
     let mut account = MemoryAccount::new(MEMORY_LIMIT);
-    while account.reserve(customer(1), LARGE_BODY).is_ok() {
+    while account.reserve(Some(customer(1)), LARGE_BODY).is_ok() {
         assert!(account.held() <= BOUND);
-        if account.reserve(customer(2), 10_000).is_err() {
+        if account.reserve(Some(customer(2)), 10_000).is_err() {
             break;
         }
     }
-    assert!(account.reserve(customer(1), LARGE_BODY).is_err());
-    assert!(account.reserve(customer(2), 10_000).is_ok());
+    assert!(account.reserve(Some(customer(1)), LARGE_BODY).is_err());
+    assert!(account.reserve(Some(customer(2)), 10_000).is_ok());
     assert!(account.reserve(None, 10_000).is_ok());
 }
 
@@ -64,10 +67,10 @@
     let mut account = MemoryAccount::new(MEMORY_LIMIT);
     let step = BOUND / 100;
     let rise: Vec<Pressure> = (0..80)
-        .filter_map(|_| account.reserve(customer(1), step).ok())
+        .filter_map(|_| account.reserve(Some(customer(1)), step).ok())
         .collect();
     let fall: Vec<Pressure> = (0..80)
-        .map(|_| account.release(customer(1), step))
+        .map(|_| account.release(Some(customer(1)), step))
         .collect();
     let changes = |found: &[Pressure]| {
         let changed = found.iter().filter(|it| **it != Pressure::Unchanged);
