--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -100,6 +100,12 @@
     TrustLostReplicas,
     /// Bytes are held beyond the bound of the memory account.
     IgnoreMemoryBound,
+    /// Requests that wait for a slot get it in the order of their arrival.
+    FirstComeFirstServed,
+    /// Requests that wait for a slot are admitted whatever their objective is.
+    IgnoreObjective,
+    /// Requests that wait for a slot are not shared out between customers.
+    IgnoreCustomerShares,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/request/overload.rs
+++ b/cicadagate-policy/src/request/overload.rs
@@ -40,6 +40,10 @@
 /// Share of the burst above which the full wait is allowed, in percent.
 pub const FULL_WAIT_BURST_PERCENT: u64 = 50;
 
+/// Factor on the allowed wait from which a request is hopeless according to load
+/// reports, however old they are.
+pub const HOPELESS_FACTOR: u64 = 4;
+
 /// Relative priority from which all less urgent requests are treated alike.
 pub const MAX_RELATIVE_PRIORITY: u32 = 3;
 
@@ -104,16 +108,45 @@
     if wait_ms <= allowed_wait_ms {
         return Ok(());
     }
-    let drain_ms = (wait_ms - allowed_wait_ms).max(MIN_RETRY_MS);
-    // About twice `drain_ms` on average, since further requests arrive
-    // meanwhile.
-    let retry_after_ms = (drain_ms + jitter % (2 * drain_ms + MIN_RETRY_MS)).min(MAX_RETRY_MS);
     Err(Overloaded {
         wait_ms,
-        retry_after_ms,
+        retry_after_ms: retry_after_ms(wait_ms - allowed_wait_ms, jitter),
     })
 }
 
+/// Rejects a request that is hopeless according to load reports, where they are too
+/// old for an exact decision and the owners of replicas decide.
+///
+/// # Errors
+///
+/// Returns an error if the request would wait [`HOPELESS_FACTOR`] times as long as
+/// its objective allows.
+pub fn reject_hopeless(
+    service_load: ServiceLoad,
+    objective_ms: u64,
+    jitter: u64,
+) -> Result<(), Overloaded> {
+    let wait_ms = service_load.wait_ms();
+    let hopeless_ms = HOPELESS_FACTOR * max_wait_ms(objective_ms, 0);
+    if wait_ms <= hopeless_ms {
+        return Ok(());
+    }
+    Err(Overloaded {
+        wait_ms,
+        retry_after_ms: retry_after_ms(wait_ms - hopeless_ms, jitter),
+    })
+}
+
+/// Returns the time after which to retry if a queue is too long by `drain_ms`, in
+/// milliseconds.
+#[must_use]
+pub fn retry_after_ms(drain_ms: u64, jitter: u64) -> u64 {
+    let drain_ms = drain_ms.max(MIN_RETRY_MS);
+    // About twice `drain_ms` on average, since further requests arrive
+    // meanwhile.
+    (drain_ms + jitter % (2 * drain_ms + MIN_RETRY_MS)).min(MAX_RETRY_MS)
+}
+
 /// Moving average of the time that requests of one service occupy a slot.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SlotHoldTime {
