--- a/cicadagate-policy/src/process/cold_replicas.rs
+++ b/cicadagate-policy/src/process/cold_replicas.rs
@@ -210,12 +210,7 @@
             Purpose::Online | Purpose::OnlineFree => (TOKEN, max_wait_ms),
             Purpose::Batch { .. } => (limit.capacity, 0),
         };
-        let wait_ms = known.bucket.wait_ms(limit.rate, tokens);
-        if wait_ms <= max_wait_ms {
-            RateDecision::After(wait_ms)
-        } else {
-            RateDecision::Denied(wait_ms)
-        }
+        known.bucket.decide(limit.rate, tokens, max_wait_ms)
     }
 
     /// Takes a token for a request that is sent to a cold replica, as [`Self::check`] allows.
--- a/cicadagate-policy/src/process/replica_rates.rs
+++ b/cicadagate-policy/src/process/replica_rates.rs
@@ -175,6 +175,16 @@
         missing.div_ceil(rate.milli())
     }
 
+    /// Decides whether a request that needs `tokens` may be sent after at most `max_wait_ms`.
+    pub(super) fn decide(&self, rate: RequestRate, tokens: i64, max_wait_ms: u64) -> RateDecision {
+        let wait_ms = self.wait_ms(rate, tokens);
+        if wait_ms <= max_wait_ms {
+            RateDecision::After(wait_ms)
+        } else {
+            RateDecision::Denied(wait_ms)
+        }
+    }
+
     pub(super) const fn take(&mut self) {
         self.tokens = self.tokens.saturating_sub(TOKEN);
     }
@@ -310,12 +320,7 @@
             Purpose::Online | Purpose::OnlineFree => (TOKEN, max_wait_ms),
             Purpose::Batch { .. } => (Bucket::capacity(rate.milli().cast_signed()), 0),
         };
-        let wait_ms = known.bucket.wait_ms(rate, tokens);
-        if wait_ms <= max_wait_ms {
-            RateDecision::After(wait_ms)
-        } else {
-            RateDecision::Denied(wait_ms)
-        }
+        known.bucket.decide(rate, tokens, max_wait_ms)
     }
 
     /// Takes a token for a request that is sent to a replica.
