--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -74,7 +74,7 @@
         let delay = reply.headers.get("retry-after").and_then(|delay| delay.parse::<f64>().ok());
         thread::sleep(Duration::from_secs_f64(delay.unwrap_or(0.1)));
     }
-    sleep_ms(DOWN_MS + 10_000);
+    sleep_ms(DOWN_MS + 6_000);
     let runs: usize = items.iter().map(|id| fleet.runs_of(id).len()).sum();
     let promised = statuses.iter().all(|status| [408, 421, 429, 503].contains(status));
     let broken = if promised { runs } else { 0 };
