--- a/review/harness/lib.rs
+++ b/review/harness/lib.rs
@@ -105,6 +105,8 @@
     Silence,
     /// The connection is closed.
     Close,
+    /// A head, and then a piece again and again until the caller closes.
+    Endless(Vec<u8>, Vec<u8>),
 }
 
 fn read_head(reader: &mut impl BufRead) -> Option<(String, HashMap<String, String>)> {
@@ -127,18 +129,24 @@
     }
 }
 
-fn read_chunked(reader: &mut impl BufRead) -> Option<Vec<u8>> {
+/// Reads a chunked body; returns what arrived, and whether that is all of it.
+fn read_chunked(reader: &mut impl BufRead) -> (Vec<u8>, bool) {
     let mut body = Vec::new();
     loop {
         let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
+        if !matches!(reader.read_line(&mut line), Ok(len) if len > 0) {
+            return (body, false);
         }
-        let len = usize::from_str_radix(line.trim().split(';').next()?, 16).ok()?;
+        let len = line.trim().split(';').next().and_then(|len| usize::from_str_radix(len, 16).ok());
+        let Some(len) = len else {
+            return (body, false);
+        };
         let mut chunk = vec![0; len + 2];
-        reader.read_exact(&mut chunk).ok()?;
+        if reader.read_exact(&mut chunk).is_err() {
+            return (body, false);
+        }
         if len == 0 {
-            return Some(body);
+            return (body, true);
         }
         body.extend_from_slice(&chunk[..len]);
     }
@@ -149,7 +157,8 @@
     let mut words = first.split(' ');
     let (method, target) = (words.next()?.to_owned(), words.next()?.to_owned());
     let body = if headers.contains_key("transfer-encoding") {
-        read_chunked(reader)?
+        let (body, is_whole) = read_chunked(reader);
+        is_whole.then_some(body)?
     } else {
         let len = headers.get("content-length").map_or(0, |len| len.parse().unwrap_or(0));
         let mut body = vec![0; len];
@@ -174,6 +183,7 @@
     pub addr: SocketAddr,
     is_refusing: AtomicBool,
     is_silent: AtomicBool,
+    paused_ms: AtomicU64,
     open: Mutex<Vec<TcpStream>>,
     fillers: Mutex<Vec<TcpStream>>,
     handler: Box<dyn Fn(&Req, SocketAddr) -> Action + Send + Sync>,
@@ -190,6 +200,7 @@
             addr,
             is_refusing: AtomicBool::new(false),
             is_silent: AtomicBool::new(false),
+            paused_ms: AtomicU64::new(0),
             open: Mutex::default(),
             fillers: Mutex::default(),
             handler: Box::new(handler),
@@ -238,6 +249,10 @@
                 sleep_ms(2);
                 continue;
             }
+            let paused_ms = self.paused_ms.swap(0, Ordering::SeqCst);
+            if paused_ms > 0 {
+                sleep_ms(paused_ms);
+            }
             match bound.accept() {
                 Ok((stream, _)) => {
                     let _ = stream.set_nonblocking(false);
@@ -299,6 +314,13 @@
                     return;
                 }
                 Action::Close => break,
+                Action::Endless(head, piece) => {
+                    let mut is_ok = stream.write_all(&head).is_ok();
+                    while is_ok {
+                        is_ok = stream.write_all(&piece).is_ok();
+                    }
+                    break;
+                }
             }
         }
         let _ = stream.shutdown(Shutdown::Both);
@@ -314,6 +336,15 @@
         }
     }
 
+    /// Ends all connections, as a process that restarts does; new ones wait for `ms`, since
+    /// the listening socket stays open meanwhile.
+    pub fn restart(&self, ms: u64) {
+        self.paused_ms.store(ms, Ordering::SeqCst);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Lets new connections and requests hang, from some 100 ms later on.
     pub fn silence(&self) {
         self.is_silent.store(true, Ordering::SeqCst);
@@ -327,6 +358,8 @@
     pub status: u16,
     pub headers: HashMap<String, String>,
     pub body: Vec<u8>,
+    /// Whether the body arrived completely.
+    pub is_whole: bool,
 }
 
 /// Sends a request on a new connection, as callers do for jobs.
@@ -342,6 +375,7 @@
         status: 0,
         headers: HashMap::new(),
         body: Vec::new(),
+        is_whole: false,
     };
     let Ok(mut stream) = TcpStream::connect_timeout(&addr, Duration::from_secs(1)) else {
         return none;
@@ -362,18 +396,20 @@
         return none;
     };
     let status = first.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
-    let body = if headers.contains_key("transfer-encoding") {
+    let (body, is_whole) = if headers.contains_key("transfer-encoding") {
         read_chunked(&mut reader)
     } else {
         let len = headers.get("content-length").map_or(0, |len| len.parse().unwrap_or(0));
         let mut body = vec![0; len];
-        reader.read_exact(&mut body).ok().map(|()| body)
+        let is_whole = reader.read_exact(&mut body).is_ok();
+        (body, is_whole)
     };
-    body.map_or(none, |body| Reply {
+    Reply {
         status,
         headers,
         body,
-    })
+        is_whole,
+    }
 }
 
 // ---------------------------------------------------------------- store
@@ -427,8 +463,17 @@
         view.push((format!("\"{from}\""), format!("\"{to}\"")));
     }
 
+    /// Takes the store down at all addresses at once, or up again.
     pub fn set_down(&self, is_down: bool) {
-        for server in self.servers.lock().unwrap().iter() {
+        let servers = self.servers.lock().unwrap();
+        for server in servers.iter() {
+            server.is_refusing.store(is_down, Ordering::SeqCst);
+        }
+        // Until all listeners are closed.
+        sleep_ms(10);
+        // The address of the first gateway comes last, so that no other one still has a
+        // connection when that gateway turns to it.
+        for server in servers.iter().rev() {
             server.set_refusing(is_down);
         }
     }
@@ -637,8 +682,20 @@
     pid: Mutex<u32>,
 }
 
+/// What a replica runs.
+#[derive(Clone, Debug)]
+pub struct Software {
+    pub version: String,
+    /// Unix milliseconds of the start.
+    pub born: u128,
+}
+
 /// A fleet on loopback addresses of its own.
 pub struct Fleet {
+    /// Software of each replica.
+    pub software: Arc<Mutex<Vec<Software>>>,
+    /// Writes the registrations of all replicas now.
+    pub register: Arc<dyn Fn() + Send + Sync>,
     pub record: Arc<Record>,
     pub store: Arc<Store>,
     pub gateways: Vec<Gateway>,
@@ -655,9 +712,14 @@
     SocketAddr::from(([127, net, group, host], port))
 }
 
-fn registration(index: usize, addr: SocketAddr, slots: u32, seq: u64, born: u128) -> String {
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
+}
+
+fn registration(index: usize, addr: SocketAddr, slots: u32, seq: u64, software: &Software) -> String {
+    let Software { version, born } = software;
     format!(
-        "{{\"service\":\"app\",\"address\":\"{addr}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":{slots},\
+        "{{\"service\":\"app\",\"address\":\"{addr}\",\"zone\":\"a\",\"version\":\"{version}\",\"slots\":{slots},\
          \"state\":\"ready\",\"coldLeftMs\":0,\"seq\":{seq},\"born\":{born},\"i\":{index}}}"
     )
 }
@@ -666,6 +728,17 @@
     /// Starts a fleet. Each gateway reaches the store and each replica at addresses of
     /// its own. `routes` are the routes of the configuration, in JSON.
     pub fn start(gateways: u8, replicas: u8, slots: u32, routes: &str, work: Work) -> Self {
+        let one = |_| Software {
+            version: "v1".to_owned(),
+            born: unix_ms(),
+        };
+        let software = Arc::new(Mutex::new((0..replicas).map(one).collect()));
+        Self::start_with(gateways, software, slots, routes, work)
+    }
+
+    /// Starts a fleet whose replicas run this software.
+    pub fn start_with(gateways: u8, software: Arc<Mutex<Vec<Software>>>, slots: u32, routes: &str, work: Work) -> Self {
+        let replicas = u8::try_from(software.lock().unwrap().len()).unwrap();
         let record = Record::create();
         // Ends a run that hangs before its time is up.
         thread::spawn(|| {
@@ -681,7 +754,20 @@
         let deploy = std::fs::read_to_string("deploy/system.toml").unwrap_or_default();
         let key = deploy.split("CICADAGATE_FLEET_KEY = \"").nth(1).and_then(|rest| rest.split('"').next());
         let key = key.unwrap_or_else(|| give_up("no fleet key in the deploy file")).to_owned();
+        let register = {
+            let (store, software, seq) = (Arc::clone(&store), Arc::clone(&software), AtomicU64::new(0));
+            Arc::new(move || {
+                let seq = seq.fetch_add(1, Ordering::SeqCst);
+                for (index, software) in software.lock().unwrap().iter().enumerate() {
+                    let canonical = addr(net, 200, index as u8 + 1, 8080);
+                    let value = registration(index, canonical, slots, seq, software);
+                    store.put("keyed.servers", &format!("i-{index}"), &value);
+                }
+            })
+        };
         let mut fleet = Self {
+            software,
+            register,
             record,
             store,
             gateways: Vec::new(),
@@ -702,22 +788,12 @@
             }
             fleet.replicas.push(servers);
         }
-        let store = Arc::clone(&fleet.store);
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
-        let beat = move |seq| {
-            for replica in 0..replicas {
-                let canonical = addr(net, 200, replica + 1, 8080);
-                let value = registration(usize::from(replica), canonical, slots, seq, born);
-                store.put("keyed.servers", &format!("i-{replica}"), &value);
-            }
-        };
-        beat(0);
+        (fleet.register)();
         fleet.configure(1);
-        thread::spawn(move || {
-            for seq in 1.. {
-                sleep_ms(1_200);
-                beat(seq);
-            }
+        let register = Arc::clone(&fleet.register);
+        thread::spawn(move || loop {
+            sleep_ms(1_200);
+            register();
         });
         for gateway in 0..gateways {
             fleet.store.listen(addr(net, 0, 100 + gateway, 8408));
