Log each failed run of an item, whose answer it was, and the count

On-call engineers saw an item given up and could not tell why: ITEM_RETRIED had neither replica nor run, ITEM_ABANDONED neither id nor count.

ITEM_STARTED and ITEM_RETRIED have the id of the run. ITEM_RUN_FAILED has the answer that counts (replica, status, signature, whether it echoes the id, how many requests its connection carried before) and the count with its parts: seen here, recorded in the index. ITEM_ABANDONED has the id and the counts. cicadactl explain lists the failed runs of an abandoned item beside the counts.

Behaviour is unchanged.

BufferedBody boxes the body of a long response, which is larger now.

--- a/cicadactl/src/explain.rs
+++ b/cicadactl/src/explain.rs
@@ -182,7 +182,7 @@
         return completion_summary(line, lines);
     }
     if let Some(line) = last_of("ITEM_ABANDONED") {
-        return format!("the item was given up: {}", line.str_field("reason"));
+        return abandonment_cause(line, lines);
     }
     if let Some(line) = last_of("ITEM_DONE") {
         let starts = count(lines, "ITEM_STARTED");
@@ -208,6 +208,32 @@
     "the lines below are all that is known".to_owned()
 }
 
+/// Names each failed run of an abandoned item, and the counts by which it was abandoned.
+fn abandonment_cause(line: &LogLine, lines: &[LogLine]) -> String {
+    let failed = lines.iter().filter(|line| line.name == "ITEM_RUN_FAILED");
+    let runs: Vec<String> = failed
+        .map(|run| {
+            let signed = if run.str_field("signature").is_empty() {
+                ", not signed"
+            } else {
+                ""
+            };
+            let (status, replica) = (run.int_field("status"), run.str_field("replica"));
+            format!("{status} from {replica}{signed} at {}", run.instance)
+        })
+        .collect();
+    format!(
+        "the item was given up at {}: {}; it had counted {} itself and {} in the index; \
+         {} failed runs are logged: {}",
+        line.instance,
+        line.str_field("reason"),
+        line.int_field("own_failures"),
+        line.int_field("recorded_failures"),
+        runs.len(),
+        runs.join(", "),
+    )
+}
+
 fn count(lines: &[LogLine], name: &str) -> usize {
     lines.iter().filter(|line| line.name == name).count()
 }
--- a/cicadactl/tests/explain.rs
+++ b/cicadactl/tests/explain.rs
@@ -29,6 +29,9 @@
   12.9 front-b-1 {"level":"debug","timestamp":4600,"payload":"ITEM_PAUSED","kv":{"event":611,"item":"5f/3","slots":4},"tid":1}
   13.9 front-b-1 {"level":"debug","timestamp":5600,"payload":"ITEM_STARTED","kv":{"event":610,"item":"5f/3","id":"item-3","replica":"i-4","after_event":41,"load":2},"tid":1}
   16.9 front-b-1 {"level":"debug","timestamp":8600,"payload":"ITEM_DONE","kv":{"event":613,"item":"5f/3","id":"item-3","events":120,"bytes":900},"tid":1}
+{"level":"info","timestamp":9000,"payload":"ITEM_RUN_FAILED","kv":{"event":621,"item":"60/1","id":"item-bad","run":"0a","replica":"i-2","status":500,"signature":"3e1b","echoes_id":true,"earlier_requests":4,"ran_ms":21,"own_failures":1,"recorded_failures":1,"failures":1,"max_failures":2},"tid":1}
+{"level":"info","timestamp":9300,"payload":"ITEM_RUN_FAILED","kv":{"event":621,"item":"60/1","id":"item-bad","run":"0b","replica":"i-4","status":500,"signature":"","echoes_id":false,"earlier_requests":0,"ran_ms":1,"own_failures":2,"recorded_failures":1,"failures":2,"max_failures":2},"tid":1}
+{"level":"warn","timestamp":9400,"payload":"ITEM_ABANDONED","kv":{"event":614,"item":"60/1","id":"item-bad","own_failures":2,"recorded_failures":2,"reason":"all attempts failed"},"tid":1}
 "#,
     ),
 ];
@@ -75,6 +78,10 @@
             "9000 tokens do not fit: 1195000 of at most 1200000 of customer huka",
         ),
         ("item-3", "120 events, 2 runs, 1 pauses"),
+        (
+            "item-bad",
+            "2 failed runs are logged: 500 from i-2 at front-b-1, 500 from i-4, not signed at front-b-1",
+        ),
     ];
     for (id, expected) in cases {
         let (code, text) = explain(id);
--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -21,7 +21,7 @@
     bytes::Bytes,
     cicadagate_node::{clock::unix_time_ms, event},
     cicadagate_policy::{
-        ids::{EndpointId, MemberId, ServiceId, SoftwareVersion},
+        ids::{EndpointId, ItemRunId, MemberId, ServiceId, SoftwareVersion},
         process::{
             batch_share::{Plan, Slots, fill_percent, plan, plan_interval_ms, runner},
             demand_swing::{
@@ -130,6 +130,8 @@
 struct ItemRun {
     stop: Rc<Notify>,
     is_stopping: Cell<bool>,
+    /// Run that is or was in progress last; the default id if none was sent.
+    id: Cell<ItemRunId>,
     /// Replica that runs the item, if any.
     endpoint: Cell<Option<EndpointId>>,
     /// Time since which the replica runs the item.
@@ -732,6 +734,7 @@
     let run = Rc::new(ItemRun {
         stop: Rc::new(Notify::new()),
         is_stopping: Cell::new(false),
+        id: Cell::default(),
         endpoint: Cell::new(None),
         since: Cell::default(),
     });
--- a/cicadagate-gateway/src/process/item_runner/results.rs
+++ b/cicadagate-gateway/src/process/item_runner/results.rs
@@ -3,7 +3,10 @@
 */
 
 use {
-    super::{ItemName, run::Task},
+    super::{
+        ItemName,
+        run::{Task, known_failures},
+    },
     crate::{
         platform::StoreError,
         process::{Gateway, contents},
@@ -64,6 +67,13 @@
     u32::try_from(item.hash() >> 40).unwrap_or_default()
 }
 
+/// Returns the submitter's id of an item, empty if its job is not in the index.
+fn item_id(gateway: &Gateway, item: ItemRef) -> String {
+    let index = gateway.jobs.index.borrow();
+    let entry = index.job(item.job).and_then(|job| job.item(item.index));
+    entry.map_or_else(String::new, |entry| entry.id.clone())
+}
+
 pub(super) async fn abandon(gateway: &Rc<Gateway>, item: ItemRef, reason: &str) {
     append_result(gateway, item, Outcome::Abandoned).await;
     gateway
@@ -71,7 +81,16 @@
         .items
         .with_label_values(&["abandoned"])
         .inc();
-    event!(ITEM_ABANDONED, item: = ItemName(item), reason);
+    let failures = known_failures(gateway, item);
+    let id = item_id(gateway, item);
+    event!(
+        ITEM_ABANDONED,
+        item: = ItemName(item),
+        id,
+        own_failures = failures.own,
+        recorded_failures = failures.recorded,
+        reason
+    );
 }
 
 /// Appends an item's result, with retries until it is acknowledged or the item
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -25,7 +25,7 @@
         event,
     },
     cicadagate_policy::{
-        ids::{EndpointId, RequestPart, SoftwareVersion},
+        ids::{EndpointId, ItemRunId, RequestPart, SoftwareVersion},
         process::{
             last_replica::last_replica,
             replicas::{Registration, Wanted},
@@ -78,6 +78,11 @@
 }
 
 impl Task {
+    /// Returns the number of failed runs after which the item is abandoned.
+    fn max_failures(&self) -> u32 {
+        self.route.max_attempts.max(1)
+    }
+
     /// Returns the parts of the item's prompt that other requests may share.
     fn prompt_parts(&self, gateway: &Gateway, service: &str) -> Vec<RequestPart> {
         let name = gateway.codec.headers().prompt_parts.as_str();
@@ -93,15 +98,71 @@
 enum RunOutcome {
     Done,
     /// The replica reports that the item can never be processed.
-    Rejected,
+    Rejected(FailedRun),
     /// The replica ran the item and failed.
-    Failed(String),
+    Failed(FailedRun),
     /// The replica has no free slot; this is its load.
     NoSlot(InFlight),
     /// The run was interrupted or refused, which is no failure of the item.
     Interrupted(String),
 }
 
+/// A response with which a replica fails or rejects an item.
+struct FailedRun {
+    id: ItemRunId,
+    replica: Rc<Registration>,
+    status: StatusCode,
+    /// The replica's signature; empty if the response has none.
+    signature: String,
+    echoes_id: bool,
+    /// Requests that the connection had carried before.
+    earlier_requests: u32,
+    /// Time from the start of the run to the head of its response, in milliseconds.
+    ran_ms: u64,
+}
+
+impl FailedRun {
+    fn new(
+        gateway: &Gateway,
+        id: ItemRunId,
+        replica: Rc<Registration>,
+        response: &ReplicaResponse,
+        since: Time,
+    ) -> Self {
+        let signature = response
+            .head
+            .headers
+            .get(&gateway.codec.headers().signature);
+        let signature = signature.map_or_else(String::new, |value| {
+            String::from_utf8_lossy(value.as_bytes()).into_owned()
+        });
+        Self {
+            id,
+            replica,
+            status: response.head.status,
+            signature,
+            echoes_id: response.echoes_id,
+            earlier_requests: response.earlier_requests,
+            ran_ms: gateway.now().since(since),
+        }
+    }
+}
+
+/// Failed runs of an item that this process knows of.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct FailureCount {
+    /// Those that this process has seen.
+    pub(super) own: u32,
+    /// Those that the index has records of.
+    pub(super) recorded: u32,
+}
+
+impl FailureCount {
+    pub(super) fn total(self) -> u32 {
+        self.own.max(self.recorded)
+    }
+}
+
 pub(super) async fn run_item(gateway: &Rc<Gateway>, item: ItemRef, run: &ItemRun) {
     let task = match load_task(gateway, item).await {
         Ok(task) => task,
@@ -113,17 +174,19 @@
     };
     let mut refusals = 0_u32;
     while !run.is_stopping.get() && unix_time_ms() < task.give_up_ms + MAX_CLOCK_SKEW_MS {
+        run.id.set(ItemRunId::default());
         let outcome = run_once(gateway, &task, run).await;
         run.endpoint.set(None);
         match outcome {
             RunOutcome::Done => return finish(gateway, &task).await,
-            RunOutcome::Rejected => {
+            RunOutcome::Rejected(failed) => {
+                log_failed_run(&task, &failed, known_failures(gateway, item));
                 return abandon(gateway, item, "replica rejected the item").await;
             }
-            RunOutcome::Failed(reason) => {
-                let failures = count_failure(gateway, item).await;
-                event!(ITEM_RETRIED, item: = ItemName(item), id = task.id.as_str(), failures, reason);
-                if failures >= task.route.max_attempts.max(1) {
+            RunOutcome::Failed(failed) => {
+                let count = count_failure(gateway, item, failed.id).await;
+                log_failed_run(&task, &failed, count);
+                if count.total() >= task.max_failures() {
                     return abandon(gateway, item, "all attempts failed").await;
                 }
             }
@@ -143,7 +206,13 @@
                 continue;
             }
             RunOutcome::Interrupted(reason) => {
-                event!(ITEM_RETRIED, item: = ItemName(item), id = task.id.as_str(), reason);
+                event!(
+                    ITEM_RETRIED,
+                    item: = ItemName(item),
+                    id = task.id.as_str(),
+                    run: = run.id.get(),
+                    reason
+                );
             }
         }
         sleep(RETRY_DELAY).await;
@@ -151,22 +220,46 @@
 }
 
 /// Records a failed run, also in the index for instances that run the item
-/// later; returns the number of failed runs.
-async fn count_failure(gateway: &Rc<Gateway>, item: ItemRef) -> u32 {
+/// later; returns the failed runs.
+async fn count_failure(gateway: &Rc<Gateway>, item: ItemRef, run: ItemRunId) -> FailureCount {
     if let Err(err) = gateway.jobs.append(gateway, &Record::Failed { item }).await {
-        event!(APPEND_FAILED, item: = ItemName(item), reason: = err);
+        event!(APPEND_FAILED, item: = ItemName(item), run: = run, reason: = err);
     }
-    let own = {
+    {
         let mut failures = gateway.item_runner.failures.borrow_mut();
-        let count = failures.entry(item).or_default();
-        *count += 1;
-        *count
-    };
+        *failures.entry(item).or_default() += 1;
+    }
+    known_failures(gateway, item)
+}
+
+/// Returns the failed runs of an item that this process knows of.
+pub(super) fn known_failures(gateway: &Gateway, item: ItemRef) -> FailureCount {
+    let own = gateway.item_runner.failures.borrow().get(&item).copied();
     let index = gateway.jobs.index.borrow();
-    let known = index
-        .job(item.job)
-        .map_or(0, |job| job.failures(item.index));
-    own.max(known)
+    let recorded = index.job(item.job).map(|job| job.failures(item.index));
+    FailureCount {
+        own: own.unwrap_or_default(),
+        recorded: recorded.unwrap_or_default(),
+    }
+}
+
+fn log_failed_run(task: &Task, failed: &FailedRun, count: FailureCount) {
+    event!(
+        ITEM_RUN_FAILED,
+        item: = ItemName(task.item),
+        id = task.id.as_str(),
+        run: = failed.id,
+        replica = failed.replica.id.as_str(),
+        status = failed.status.as_u16(),
+        signature = failed.signature.as_str(),
+        echoes_id = failed.echoes_id,
+        earlier_requests = failed.earlier_requests,
+        ran_ms = failed.ran_ms,
+        own_failures = count.own,
+        recorded_failures = count.recorded,
+        failures = count.total(),
+        max_failures = task.max_failures()
+    );
 }
 
 /// Reads an item's request, and its saved output if that is further than the
@@ -326,6 +419,8 @@
     if !gateway.replicas.borrow().is_usable(endpoint) {
         return RunOutcome::Interrupted("replica is leaving".to_owned());
     }
+    let id = ItemRunId::from_raw(gateway.next_random());
+    run.id.set(id);
     run.endpoint.set(Some(endpoint));
     run.since.set(gateway.now());
     let after = gateway
@@ -339,6 +434,7 @@
         ITEM_STARTED,
         item: = ItemName(task.item),
         id = task.id.as_str(),
+        run: = id,
         replica = registration.id.as_str(),
         version = registration.software_version.as_str(),
         after_event = event_id_text(after),
@@ -365,7 +461,8 @@
     gateway.note_head(&task.id, &registration, &response.head, run.since.get());
     let status = response.head.status;
     if status != StatusCode::OK {
-        let outcome = classify_response(gateway, &response);
+        let since = run.since.get();
+        let outcome = classify_response(gateway, id, registration, &response, since);
         if matches!(outcome, RunOutcome::Interrupted(_)) {
             gateway.replicas.borrow_mut().note_full(now, endpoint);
         }
@@ -456,7 +553,13 @@
     }
 }
 
-fn classify_response(gateway: &Gateway, response: &ReplicaResponse) -> RunOutcome {
+fn classify_response(
+    gateway: &Gateway,
+    run: ItemRunId,
+    replica: Rc<Registration>,
+    response: &ReplicaResponse,
+    since: Time,
+) -> RunOutcome {
     let status = response.head.status;
     let is_refusal = response
         .head
@@ -466,8 +569,12 @@
         _ if is_refusal => {
             RunOutcome::Interrupted(format!("refused with status {}", status.as_u16()))
         }
-        StatusCode::UNPROCESSABLE_ENTITY => RunOutcome::Rejected,
-        StatusCode::INTERNAL_SERVER_ERROR => RunOutcome::Failed("status 500".to_owned()),
+        StatusCode::UNPROCESSABLE_ENTITY => {
+            RunOutcome::Rejected(FailedRun::new(gateway, run, replica, response, since))
+        }
+        StatusCode::INTERNAL_SERVER_ERROR => {
+            RunOutcome::Failed(FailedRun::new(gateway, run, replica, response, since))
+        }
         _ => RunOutcome::Interrupted(format!("status {}", status.as_u16())),
     }
 }
--- a/cicadagate-gateway/src/request/buffer.rs
+++ b/cicadagate-gateway/src/request/buffer.rs
@@ -19,7 +19,7 @@
 /// A response body, or what was read of it.
 pub(super) enum BufferedBody {
     Complete(Bytes),
-    TooLong(Bytes, Body),
+    TooLong(Bytes, Box<Body>),
     Failed {
         reason: String,
         /// Whether the replica closed the connection.
@@ -42,7 +42,7 @@
                 }
             }
             if buffer.len() > MAX_BUFFERED_BYTES {
-                return BufferedBody::TooLong(buffer.freeze(), body);
+                return BufferedBody::TooLong(buffer.freeze(), Box::new(body));
             }
         }
         BufferedBody::Complete(buffer.freeze())
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -414,7 +414,7 @@
                 return head.set_body(body.boxed());
             }
             BufferedBody::TooLong(start, body) => {
-                let relay = Relay::new(gateway, request, body, target, guard).with_prefix(start);
+                let relay = Relay::new(gateway, request, *body, target, guard).with_prefix(start);
                 return head.set_body(BoxBody::new(BodyStream::new(relay.into_stream())));
             }
             BufferedBody::Failed { reason, is_closed } => {
--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -162,6 +162,8 @@
 pub(super) struct Connection {
     stream: TcpStream,
     buf: BytesMut,
+    /// Requests sent so far.
+    requests: u32,
 }
 
 impl Connection {
@@ -180,6 +182,7 @@
         Ok(Self {
             stream,
             buf: BytesMut::new(),
+            requests: 0,
         })
     }
 
@@ -210,6 +213,10 @@
     pub head: ResponseHead,
     /// Body.
     pub body: Body,
+    /// Whether the head echoes the request's id.
+    pub echoes_id: bool,
+    /// Requests that the connection had carried before.
+    pub earlier_requests: u32,
 }
 
 /// What marks the end of a response body.
@@ -310,12 +317,15 @@
 ) -> Result<ReplicaResponse> {
     let mut codec = ClientCodec::default();
     let mut unsent = encode(&mut codec, req)?;
+    let earlier_requests = conn.requests;
+    conn.requests += 1;
     for _ in 0..MAX_RESPONSES_READ {
         let head = read_final_head(&mut conn, &mut codec, &mut unsent).await?;
-        let is_mismatched = req.id.as_ref().is_some_and(|(name, id)| {
-            let echo = head.headers.get(name);
-            echo.is_some_and(|echo| echo.as_bytes() != id.as_bytes())
+        let echo = req.id.as_ref().and_then(|(name, id)| {
+            let echo = head.headers.get(name)?;
+            Some(echo.as_bytes() == id.as_bytes())
         });
+        let is_mismatched = echo == Some(false);
         let keep_alive_timeout = keep_alive_timeout(&head.headers);
         let is_kept = codec.keep_alive();
         let framing = BodyFraming::of(&head, &req.method);
@@ -332,7 +342,12 @@
             if matches!(body.remainder, Remainder::Ended) {
                 body.return_to_pool();
             }
-            return Ok(ReplicaResponse { head, body });
+            return Ok(ReplicaResponse {
+                head,
+                body,
+                echoes_id: echo == Some(true),
+                earlier_requests,
+            });
         }
         on_discarded(head);
         let mut discarded = 0;
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -122,7 +122,8 @@
     ITEM_WAITING = 618, Info, "An item has waited long for a slot at a replica.";
     ITEM_STARTED = 610, Debug, "An item of a job was sent to a replica.";
     ITEM_PAUSED = 611, Debug, "An item was paused for online requests and continues later.";
-    ITEM_RETRIED = 612, Info, "A run of an item failed and another follows.";
+    ITEM_RETRIED = 612, Info, "A run of an item did not end with a result, which is no failure of the item, and another follows.";
+    ITEM_RUN_FAILED = 621, Info, "A replica answered a run of an item with status 500, which counts as a failure, or 422, which is final.";
     ITEM_DONE = 613, Debug, "An item's output is durable.";
     ITEM_STARTED_OVER = 620, Info, "No replica of the software version that wrote an item's partial output is left; the item starts over.";
     ITEM_ABANDONED = 614, Warn, "An item was given up.";
--- a/cicadagate-policy/src/ids.rs
+++ b/cicadagate-policy/src/ids.rs
@@ -102,6 +102,10 @@
     /// Identifier of a batch job.
     JobId, b"job"
 );
+name_id!(
+    /// Identifier of a run of a batch item at a replica, unique across the fleet.
+    ItemRunId, b"item run"
+);
 name_id!(
     /// Identifier of an uploaded file.
     FileId, b"file"
