Count each failed run of an item once, by its id

Cause: the index counted each record of a failure.

The record names the run now (FailedRun), and the index keeps the ids of the failed runs of each open item: a second copy, right after or behind newer records, changes nothing. A process counts the runs that it has seen fail itself together with the recorded ones, each once. Records of earlier builds, which may run beside this one during an upgrade, name no run; as each may be there twice, n of them count as half of n, rounded up: never more than have failed.

The test every_reader_counts_failed_runs, which demanded that three records without an id count as three, is replaced by each_failed_run_counts_once, failed_runs_seen_by_a_process_and_recorded_count_once and failed_runs_recorded_by_an_earlier_build_are_not_overcounted: the exact count is demanded where runs can be told apart.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -143,7 +143,8 @@
 pub struct ItemRunner {
     runs: RefCell<HashMap<ItemRef, Rc<ItemRun>>>,
     outputs: RefCell<HashMap<ItemRef, PartialOutput>>,
-    failures: RefCell<HashMap<ItemRef, u32>>,
+    /// Runs of each item that this process has seen fail.
+    failures: RefCell<HashMap<ItemRef, Vec<ItemRunId>>>,
     /// Replica at which each item was preempted last.
     last_replicas: RefCell<HashMap<ItemRef, EndpointId>>,
     /// Time before which a preempted item must not be started again.
--- a/cicadagate-gateway/src/process/item_runner/results.rs
+++ b/cicadagate-gateway/src/process/item_runner/results.rs
@@ -75,13 +75,14 @@
 }
 
 pub(super) async fn abandon(gateway: &Rc<Gateway>, item: ItemRef, reason: &str) {
+    // The index drops them with the result.
+    let failures = known_failures(gateway, item);
     append_result(gateway, item, Outcome::Abandoned).await;
     gateway
         .metrics
         .items
         .with_label_values(&["abandoned"])
         .inc();
-    let failures = known_failures(gateway, item);
     let id = item_id(gateway, item);
     event!(
         ITEM_ABANDONED,
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -152,15 +152,11 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct FailureCount {
     /// Those that this process has seen.
-    pub(super) own: u32,
+    pub(super) own: usize,
     /// Those that the index has records of.
     pub(super) recorded: u32,
-}
-
-impl FailureCount {
-    pub(super) fn total(self) -> u32 {
-        self.own.max(self.recorded)
-    }
+    /// All of them; one that is both counts once.
+    pub(super) total: u32,
 }
 
 pub(super) async fn run_item(gateway: &Rc<Gateway>, item: ItemRef, run: &ItemRun) {
@@ -186,7 +182,7 @@
             RunOutcome::Failed(failed) => {
                 let count = count_failure(gateway, item, failed.id).await;
                 log_failed_run(&task, &failed, count);
-                if count.total() >= task.max_failures() {
+                if count.total >= task.max_failures() {
                     return abandon(gateway, item, "all attempts failed").await;
                 }
             }
@@ -222,24 +218,27 @@
 /// Records a failed run, also in the index for instances that run the item
 /// later; returns the failed runs.
 async fn count_failure(gateway: &Rc<Gateway>, item: ItemRef, run: ItemRunId) -> FailureCount {
-    if let Err(err) = gateway.jobs.append(gateway, &Record::Failed { item }).await {
-        event!(APPEND_FAILED, item: = ItemName(item), run: = run, reason: = err);
-    }
     {
         let mut failures = gateway.item_runner.failures.borrow_mut();
-        *failures.entry(item).or_default() += 1;
+        failures.entry(item).or_default().push(run);
+    }
+    let record = Record::FailedRun { item, run };
+    if let Err(err) = gateway.jobs.append(gateway, &record).await {
+        event!(APPEND_FAILED, item: = ItemName(item), run: = run, reason: = err);
     }
     known_failures(gateway, item)
 }
 
 /// Returns the failed runs of an item that this process knows of.
 pub(super) fn known_failures(gateway: &Gateway, item: ItemRef) -> FailureCount {
-    let own = gateway.item_runner.failures.borrow().get(&item).copied();
+    let failures = gateway.item_runner.failures.borrow();
+    let own = failures.get(&item).map_or(&[][..], Vec::as_slice);
     let index = gateway.jobs.index.borrow();
-    let recorded = index.job(item.job).map(|job| job.failures(item.index));
+    let job = index.job(item.job);
     FailureCount {
-        own: own.unwrap_or_default(),
-        recorded: recorded.unwrap_or_default(),
+        own: own.len(),
+        recorded: job.map_or(0, |job| job.failures(item.index)),
+        total: job.map_or(0, |job| job.failures_with(item.index, own)),
     }
 }
 
@@ -257,7 +256,7 @@
         ran_ms = failed.ran_ms,
         own_failures = count.own,
         recorded_failures = count.recorded,
-        failures = count.total(),
+        failures = count.total,
         max_failures = task.max_failures()
     );
 }
--- a/cicadagate-policy/src/version/job_index.rs
+++ b/cicadagate-policy/src/version/job_index.rs
@@ -16,9 +16,13 @@
 that need them. The first record of a job accepts it (on a route with
 a [limit of waiting tokens](super::token_limit) if it fits), the first result of an
 item in log order is its result, and the order of those records determines the
-positions at which results are listed. A repeated record or a result after the
-cancellation of the job changes nothing, but each record of a failure is
-counted.
+positions at which results are listed. A result after the cancellation of the job
+changes nothing.
+
+An append may be carried out twice, or seconds after its sender has given up on it:
+the store may not respond, and slow operations are also sent through other processes.
+So a record says what it means in full, and a second copy of it changes nothing. A
+failed run of an item has an id by which it is counted once.
 
 # Cost
 
@@ -30,12 +34,15 @@
     super::token_limit::{self, RefusedAttempts, TokenCount},
     crate::{
         fault_injection::{Fault, is_injected},
-        ids::{CustomerId, JobId, SoftwareVersion, hash64},
+        ids::{CustomerId, ItemRunId, JobId, SoftwareVersion, hash64},
     },
     serde::{Deserialize, Serialize},
     std::collections::{BTreeMap, BTreeSet},
 };
 
+/// Most copies of one record in the log: an append is carried out by the process itself
+/// and through one other process.
+const MAX_COPIES: u32 = 2;
 /// Age up to which a job counts for the rate at which tokens are finished, in
 /// milliseconds.
 const FINISHED_WINDOW_MS: u64 = 20_000;
@@ -179,7 +186,8 @@
         /// The partial output.
         progress: Progress,
     },
-    /// A replica failed while it ran an item.
+    /// A replica failed while it ran an item; written by a build that did not record
+    /// which run it was, so a second copy can't be told from a second failure.
     Failed {
         /// Item.
         item: ItemRef,
@@ -208,6 +216,31 @@
         /// Version of the replicas' software that wrote it.
         version: SoftwareVersion,
     },
+    /// A replica failed while it ran an item.
+    FailedRun {
+        /// Item.
+        item: ItemRef,
+        /// The run.
+        run: ItemRunId,
+    },
+}
+
+/// Failed runs of an item that has no result.
+#[derive(Clone, Debug, Default)]
+struct FailedRuns {
+    runs: BTreeSet<ItemRunId>,
+    /// Number of records that do not name their run.
+    unnamed: u32,
+}
+
+impl FailedRuns {
+    /// Returns the number of runs that have certainly failed, with `own` among them.
+    fn count(&self, own: &[ItemRunId]) -> u32 {
+        let others = own.iter().filter(|run| !self.runs.contains(run));
+        let named = self.runs.len() + others.count();
+        let named = u32::try_from(named).unwrap_or(u32::MAX);
+        named.saturating_add(self.unnamed.div_ceil(MAX_COPIES))
+    }
 }
 
 /// What the index says of an attempt to submit a job.
@@ -236,8 +269,8 @@
     /// The job as submitted.
     pub submission: Submission,
     states: Vec<ItemState>,
-    /// Number of failures of each item that has failed.
-    failures: BTreeMap<u32, u32>,
+    /// Failed runs of each item that has failed and has no result.
+    failures: BTreeMap<u32, FailedRuns>,
     /// Items with a result, in the order of their results.
     listed: Vec<u32>,
     is_ended: bool,
@@ -295,10 +328,20 @@
         self.states.get(index as usize).copied()
     }
 
-    /// Returns how often replicas have failed while they ran an item.
+    /// Returns how often replicas have failed while they ran an item without a result,
+    /// by its records.
     #[must_use]
     pub fn failures(&self, index: u32) -> u32 {
-        self.failures.get(&index).copied().unwrap_or_default()
+        self.failures_with(index, &[])
+    }
+
+    /// Returns how often replicas have failed while they ran an item without a result, by
+    /// its records and by the runs that a process has seen fail itself. A run that
+    /// is in both counts once.
+    #[must_use]
+    pub fn failures_with(&self, index: u32, own: &[ItemRunId]) -> u32 {
+        let none = FailedRuns::default();
+        self.failures.get(&index).unwrap_or(&none).count(own)
     }
 
     /// Returns the position of the item with the given submitter's id.
@@ -392,7 +435,8 @@
                     },
                 )
             }
-            Record::Failed { item } => self.note_failure(item),
+            Record::Failed { item } => self.note_failure(item, None),
+            Record::FailedRun { item, run } => self.note_failure(item, Some(run)),
             Record::Ended { job } => self.end(job),
             Record::Submitted {
                 submission,
@@ -497,6 +541,7 @@
             return false;
         }
         *state = ItemState::Finished(outcome);
+        job.failures.remove(&item.index);
         let tokens = job.submission.items[item.index as usize].tokens;
         job.open_tokens = job.open_tokens.saturating_sub(u64::from(tokens));
         job.listed.push(item.index);
@@ -507,12 +552,17 @@
         true
     }
 
-    fn note_failure(&mut self, item: ItemRef) -> bool {
+    fn note_failure(&mut self, item: ItemRef, run: Option<ItemRunId>) -> bool {
         let job = self.jobs.get_mut(&item.job);
-        let Some(job) = job.filter(|job| (item.index as usize) < job.total()) else {
+        let Some(job) = job.filter(|job| matches!(job.state(item.index), Some(ItemState::Open(_))))
+        else {
             return false;
         };
-        *job.failures.entry(item.index).or_default() += 1;
+        let failures = job.failures.entry(item.index).or_default();
+        if let Some(run) = run {
+            return failures.runs.insert(run);
+        }
+        failures.unnamed += 1;
         true
     }
 
--- a/cicadagate-policy/tests/job_index.rs
+++ b/cicadagate-policy/tests/job_index.rs
@@ -2,7 +2,7 @@
 
 use {
     cicadagate_policy::{
-        ids::{CustomerId, JobId, SoftwareVersion},
+        ids::{CustomerId, ItemRunId, JobId, SoftwareVersion},
         version::job_index::{
             ContentLocation, ItemEntry, ItemRef, ItemState, JobIndex, Outcome, Progress, Record,
             Submission,
@@ -84,7 +84,10 @@
                         version: None,
                     },
                 },
-                8 => Record::Failed { item },
+                8 => Record::FailedRun {
+                    item,
+                    run: ItemRunId::from_raw(u64::arbitrary(g) % 4),
+                },
                 _ => Record::Ended {
                     job: JobId::from_raw(job),
                 },
@@ -142,6 +145,7 @@
             Record::Saved { .. }
             | Record::SavedAtVersion { .. }
             | Record::Failed { .. }
+            | Record::FailedRun { .. }
             | Record::Ended { .. }
             | Record::Submitted { .. } => {}
         }
@@ -279,13 +283,57 @@
     assert_eq!((progress.version, progress.last_event), (None, 20));
 }
 
+fn failed_run(run: u64) -> Record {
+    Record::FailedRun {
+        item: item(1, 2),
+        run: ItemRunId::from_raw(run),
+    }
+}
+
+// Guards against items that are given up early since a record of a failed run is in the log
+// twice, the second copy maybe behind newer records.
 #[test]
-fn every_reader_counts_failed_runs() {
+fn each_failed_run_counts_once() {
     let mut index = JobIndex::default();
     index.apply(accepted(1, 9_000));
-    for _ in 0..3 {
-        index.apply(Record::Failed { item: item(1, 2) });
+    let mut counts = Vec::new();
+    for run in [7, 7, 8, 7, 9, 8] {
+        index.apply(failed_run(run));
+        let job = index.job(JobId::from_raw(1)).expect("accepted");
+        counts.push((job.failures(2), job.failures(1)));
     }
+    assert_eq!(counts, [(1, 0), (1, 0), (2, 0), (2, 0), (3, 0), (3, 0)]);
+}
+
+// Guards against a run that counts twice at the process that has seen it fail, once by its
+// own knowledge and once by the record.
+#[test]
+fn failed_runs_seen_by_a_process_and_recorded_count_once() {
+    let mut index = JobIndex::default();
+    index.apply(accepted(1, 9_000));
+    index.apply(failed_run(7));
+    index.apply(failed_run(8));
     let job = index.job(JobId::from_raw(1)).expect("accepted");
-    assert_eq!((job.failures(2), job.failures(1)), (3, 0));
+    let own = [7, 9].map(ItemRunId::from_raw);
+    assert_eq!(job.failures_with(2, &own), 3);
+    assert_eq!(job.failures_with(1, &own), 2);
+}
+
+// Guards against items that are given up early since an earlier build, which runs beside this
+// one during an upgrade, recorded a failed run twice.
+#[test]
+fn failed_runs_recorded_by_an_earlier_build_are_not_overcounted() {
+    // For n runs the log has between n and 2n records.
+    for (records, certain) in [(1, 1), (2, 1), (3, 2), (4, 2), (6, 3)] {
+        let mut index = JobIndex::default();
+        index.apply(accepted(1, 9_000));
+        for _ in 0..records {
+            // Variant; job and position of the item.
+            let record: Record = postcard::from_bytes(&[3, 1, 2]).expect("a record");
+            index.apply(record);
+        }
+        index.apply(failed_run(7));
+        let job = index.job(JobId::from_raw(1)).expect("accepted");
+        assert_eq!(job.failures(2), certain + 1, "{records} records");
+    }
 }
--- a/cicadagate-policy/tests/token_limit.rs
+++ b/cicadagate-policy/tests/token_limit.rs
@@ -168,7 +168,8 @@
             Record::Ended { .. }
             | Record::Saved { .. }
             | Record::SavedAtVersion { .. }
-            | Record::Failed { .. } => {}
+            | Record::Failed { .. }
+            | Record::FailedRun { .. } => {}
         }
     }
 }
