Send no request on a connection that has carried its id

Cause: responses are told apart by the id that they echo, but all runs of an item have the same one. A failed run leaves its connection in the pool if the response has Content-Length: 0; the next run, 200 ms later, takes that connection, and a second copy of the first response that arrives then is taken for its own.

A connection remembers the ids that it has carried (a hash of eight bytes each) and carries none of them again: a request takes another connection. It is closed after 128 requests rather than forgetting any, so 740 replicas with 8 idle connections each take at most 6 MB (computed, not measured), and at most one request in 128 opens a connection for this. A collision of two hashes only costs a connection.

Ruled out by test: a 500 with a body, or in chunks, closed its connection before this change, too, since nobody reads the bodies of failed runs. That no longer matters.

New: no_connection_carries_an_id_twice, a_connection_is_closed_before_it_forgets_an_id.

--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -13,8 +13,13 @@
 A connection carries one request at a time. The request is written while the
 response is read, so that an early response is not blocked by a long request
 body. A response that echoes another request's id is read to its end, if that is
-not far, and discarded; interim responses are skipped. A connection is reused only if the request was written completely,
-the response ended by its own framing, and nothing followed it.
+not far, and discarded; interim responses are skipped. A connection is reused only if the
+request was written completely, the response ended by its own framing, and nothing
+followed it.
+
+An id identifies a response only among requests with different ids, and all runs of a batch
+item have the same one. A connection therefore remembers the ids that it has carried, never
+carries one again, and is closed after [`MAX_REQUESTS`] rather than forgetting any.
 
 The kernel detects peers that are gone: TCP keep-alive probes and a timeout for
 unacknowledged data end their connections. A replica that is only slow is waited
@@ -32,7 +37,12 @@
     actix_rt::net::TcpStream,
     bytes::{Bytes, BytesMut},
     snafu::Snafu,
-    std::{io, net::SocketAddr, time::Duration},
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        io,
+        net::SocketAddr,
+        time::Duration,
+    },
     tokio::io::{AsyncReadExt, AsyncWriteExt},
     tokio_util::codec::{Decoder, Encoder},
 };
@@ -58,6 +68,8 @@
 const MAX_RESPONSES_READ: usize = 4;
 /// Most interim (1xx) responses skipped before a response.
 const MAX_INTERIM_RESPONSES: usize = 8;
+/// Most requests that a connection carries. It remembers eight bytes for each.
+const MAX_REQUESTS: usize = 128;
 /// Most bytes of a response to another request that are read and discarded, to
 /// get to the next response.
 const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
@@ -162,8 +174,8 @@
 pub(super) struct Connection {
     stream: TcpStream,
     buf: BytesMut,
-    /// Requests sent so far.
-    requests: u32,
+    /// Hashes of the ids of the requests sent so far.
+    carried: Vec<u64>,
 }
 
 impl Connection {
@@ -182,10 +194,16 @@
         Ok(Self {
             stream,
             buf: BytesMut::new(),
-            requests: 0,
+            carried: Vec::new(),
         })
     }
 
+    /// Returns whether a request with this id was sent on the connection. May be true
+    /// for another id, which only costs a connection.
+    pub(super) fn has_carried(&self, id: &str) -> bool {
+        self.carried.contains(&hash_id(id))
+    }
+
     /// Returns whether an idle connection is still open and has received no
     /// bytes, which would belong to no request.
     pub(super) fn is_open_and_empty(&self) -> bool {
@@ -195,6 +213,12 @@
     }
 }
 
+fn hash_id(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
     use rustix::net::sockopt;
     stream.set_nodelay(true)?;
@@ -317,8 +341,9 @@
 ) -> Result<ReplicaResponse> {
     let mut codec = ClientCodec::default();
     let mut unsent = encode(&mut codec, req)?;
-    let earlier_requests = conn.requests;
-    conn.requests += 1;
+    let earlier_requests = u32::try_from(conn.carried.len()).unwrap_or(u32::MAX);
+    let id = req.id.as_ref().map_or("", |(_, id)| id.as_str());
+    conn.carried.push(hash_id(id));
     for _ in 0..MAX_RESPONSES_READ {
         let head = read_final_head(&mut conn, &mut codec, &mut unsent).await?;
         let echo = req.id.as_ref().and_then(|(name, id)| {
@@ -327,7 +352,8 @@
         });
         let is_mismatched = echo == Some(false);
         let keep_alive_timeout = keep_alive_timeout(&head.headers);
-        let is_kept = codec.keep_alive();
+        let is_full = conn.carried.len() >= MAX_REQUESTS;
+        let is_kept = codec.keep_alive() && (is_mismatched || !is_full);
         let framing = BodyFraming::of(&head, &req.method);
         let mut body = Body {
             conn: Some(conn),
--- a/cicadagate-node/src/connection/http_client/pool.rs
+++ b/cicadagate-node/src/connection/http_client/pool.rs
@@ -8,7 +8,8 @@
 has announced a keep-alive timeout that has not passed, or if the connection was
 in use within [`RECENT_USE`]; see [`Reuse`]. After a reused connection has
 failed, announced timeouts are ignored for [`IGNORE_ANNOUNCED_MS`]. Other
-requests may take any idle connection, since they can be sent again.
+requests may take any idle connection, since they can be sent again. No request takes a
+connection that has carried one with its id; see `exchange`.
 */
 
 use {
@@ -130,7 +131,15 @@
                 .or_default(),
         );
         let trusts_announced = reuse == Reuse::Any || now >= self.ignore_announced_until.get();
-        let reused = take_idle(&mut idle_list.borrow_mut(), now, reuse, trusts_announced);
+        let reused = req.id.as_ref().and_then(|(_, id)| {
+            take_idle(
+                &mut idle_list.borrow_mut(),
+                now,
+                reuse,
+                trusts_announced,
+                id,
+            )
+        });
         let is_reused = reused.is_some();
         let conn = if let Some(conn) = reused {
             self.reused.set(self.reused.get() + 1);
@@ -229,22 +238,28 @@
     }
 }
 
+/// Takes the connection that was in use most recently, among those that have not carried
+/// a request with this id.
 fn take_idle(
     idle_list: &mut Vec<IdleConnection>,
     now: Time,
     reuse: Reuse,
     trusts_announced: bool,
+    id: &str,
 ) -> Option<Connection> {
     let recent_ms = u64::try_from(RECENT_USE.as_millis()).unwrap_or(u64::MAX);
-    // The last element was in use most recently.
-    while let Some(idle) = idle_list.pop() {
+    for at in (0..idle_list.len()).rev() {
+        let idle = &idle_list[at];
         let is_safe = reuse == Reuse::Any
             || now.since(idle.idle_since) < recent_ms
             || (trusts_announced && idle.is_announced);
         if !is_safe {
-            idle_list.push(idle);
             return None;
         }
+        if idle.conn.has_carried(id) {
+            continue;
+        }
+        let idle = idle_list.remove(at);
         if now < idle.expires && idle.conn.is_open_and_empty() {
             return Some(idle.conn);
         }
--- /dev/null
+++ b/cicadagate-node/tests/http_client.rs
@@ -0,0 +1,97 @@
+//! Which connections requests share, and which responses they take for their own.
+
+use {
+    actix_http::{
+        Method,
+        header::{HeaderMap, HeaderName},
+    },
+    actix_rt::net::TcpListener,
+    bytes::Bytes,
+    cicadagate_node::connection::http_client::{Pool, ReplicaRequest, Result, Reuse},
+    cicadagate_policy::{ids::EndpointId, time::Time},
+    std::{future::Future, net::SocketAddr},
+    tokio::io::{AsyncReadExt, AsyncWriteExt},
+};
+
+const ID: HeaderName = HeaderName::from_static("x-id");
+const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+
+fn run<F: Future>(test: F) -> F::Output {
+    actix_rt::System::new().block_on(test)
+}
+
+/// Starts a server that responds to a request with the headers that `extra` returns for its
+/// number on its connection and the path of its target.
+async fn serve(extra: fn(usize, &str) -> String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            actix_rt::spawn(async move {
+                for number in 0.. {
+                    let mut head = Vec::new();
+                    while !head.ends_with(b"\r\n\r\n") {
+                        if stream.read_buf(&mut head).await.unwrap_or(0) == 0 {
+                            return;
+                        }
+                    }
+                    let head = String::from_utf8_lossy(&head).into_owned();
+                    let path = head.split(' ').nth(1).unwrap_or_default();
+                    let response = format!("{OK}{}\r\n", extra(number, &path[1..]));
+                    if stream.write_all(response.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+fn echo(id: &str) -> String {
+    format!("X-Id: {id}\r\n")
+}
+
+async fn send(pool: &Pool, addr: SocketAddr, id: &str) -> Result<()> {
+    let req = ReplicaRequest {
+        method: Method::GET,
+        target: format!("/{id}"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        id: Some((ID, id.to_owned())),
+    };
+    let sent = pool.send(Time(1), EndpointId::default(), addr, Reuse::Any, &req);
+    sent.await.map(drop)
+}
+
+// Guards against the second copy of a response that is taken for the response to a later
+// request with the same id.
+#[test]
+fn no_connection_carries_an_id_twice() {
+    run(async {
+        let addr = serve(|_, id| echo(id)).await;
+        let pool = Pool::new();
+        for (id, counts) in [("a", (1, 0)), ("b", (1, 1)), ("a", (2, 1)), ("b", (2, 2))] {
+            send(&pool, addr, id).await.expect("a response");
+            assert_eq!(pool.counts(), counts, "{id}");
+        }
+        // Both connections have carried both ids.
+        send(&pool, addr, "b").await.expect("a response");
+        assert_eq!(pool.counts(), (3, 2));
+    });
+}
+
+// Guards against ids that are forgotten, and against memory that grows with them.
+#[test]
+fn a_connection_is_closed_before_it_forgets_an_id() {
+    run(async {
+        let addr = serve(|_, id| echo(id)).await;
+        let pool = Pool::new();
+        for number in 0..256 {
+            send(&pool, addr, &number.to_string())
+                .await
+                .expect("a response");
+        }
+        assert_eq!(pool.counts(), (2, 254));
+    });
+}
