Attribute a response without an id only on a connection of one request

Cause: a response that echoes no id was accepted on any connection, also a late one to an earlier request on a kept connection.

Without an id, a response may be to any request that its connection has carried, so it is accepted only if that is a single one, and its connection is not reused. A replica that never echoes ids is served completely, at the cost of a connection for each request. On a reused connection all earlier responses had an id; one without ends the exchange at once as "may have run": a request that may run again is sent to another replica, an item runs again without a failure counted, other callers get 502. Ruled out: reading on for a response with the id. None may follow, as after a local error of a proxy in front of the replica, and the caller would wait until its deadline. A response that echoes several ids is the current request's only if all of them are its own.

Gateways respond exactly once to each request and don't echo the id in their own refusals, so connections to them keep attributing responses by their order.

A 500 or 422 without an id still counts against an item: it is accepted only on a connection that has carried this run alone, to an address where any other replica answers 421, and a run whose failures never counted would have no end.

--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -259,7 +259,7 @@
             limiter: RefCell::new(limiter),
             quarantine: RefCell::default(),
             pool: Pool::new(),
-            member_pool: Pool::new(),
+            member_pool: Pool::of_ordered_peers(),
             cut_off_members: RefCell::default(),
             own_cut_off: RefCell::default(),
             last_reach_test: Cell::default(),
--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -19,7 +19,15 @@
 
 An id identifies a response only among requests with different ids, and all runs of a batch
 item have the same one. A connection therefore remembers the ids that it has carried, never
-carries one again, and is closed after [`MAX_REQUESTS`] rather than forgetting any.
+carries one again, and is closed after [`MAX_REQUESTS`] rather than forgetting any. A
+response that echoes no id may be to any request that its connection has carried. It is
+attributed only if that is a single one, and its connection is not reused, so a replica that
+echoes no ids is served at the cost of a connection for each request. On a reused connection,
+where each earlier response had an id, it fails the exchange at once: whether the request
+runs is unknown, no other response is certain to follow, and a request that may run again is
+better sent to another replica.
+
+Peers that respond exactly once to each request need no ids: see [`Attribution`].
 
 The kernel detects peers that are gone: TCP keep-alive probes and a timeout for
 unacknowledged data end their connections. A replica that is only slow is waited
@@ -102,6 +110,10 @@
     /// Only responses to other requests arrived: the request may have run.
     #[snafu(display("received responses to other requests"))]
     MismatchedId,
+    /// A response without an id arrived on a connection that had carried other
+    /// requests: the request may have run.
+    #[snafu(display("received a response that may be to another request"))]
+    Unattributed,
 }
 
 impl ExchangeError {
@@ -112,7 +124,7 @@
         match self {
             Self::Connect { .. } => true,
             Self::Broken { source } => source.kind() == io::ErrorKind::TimedOut,
-            Self::Malformed { .. } | Self::MismatchedId => false,
+            Self::Malformed { .. } | Self::MismatchedId | Self::Unattributed => false,
         }
     }
 
@@ -121,7 +133,10 @@
     pub fn is_refused(&self) -> bool {
         match self {
             Self::Connect { source, .. } => source.kind() == io::ErrorKind::ConnectionRefused,
-            Self::Broken { .. } | Self::Malformed { .. } | Self::MismatchedId => false,
+            Self::Broken { .. }
+            | Self::Malformed { .. }
+            | Self::MismatchedId
+            | Self::Unattributed => false,
         }
     }
 
@@ -132,7 +147,7 @@
             Self::Connect { source, .. } | Self::Broken { source } => {
                 source.kind() == io::ErrorKind::TimedOut
             }
-            Self::Malformed { .. } | Self::MismatchedId => false,
+            Self::Malformed { .. } | Self::MismatchedId | Self::Unattributed => false,
         }
     }
 
@@ -142,7 +157,10 @@
     pub fn is_closed_by_peer(&self) -> bool {
         match self {
             Self::Broken { source } => source.kind() != io::ErrorKind::TimedOut,
-            Self::Connect { .. } | Self::Malformed { .. } | Self::MismatchedId => false,
+            Self::Connect { .. }
+            | Self::Malformed { .. }
+            | Self::MismatchedId
+            | Self::Unattributed => false,
         }
     }
 
@@ -164,11 +182,22 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
-    /// Response header that may echo the request's id, and the id. A response
-    /// with another id is discarded.
+    /// Response header that echoes the request's id, and the id. A response
+    /// with another id is discarded. A request without one gets a connection of its own.
     pub id: Option<(HeaderName, String)>,
 }
 
+/// How the responses of a peer are attributed to requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Attribution {
+    /// By the id that they echo, since the peer may respond twice.
+    #[default]
+    ById,
+    /// By their order, since the peer responds exactly once to each request. A
+    /// response with another id is discarded all the same.
+    ByOrder,
+}
+
 /// A connection to a replica.
 #[derive(Debug)]
 pub(super) struct Connection {
@@ -328,14 +357,39 @@
 /// Returns an error if there is no response; the error says whether the request
 /// may have run.
 pub async fn send_once(addr: SocketAddr, req: &ReplicaRequest) -> Result<ReplicaResponse> {
-    exchange(Connection::open(addr).await?, None, req, drop).await
+    let conn = Connection::open(addr).await?;
+    exchange(conn, None, Attribution::ById, req, drop).await
+}
+
+/// Whose id a response echoes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Echo {
+    Own,
+    Other,
+    Missing,
+}
+
+fn echo(headers: &HeaderMap, req: &ReplicaRequest) -> Echo {
+    let Some((name, id)) = &req.id else {
+        return Echo::Missing;
+    };
+    let mut echoed = headers.get_all(name).peekable();
+    if echoed.peek().is_none() {
+        Echo::Missing
+    } else if echoed.all(|echoed| echoed.as_bytes() == id.as_bytes()) {
+        Echo::Own
+    } else {
+        Echo::Other
+    }
 }
 
 /// Sends a request on a connection and reads the head of its response.
-/// `on_discarded` is called with the heads of responses to other requests.
+/// `on_discarded` is called with the heads of responses that are not known to be to
+/// this request.
 pub(super) async fn exchange(
     mut conn: Connection,
     pool_handle: Option<PoolHandle>,
+    attribution: Attribution,
     req: &ReplicaRequest,
     on_discarded: impl Fn(ResponseHead),
 ) -> Result<ReplicaResponse> {
@@ -346,15 +400,17 @@
     conn.carried.push(hash_id(id));
     for _ in 0..MAX_RESPONSES_READ {
         let head = read_final_head(&mut conn, &mut codec, &mut unsent).await?;
-        let echo = req.id.as_ref().and_then(|(name, id)| {
-            let echo = head.headers.get(name)?;
-            Some(echo.as_bytes() == id.as_bytes())
-        });
-        let is_mismatched = echo == Some(false);
+        let echo = echo(&head.headers, req);
+        let is_attributed = echo == Echo::Own || attribution == Attribution::ByOrder;
+        if echo == Echo::Missing && !is_attributed && earlier_requests > 0 {
+            on_discarded(head);
+            return Err(ExchangeError::Unattributed);
+        }
         let keep_alive_timeout = keep_alive_timeout(&head.headers);
-        let is_full = conn.carried.len() >= MAX_REQUESTS;
-        let is_kept = codec.keep_alive() && (is_mismatched || !is_full);
         let framing = BodyFraming::of(&head, &req.method);
+        let is_own = echo != Echo::Other;
+        let is_reusable = is_attributed && conn.carried.len() < MAX_REQUESTS;
+        let is_kept = codec.keep_alive() && (is_reusable || !is_own);
         let mut body = Body {
             conn: Some(conn),
             framing,
@@ -364,14 +420,14 @@
             keep_alive_timeout,
             is_kept,
         };
-        if !is_mismatched {
+        if is_own {
             if matches!(body.remainder, Remainder::Ended) {
                 body.return_to_pool();
             }
             return Ok(ReplicaResponse {
                 head,
                 body,
-                echoes_id: echo == Some(true),
+                echoes_id: echo == Echo::Own,
                 earlier_requests,
             });
         }
--- a/cicadagate-node/src/connection/http_client/pool.rs
+++ b/cicadagate-node/src/connection/http_client/pool.rs
@@ -14,7 +14,7 @@
 
 use {
     super::exchange::{
-        Connection, ExchangeError, ReplicaRequest, ReplicaResponse, Result, exchange,
+        Attribution, Connection, ExchangeError, ReplicaRequest, ReplicaResponse, Result, exchange,
     },
     actix_http::ResponseHead,
     cicadagate_policy::{ids::EndpointId, time::Time},
@@ -94,6 +94,7 @@
 /// Idle connections to all replicas.
 #[derive(Debug, Default)]
 pub struct Pool {
+    attribution: Attribution,
     idle_connections: RefCell<HashMap<EndpointId, IdleConnections>>,
     now: Rc<Cell<Time>>,
     opened: Cell<u64>,
@@ -103,12 +104,21 @@
 }
 
 impl Pool {
-    /// Creates an empty pool.
+    /// Creates an empty pool for peers that may respond twice to a request.
     #[must_use]
     pub fn new() -> Self {
         Self::default()
     }
 
+    /// Creates an empty pool for peers that respond exactly once to each request.
+    #[must_use]
+    pub fn of_ordered_peers() -> Self {
+        Self {
+            attribution: Attribution::ByOrder,
+            ..Self::default()
+        }
+    }
+
     /// Sends a request to a replica and reads the head of its response.
     ///
     /// # Errors
@@ -158,7 +168,7 @@
                 heads.push((endpoint, head));
             }
         };
-        let outcome = exchange(conn, Some(handle), req, on_discarded).await;
+        let outcome = exchange(conn, Some(handle), self.attribution, req, on_discarded).await;
         if is_reused && matches!(outcome, Err(ExchangeError::Broken { .. })) {
             idle_list.borrow_mut().clear();
             self.ignore_announced_until
--- a/cicadagate-node/tests/http_client.rs
+++ b/cicadagate-node/tests/http_client.rs
@@ -7,7 +7,9 @@
     },
     actix_rt::net::TcpListener,
     bytes::Bytes,
-    cicadagate_node::connection::http_client::{Pool, ReplicaRequest, Result, Reuse},
+    cicadagate_node::connection::http_client::{
+        ExchangeError, Pool, ReplicaRequest, Result, Reuse,
+    },
     cicadagate_policy::{ids::EndpointId, time::Time},
     std::{future::Future, net::SocketAddr},
     tokio::io::{AsyncReadExt, AsyncWriteExt},
@@ -95,3 +97,56 @@
         assert_eq!(pool.counts(), (2, 254));
     });
 }
+
+#[test]
+fn a_connection_whose_response_has_no_id_is_not_reused() {
+    run(async {
+        let addr = serve(|_, _| String::new()).await;
+        let pool = Pool::new();
+        for id in ["a", "b", "c"] {
+            send(&pool, addr, id).await.expect("a response");
+        }
+        assert_eq!(pool.counts(), (3, 0));
+    });
+}
+
+// Guards against a response to an earlier request that is taken for the current one's.
+#[test]
+fn a_response_without_an_id_is_not_attributed_on_a_reused_connection() {
+    run(async {
+        let addr = serve(|number, id| [echo(id), String::new()][number.min(1)].clone()).await;
+        let pool = Pool::new();
+        send(&pool, addr, "a").await.expect("a response");
+        let err = send(&pool, addr, "b").await.expect_err("no response");
+        assert!(matches!(err, ExchangeError::Unattributed), "{err}");
+        assert!(err.may_have_run());
+        assert_eq!(pool.take_discarded_heads().len(), 1);
+        // The connection is closed.
+        send(&pool, addr, "c").await.expect("a response");
+        assert_eq!(pool.counts(), (2, 1));
+    });
+}
+
+#[test]
+fn responses_of_ordered_peers_need_no_id() {
+    run(async {
+        let addr = serve(|_, _| String::new()).await;
+        let pool = Pool::of_ordered_peers();
+        for id in ["a", "b", "c"] {
+            send(&pool, addr, id).await.expect("a response");
+        }
+        assert_eq!(pool.counts(), (1, 2));
+    });
+}
+
+#[test]
+fn a_response_with_two_ids_is_to_another_request() {
+    run(async {
+        let addr = serve(|_, id| echo(id) + &echo("other")).await;
+        let pool = Pool::new();
+        let request = send(&pool, addr, "a");
+        let waiting = actix_rt::time::timeout(std::time::Duration::from_millis(200), request);
+        assert!(waiting.await.is_err(), "it is discarded");
+        assert_eq!(pool.take_discarded_heads().len(), 1);
+    });
+}
