Send HEAD on connections of its own

Callers got 502 for requests that a replica had served: beside a response to HEAD that comes a second time on a kept connection, the next one was lost.

Cause: a response that is discarded was read with the framing of the current request's method. The late response to HEAD announces a length and has no body, so bytes of the next response were skipped; the body of a late response to GET was read as a response to HEAD. The method of the request that a discarded response is to is not known.

A HEAD request opens a connection, which is closed after it. A response to another request on it ends the exchange as "may have run". All other methods frame their responses alike.

New: head_requests_share_no_connection.

--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -25,7 +25,8 @@
 echoes no ids is served at the cost of a connection for each request. On a reused connection,
 where each earlier response had an id, it fails the exchange at once: whether the request
 runs is unknown, no other response is certain to follow, and a request that may run again is
-better sent to another replica.
+better sent to another replica. Whether a response has a body depends on the method of its
+request, so `HEAD` gets a connection of its own.
 
 Peers that respond exactly once to each request need no ids: see [`Attribution`].
 
@@ -361,6 +362,11 @@
     exchange(conn, None, Attribution::ById, req, drop).await
 }
 
+/// Returns whether a request may use a connection with others before or after it.
+pub(super) fn allows_reuse(req: &ReplicaRequest) -> bool {
+    req.id.is_some() && req.method != Method::HEAD
+}
+
 /// Whose id a response echoes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Echo {
@@ -409,7 +415,7 @@
         let keep_alive_timeout = keep_alive_timeout(&head.headers);
         let framing = BodyFraming::of(&head, &req.method);
         let is_own = echo != Echo::Other;
-        let is_reusable = is_attributed && conn.carried.len() < MAX_REQUESTS;
+        let is_reusable = is_attributed && allows_reuse(req) && conn.carried.len() < MAX_REQUESTS;
         let is_kept = codec.keep_alive() && (is_reusable || !is_own);
         let mut body = Body {
             conn: Some(conn),
@@ -432,6 +438,10 @@
             });
         }
         on_discarded(head);
+        // A response to another method may have a body.
+        if req.method == Method::HEAD {
+            return Err(ExchangeError::MismatchedId);
+        }
         let mut discarded = 0;
         while let Some(chunk) = body.read_chunk().await {
             discarded += chunk?.len();
--- a/cicadagate-node/src/connection/http_client/pool.rs
+++ b/cicadagate-node/src/connection/http_client/pool.rs
@@ -14,7 +14,8 @@
 
 use {
     super::exchange::{
-        Attribution, Connection, ExchangeError, ReplicaRequest, ReplicaResponse, Result, exchange,
+        Attribution, Connection, ExchangeError, ReplicaRequest, ReplicaResponse, Result,
+        allows_reuse, exchange,
     },
     actix_http::ResponseHead,
     cicadagate_policy::{ids::EndpointId, time::Time},
@@ -141,7 +142,8 @@
                 .or_default(),
         );
         let trusts_announced = reuse == Reuse::Any || now >= self.ignore_announced_until.get();
-        let reused = req.id.as_ref().and_then(|(_, id)| {
+        let id = req.id.as_ref().filter(|_| allows_reuse(req));
+        let reused = id.and_then(|(_, id)| {
             take_idle(
                 &mut idle_list.borrow_mut(),
                 now,
--- a/cicadagate-node/tests/http_client.rs
+++ b/cicadagate-node/tests/http_client.rs
@@ -54,9 +54,9 @@
     format!("X-Id: {id}\r\n")
 }
 
-async fn send(pool: &Pool, addr: SocketAddr, id: &str) -> Result<()> {
+async fn send_with(pool: &Pool, addr: SocketAddr, method: Method, id: &str) -> Result<()> {
     let req = ReplicaRequest {
-        method: Method::GET,
+        method,
         target: format!("/{id}"),
         headers: HeaderMap::new(),
         body: Bytes::new(),
@@ -66,6 +66,10 @@
     sent.await.map(drop)
 }
 
+async fn send(pool: &Pool, addr: SocketAddr, id: &str) -> Result<()> {
+    send_with(pool, addr, Method::GET, id).await
+}
+
 // Guards against the second copy of a response that is taken for the response to a later
 // request with the same id.
 #[test]
@@ -139,6 +143,27 @@
     });
 }
 
+// Guards against late responses that are read with a body that they don't have, or without
+// the one that they have.
+#[test]
+fn head_requests_share_no_connection() {
+    run(async {
+        let addr = serve(|_, id| echo(id)).await;
+        let pool = Pool::new();
+        for (method, id, counts) in [
+            (Method::GET, "a", (1, 0)),
+            (Method::HEAD, "b", (2, 0)),
+            (Method::HEAD, "c", (3, 0)),
+            (Method::GET, "d", (3, 1)),
+        ] {
+            send_with(&pool, addr, method, id)
+                .await
+                .expect("a response");
+            assert_eq!(pool.counts(), counts, "{id}");
+        }
+    });
+}
+
 #[test]
 fn a_response_with_two_ids_is_to_another_request() {
     run(async {
