--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -13,8 +13,22 @@
 A connection carries one request at a time. The request is written while the
 response is read, so that an early response is not blocked by a long request
 body. A response that echoes another request's id is read to its end, if that is
-not far, and discarded; interim responses are skipped. A connection is reused only if the request was written completely,
-the response ended by its own framing, and nothing followed it.
+not far, and discarded; interim responses are skipped. A connection is reused only if the
+request was written completely, the response ended by its own framing, and nothing
+followed it.
+
+An id identifies a response only among requests with different ids, and all runs of a batch
+item have the same one. A connection therefore remembers the ids that it has carried, never
+carries one again, and is closed after [`MAX_REQUESTS`] rather than forgetting any. A
+response that echoes no id may be to any request that its connection has carried. It is
+attributed only if that is a single one, and its connection is not reused, so a replica that
+echoes no ids is served at the cost of a connection for each request. On a reused connection,
+where each earlier response had an id, it fails the exchange at once: whether the request
+runs is unknown, no other response is certain to follow, and a request that may run again is
+better sent to another replica. Whether a response has a body depends on the method of its
+request, so `HEAD` gets a connection of its own.
+
+Peers that respond exactly once to each request need no ids: see [`Attribution`].
 
 The kernel detects peers that are gone: TCP keep-alive probes and a timeout for
 unacknowledged data end their connections. A replica that is only slow is waited
@@ -32,7 +46,12 @@
     actix_rt::net::TcpStream,
     bytes::{Bytes, BytesMut},
     snafu::Snafu,
-    std::{io, net::SocketAddr, time::Duration},
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        io,
+        net::SocketAddr,
+        time::Duration,
+    },
     tokio::io::{AsyncReadExt, AsyncWriteExt},
     tokio_util::codec::{Decoder, Encoder},
 };
@@ -58,6 +77,8 @@
 const MAX_RESPONSES_READ: usize = 4;
 /// Most interim (1xx) responses skipped before a response.
 const MAX_INTERIM_RESPONSES: usize = 8;
+/// Most requests that a connection carries. It remembers eight bytes for each.
+const MAX_REQUESTS: usize = 128;
 /// Most bytes of a response to another request that are read and discarded, to
 /// get to the next response.
 const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
@@ -90,6 +111,10 @@
     /// Only responses to other requests arrived: the request may have run.
     #[snafu(display("received responses to other requests"))]
     MismatchedId,
+    /// A response without an id arrived on a connection that had carried other
+    /// requests: the request may have run.
+    #[snafu(display("received a response that may be to another request"))]
+    Unattributed,
 }
 
 impl ExchangeError {
@@ -100,7 +125,7 @@
         match self {
             Self::Connect { .. } => true,
             Self::Broken { source } => source.kind() == io::ErrorKind::TimedOut,
-            Self::Malformed { .. } | Self::MismatchedId => false,
+            Self::Malformed { .. } | Self::MismatchedId | Self::Unattributed => false,
         }
     }
 
@@ -109,7 +134,10 @@
     pub fn is_refused(&self) -> bool {
         match self {
             Self::Connect { source, .. } => source.kind() == io::ErrorKind::ConnectionRefused,
-            Self::Broken { .. } | Self::Malformed { .. } | Self::MismatchedId => false,
+            Self::Broken { .. }
+            | Self::Malformed { .. }
+            | Self::MismatchedId
+            | Self::Unattributed => false,
         }
     }
 
@@ -120,7 +148,7 @@
             Self::Connect { source, .. } | Self::Broken { source } => {
                 source.kind() == io::ErrorKind::TimedOut
             }
-            Self::Malformed { .. } | Self::MismatchedId => false,
+            Self::Malformed { .. } | Self::MismatchedId | Self::Unattributed => false,
         }
     }
 
@@ -130,7 +158,10 @@
     pub fn is_closed_by_peer(&self) -> bool {
         match self {
             Self::Broken { source } => source.kind() != io::ErrorKind::TimedOut,
-            Self::Connect { .. } | Self::Malformed { .. } | Self::MismatchedId => false,
+            Self::Connect { .. }
+            | Self::Malformed { .. }
+            | Self::MismatchedId
+            | Self::Unattributed => false,
         }
     }
 
@@ -152,18 +183,29 @@
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
-    /// Response header that may echo the request's id, and the id. A response
-    /// with another id is discarded.
+    /// Response header that echoes the request's id, and the id. A response
+    /// with another id is discarded. A request without one gets a connection of its own.
     pub id: Option<(HeaderName, String)>,
 }
 
+/// How the responses of a peer are attributed to requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Attribution {
+    /// By the id that they echo, since the peer may respond twice.
+    #[default]
+    ById,
+    /// By their order, since the peer responds exactly once to each request. A
+    /// response with another id is discarded all the same.
+    ByOrder,
+}
+
 /// A connection to a replica.
 #[derive(Debug)]
 pub(super) struct Connection {
     stream: TcpStream,
     buf: BytesMut,
-    /// Requests sent so far.
-    requests: u32,
+    /// Hashes of the ids of the requests sent so far.
+    carried: Vec<u64>,
 }
 
 impl Connection {
@@ -182,10 +224,16 @@
         Ok(Self {
             stream,
             buf: BytesMut::new(),
-            requests: 0,
+            carried: Vec::new(),
         })
     }
 
+    /// Returns whether a request with this id was sent on the connection. May be true
+    /// for another id, which only costs a connection.
+    pub(super) fn has_carried(&self, id: &str) -> bool {
+        self.carried.contains(&hash_id(id))
+    }
+
     /// Returns whether an idle connection is still open and has received no
     /// bytes, which would belong to no request.
     pub(super) fn is_open_and_empty(&self) -> bool {
@@ -195,6 +243,12 @@
     }
 }
 
+fn hash_id(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
     use rustix::net::sockopt;
     stream.set_nodelay(true)?;
@@ -304,31 +358,65 @@
 /// Returns an error if there is no response; the error says whether the request
 /// may have run.
 pub async fn send_once(addr: SocketAddr, req: &ReplicaRequest) -> Result<ReplicaResponse> {
-    exchange(Connection::open(addr).await?, None, req, drop).await
+    let conn = Connection::open(addr).await?;
+    exchange(conn, None, Attribution::ById, req, drop).await
+}
+
+/// Returns whether a request may use a connection with others before or after it.
+pub(super) fn allows_reuse(req: &ReplicaRequest) -> bool {
+    req.id.is_some() && req.method != Method::HEAD
+}
+
+/// Whose id a response echoes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Echo {
+    Own,
+    Other,
+    Missing,
+}
+
+fn echo(headers: &HeaderMap, req: &ReplicaRequest) -> Echo {
+    let Some((name, id)) = &req.id else {
+        return Echo::Missing;
+    };
+    let mut echoed = headers.get_all(name).peekable();
+    if echoed.peek().is_none() {
+        Echo::Missing
+    } else if echoed.all(|echoed| echoed.as_bytes() == id.as_bytes()) {
+        Echo::Own
+    } else {
+        Echo::Other
+    }
 }
 
 /// Sends a request on a connection and reads the head of its response.
-/// `on_discarded` is called with the heads of responses to other requests.
+/// `on_discarded` is called with the heads of responses that are not known to be to
+/// this request.
 pub(super) async fn exchange(
     mut conn: Connection,
     pool_handle: Option<PoolHandle>,
+    attribution: Attribution,
     req: &ReplicaRequest,
     on_discarded: impl Fn(ResponseHead),
 ) -> Result<ReplicaResponse> {
     let mut codec = ClientCodec::default();
     let mut unsent = encode(&mut codec, req)?;
-    let earlier_requests = conn.requests;
-    conn.requests += 1;
+    let earlier_requests = u32::try_from(conn.carried.len()).unwrap_or(u32::MAX);
+    let id = req.id.as_ref().map_or("", |(_, id)| id.as_str());
+    conn.carried.push(hash_id(id));
     for _ in 0..MAX_RESPONSES_READ {
         let head = read_final_head(&mut conn, &mut codec, &mut unsent).await?;
-        let echo = req.id.as_ref().and_then(|(name, id)| {
-            let echo = head.headers.get(name)?;
-            Some(echo.as_bytes() == id.as_bytes())
-        });
-        let is_mismatched = echo == Some(false);
+        let echo = echo(&head.headers, req);
+        let is_attributed = echo == Echo::Own || attribution == Attribution::ByOrder;
+        if echo == Echo::Missing && !is_attributed && earlier_requests > 0 {
+            on_discarded(head);
+            return Err(ExchangeError::Unattributed);
+        }
         let keep_alive_timeout = keep_alive_timeout(&head.headers);
-        let is_kept = codec.keep_alive();
         let framing = BodyFraming::of(&head, &req.method);
+        let is_own = echo != Echo::Other;
+        let is_reusable = is_attributed && allows_reuse(req) && conn.carried.len() < MAX_REQUESTS;
+        let is_kept = codec.keep_alive() && (is_reusable || !is_own);
         let mut body = Body {
             conn: Some(conn),
             framing,
@@ -338,18 +426,22 @@
             keep_alive_timeout,
             is_kept,
         };
-        if !is_mismatched {
+        if is_own {
             if matches!(body.remainder, Remainder::Ended) {
                 body.return_to_pool();
             }
             return Ok(ReplicaResponse {
                 head,
                 body,
-                echoes_id: echo == Some(true),
+                echoes_id: echo == Echo::Own,
                 earlier_requests,
             });
         }
         on_discarded(head);
+        // A response to another method may have a body.
+        if req.method == Method::HEAD {
+            return Err(ExchangeError::MismatchedId);
+        }
         let mut discarded = 0;
         while let Some(chunk) = body.read_chunk().await {
             discarded += chunk?.len();
--- a/cicadagate-node/src/connection/http_client/pool.rs
+++ b/cicadagate-node/src/connection/http_client/pool.rs
@@ -8,12 +8,14 @@
 has announced a keep-alive timeout that has not passed, or if the connection was
 in use within [`RECENT_USE`]; see [`Reuse`]. After a reused connection has
 failed, announced timeouts are ignored for [`IGNORE_ANNOUNCED_MS`]. Other
-requests may take any idle connection, since they can be sent again.
+requests may take any idle connection, since they can be sent again. No request takes a
+connection that has carried one with its id; see `exchange`.
 */
 
 use {
     super::exchange::{
-        Connection, ExchangeError, ReplicaRequest, ReplicaResponse, Result, exchange,
+        Attribution, Connection, ExchangeError, ReplicaRequest, ReplicaResponse, Result,
+        allows_reuse, exchange,
     },
     actix_http::ResponseHead,
     cicadagate_policy::{ids::EndpointId, time::Time},
@@ -93,6 +95,7 @@
 /// Idle connections to all replicas.
 #[derive(Debug, Default)]
 pub struct Pool {
+    attribution: Attribution,
     idle_connections: RefCell<HashMap<EndpointId, IdleConnections>>,
     now: Rc<Cell<Time>>,
     opened: Cell<u64>,
@@ -102,12 +105,21 @@
 }
 
 impl Pool {
-    /// Creates an empty pool.
+    /// Creates an empty pool for peers that may respond twice to a request.
     #[must_use]
     pub fn new() -> Self {
         Self::default()
     }
 
+    /// Creates an empty pool for peers that respond exactly once to each request.
+    #[must_use]
+    pub fn of_ordered_peers() -> Self {
+        Self {
+            attribution: Attribution::ByOrder,
+            ..Self::default()
+        }
+    }
+
     /// Sends a request to a replica and reads the head of its response.
     ///
     /// # Errors
@@ -130,7 +142,16 @@
                 .or_default(),
         );
         let trusts_announced = reuse == Reuse::Any || now >= self.ignore_announced_until.get();
-        let reused = take_idle(&mut idle_list.borrow_mut(), now, reuse, trusts_announced);
+        let id = req.id.as_ref().filter(|_| allows_reuse(req));
+        let reused = id.and_then(|(_, id)| {
+            take_idle(
+                &mut idle_list.borrow_mut(),
+                now,
+                reuse,
+                trusts_announced,
+                id,
+            )
+        });
         let is_reused = reused.is_some();
         let conn = if let Some(conn) = reused {
             self.reused.set(self.reused.get() + 1);
@@ -149,7 +170,7 @@
                 heads.push((endpoint, head));
             }
         };
-        let outcome = exchange(conn, Some(handle), req, on_discarded).await;
+        let outcome = exchange(conn, Some(handle), self.attribution, req, on_discarded).await;
         if is_reused && matches!(outcome, Err(ExchangeError::Broken { .. })) {
             idle_list.borrow_mut().clear();
             self.ignore_announced_until
@@ -229,22 +250,28 @@
     }
 }
 
+/// Takes the connection that was in use most recently, among those that have not carried
+/// a request with this id.
 fn take_idle(
     idle_list: &mut Vec<IdleConnection>,
     now: Time,
     reuse: Reuse,
     trusts_announced: bool,
+    id: &str,
 ) -> Option<Connection> {
     let recent_ms = u64::try_from(RECENT_USE.as_millis()).unwrap_or(u64::MAX);
-    // The last element was in use most recently.
-    while let Some(idle) = idle_list.pop() {
+    for at in (0..idle_list.len()).rev() {
+        let idle = &idle_list[at];
         let is_safe = reuse == Reuse::Any
             || now.since(idle.idle_since) < recent_ms
             || (trusts_announced && idle.is_announced);
         if !is_safe {
-            idle_list.push(idle);
             return None;
         }
+        if idle.conn.has_carried(id) {
+            continue;
+        }
+        let idle = idle_list.remove(at);
         if now < idle.expires && idle.conn.is_open_and_empty() {
             return Some(idle.conn);
         }
