--- a/cicadagate-policy/tests/version_record.rs
+++ b/cicadagate-policy/tests/version_record.rs
@@ -301,3 +301,27 @@
     });
     assert!(is_chosen(&replicas, VersionProof::Required));
 }
+
+// Guards against a version that no process records any more although it has replicas: its
+// removal was carried out late, after the version was recorded again.
+#[test]
+fn a_version_that_comes_back_survives_a_late_removal() {
+    /// Time within which the store carries out a call to which it has not responded.
+    const LATE_MS: u64 = 15_000;
+    let mut owner = Member::start(Time(1), &["v1"]);
+    let removed_at = Time(1 + REMOVE_AFTER_MS);
+    let removal = vec![RecordChange::Remove(name("v1").id())];
+    assert_eq!(owner.due(removed_at, &[], true), removal);
+    let back = removed_at.plus(WRITE_INTERVAL_MS);
+    assert_eq!(owner.due(back, &["v1"], true), add("v1"));
+    owner.record.note_added(back, name("v1").id());
+    // The removal is carried out.
+    let late = removed_at.plus(LATE_MS);
+    assert_eq!(owner.due(Time(late.0 - 1), &["v1"], false), []);
+    assert_eq!(owner.due(late, &["v1"], false), add("v1"));
+    // Without a response of the store, the version is recorded once more.
+    let retried = late.plus(WRITE_INTERVAL_MS);
+    assert_eq!(owner.due(retried, &["v1"], false), add("v1"));
+    owner.record.note_added(retried, name("v1").id());
+    assert_eq!(owner.due(retried.plus(LATE_MS), &["v1"], false), []);
+}
