Never report a request as not run if another gateway may have run it

Cause: `forward_request` dropped the error of the send through the other gateway and answered with the one from before it. For requests that may run twice, the refusal of a further gateway was passed on though the one before may have run them.

Each send through another gateway is now an attempt of the request's own `Attempts`, and `resolve_error`, which decides for replicas, decides over all of them. A refusal that follows an attempt that may have run becomes 502.

--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -314,7 +314,7 @@
 
     /// Replaces an error that contradicts whether the request may have run:
     /// `NoReplica` and `Quarantined` mean that it has not.
-    fn resolve_error(&self, request_error: RequestError) -> RequestError {
+    pub(super) fn resolve_error(&self, request_error: RequestError) -> RequestError {
         let may_have_run = self.attempts.furthest() != Progress::NotSent;
         match request_error {
             RequestError::NoReplica | RequestError::Quarantined if may_have_run => {
@@ -360,11 +360,11 @@
 /// Sends a request through another gateway, since this one is cut off from its service.
 pub(super) async fn serve_through_member(
     gateway: &Rc<Gateway>,
-    request: PendingRequest,
+    mut request: PendingRequest,
     guard: RequestGuard,
 ) -> Response {
     let disconnect_logger = DisconnectLogger::new(gateway, &request);
-    let res = through_member::serve(gateway, &request, guard).await;
+    let res = through_member::serve(gateway, &mut request, guard).await;
     disconnect_logger.note_response();
     res.unwrap_or_else(|request_error| respond_failed(gateway, &request, request_error))
 }
@@ -378,11 +378,11 @@
     loop {
         let (response, target) = match request.send(gateway).await {
             SendOutcome::Response(response, target) => (response, target),
-            SendOutcome::Failed(
-                request_error @ (RequestError::NoReplica | RequestError::NoAnswer),
-            ) if request.may_go_through_member(gateway) => {
-                let sent = through_member::serve(gateway, &request, guard).await;
-                return sent.unwrap_or_else(|_| respond_failed(gateway, &request, request_error));
+            SendOutcome::Failed(RequestError::NoReplica | RequestError::NoAnswer)
+                if request.may_go_through_member(gateway) =>
+            {
+                let sent = through_member::serve(gateway, &mut request, guard).await;
+                return sent.unwrap_or_else(|err| respond_failed(gateway, &request, err));
             }
             SendOutcome::Failed(request_error) => {
                 return respond_failed(gateway, &request, request_error);
--- a/cicadagate-gateway/src/request/through_member.rs
+++ b/cicadagate-gateway/src/request/through_member.rs
@@ -3,7 +3,9 @@
 
 A gateway that is cut off from a service sends its callers' requests to one that is not,
 which serves them like those of its own callers: it checks the API key and the rate limit,
-and chooses the replica. A header keeps it from sending them on again.
+and chooses the replica. A header keeps it from sending them on again. What other gateways
+say of a request counts together with the attempts before: it has not run only if none of
+them may have run it.
 */
 
 use {
@@ -14,6 +16,7 @@
     },
     crate::process::{Gateway, RequestGuard, reachability::pick_member},
     actix_http::{
+        StatusCode,
         body::{BodyStream, BoxBody, SizedStream},
         header::{self, HeaderValue},
     },
@@ -25,6 +28,7 @@
     },
     cicadagate_policy::{
         ids::{EndpointId, MemberId},
+        request::attempt::Progress,
         time::Time,
     },
     futures_util::stream::unfold,
@@ -43,10 +47,11 @@
 ///
 /// # Errors
 ///
-/// Returns an error if no other gateway responds.
+/// Returns an error if no other gateway responds, or if one refuses a request that may have
+/// run in an earlier attempt.
 pub(super) async fn serve(
     gateway: &Rc<Gateway>,
-    request: &PendingRequest,
+    request: &mut PendingRequest,
     guard: RequestGuard,
 ) -> Result<Response, RequestError> {
     let mut tried: Vec<MemberId> = Vec::new();
@@ -80,12 +85,16 @@
         } else {
             Reuse::RecentOrGuaranteed
         };
+        let may_have_run = request.attempts.furthest() != Progress::NotSent;
+        request.attempts.begin();
+        request.attempts.mark_sent();
         let pool_key = EndpointId::from_raw(member.raw());
         let send = gateway
             .member_pool
             .send(now, pool_key, addr, reuse, &outgoing);
         match timeout(left, send).await {
             Ok(Ok(response)) if response.head.headers.contains_key(&MEMBER_HOP) => {
+                request.attempts.mark_failed(Progress::NotSent);
                 event!(
                     ATTEMPT_FAILED,
                     request = request.id.as_str(),
@@ -93,6 +102,16 @@
                     reason = "the other instance is cut off, too"
                 );
             }
+            Ok(Ok(response)) if may_have_run && is_promise(response.head.status) => {
+                event!(
+                    ATTEMPT_FAILED,
+                    request = request.id.as_str(),
+                    member: = member,
+                    status = response.head.status.as_u16(),
+                    reason = "refused after an attempt that may have run"
+                );
+                return Err(RequestError::NoAnswer);
+            }
             Ok(Ok(response)) => return Ok(relay(gateway, request, response, guard)),
             Ok(Err(err)) => {
                 event!(
@@ -101,7 +120,9 @@
                     member: = member,
                     reason: = err
                 );
-                if err.may_have_run() && !request.attempts.is_idempotent() {
+                if !err.may_have_run() {
+                    request.attempts.mark_failed(Progress::NotSent);
+                } else if !request.attempts.is_idempotent() {
                     return Err(RequestError::NoAnswer);
                 }
             }
@@ -109,7 +130,18 @@
             Err(_) => return Err(RequestError::NoAnswer),
         }
     }
-    Err(RequestError::NoReplica)
+    Err(request.resolve_error(RequestError::NoReplica))
+}
+
+/// Returns whether a status promises that a request has not run.
+const fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
 }
 
 fn build_request(gateway: &Gateway, request: &PendingRequest, now: Time) -> ReplicaRequest {
