Report a store operation as not done only if no path may have done it

Cause: `FleetStore::execute_directly` replaced the unknown outcome of the direct operation by the "not done" of the forwarded one.

`StoreError::join` is now the one place that joins the errors of an operation that was sent more than once, on both paths to the store and in the retries of an append: it is not done only if both errors say so.

--- a/cicadagate-gateway/src/platform.rs
+++ b/cicadagate-gateway/src/platform.rs
@@ -63,6 +63,23 @@
 }
 
 impl StoreError {
+    /// Returns whether the operation was not carried out and never will be.
+    #[must_use]
+    pub const fn is_not_done(&self) -> bool {
+        matches!(self, Self::NotDone { .. } | Self::Full)
+    }
+
+    /// Returns the error of an operation that was sent once more with the error `next`: it
+    /// was not carried out only if both errors say so.
+    #[must_use]
+    pub fn join(self, next: Self) -> Self {
+        if next.is_not_done() && !self.is_not_done() {
+            self
+        } else {
+            next
+        }
+    }
+
     /// Returns whether the store rejected the operation or did not respond, so
     /// that it may succeed through another gateway.
     #[must_use]
--- a/cicadagate-gateway/src/process/fleet_store.rs
+++ b/cicadagate-gateway/src/process/fleet_store.rs
@@ -16,7 +16,8 @@
 much longer than usual is hedged: it is also forwarded, and the first usable
 response counts. The code that uses the store does not see which path was taken.
 Appending a record twice is harmless, so an operation whose response was lost is
-forwarded like any other. While the store does not respond directly but another
+forwarded like any other. An operation that fails on both paths was not carried out
+only if both say so. While the store does not respond directly but another
 gateway reaches it, operations are forwarded without a direct attempt, except
 for one every half second that tries the store first.
 
@@ -195,7 +196,8 @@
             self.record_outcome(outcome.as_ref().err());
             return match (outcome, Self::pick_peer(gateway)) {
                 (Err(err), Some(peer)) if err.is_unavailable() => {
-                    self.forward(peer, &operation).await
+                    let forwarded = self.forward(peer, &operation).await;
+                    forwarded.map_err(|next| err.join(next))
                 }
                 (outcome, _) => outcome,
             };
@@ -211,18 +213,23 @@
             outcome = &mut direct => {
                 self.record_outcome(outcome.as_ref().err());
                 match outcome {
-                    Err(err) if err.is_unavailable() => forwarded.await,
+                    Err(err) if err.is_unavailable() => {
+                        forwarded.await.map_err(|next| err.join(next))
+                    }
                     outcome => outcome,
                 }
             }
             outcome = &mut forwarded => {
-                if outcome.is_ok() {
-                    self.record_hedge_win();
-                    return outcome;
-                }
+                let err = match outcome {
+                    Ok(output) => {
+                        self.record_hedge_win();
+                        return Ok(output);
+                    }
+                    Err(err) => err,
+                };
                 let outcome = direct.await;
                 self.record_outcome(outcome.as_ref().err());
-                outcome
+                outcome.map_err(|next| err.join(next))
             }
         }
     }
--- a/cicadagate-gateway/src/request/job_requests.rs
+++ b/cicadagate-gateway/src/request/job_requests.rs
@@ -327,16 +327,23 @@
 /// Appends a record, with retries for [`APPEND_RETRY_MS`]. A record that is
 /// appended twice counts once.
 async fn append_with_retries(gateway: &Rc<Gateway>, since: Time, record: &Record) -> AppendOutcome {
-    let mut outcome = AppendOutcome::NotDone;
+    let mut failure: Option<StoreError> = None;
     loop {
-        match gateway.jobs.append(gateway, record).await {
-            Ok(()) => return AppendOutcome::Done,
-            Err(StoreError::NotDone { .. } | StoreError::Full) => {}
-            Err(_) => outcome = AppendOutcome::Unknown,
-        }
+        let Err(err) = gateway.jobs.append(gateway, record).await else {
+            return AppendOutcome::Done;
+        };
+        let joined = match failure.take() {
+            Some(earlier) => earlier.join(err),
+            None => err,
+        };
         if gateway.now().since(since) >= APPEND_RETRY_MS {
-            return outcome;
+            return if joined.is_not_done() {
+                AppendOutcome::NotDone
+            } else {
+                AppendOutcome::Unknown
+            };
         }
+        failure = Some(joined);
         sleep(APPEND_DELAY).await;
     }
 }
