Ignore late copies of partial outputs of another software version

An item whose output was continued at a new software version started over: a copy of an older record, carried out late by the store, put the output of the version before back in its place.

Cause: `JobIndex::save` tells a copy only by the last event of the same version, and any record of another version replaces what is known.

Each saved output has a location of its own in the log, so the index keeps the locations of an item's outputs until the item has a result, and a location that it knows changes nothing. A version that is installed again has new locations.

--- a/cicadagate-policy/src/version/job_index.rs
+++ b/cicadagate-policy/src/version/job_index.rs
@@ -271,6 +271,8 @@
     states: Vec<ItemState>,
     /// Failed runs of each item that has failed and has no result.
     failures: BTreeMap<u32, FailedRuns>,
+    /// Partition and offset of each partial output of the items without a result.
+    outputs: BTreeMap<u32, BTreeSet<(u32, u64)>>,
     /// Items with a result, in the order of their results.
     listed: Vec<u32>,
     is_ended: bool,
@@ -285,6 +287,7 @@
         Self {
             states: vec![ItemState::Open(None); submission.items.len()],
             failures: BTreeMap::new(),
+            outputs: BTreeMap::new(),
             listed: Vec::new(),
             is_ended: false,
             open_tokens: submission.tokens(),
@@ -542,6 +545,7 @@
         }
         *state = ItemState::Finished(outcome);
         job.failures.remove(&item.index);
+        job.outputs.remove(&item.index);
         let tokens = job.submission.items[item.index as usize].tokens;
         job.open_tokens = job.open_tokens.saturating_sub(u64::from(tokens));
         job.listed.push(item.index);
@@ -575,6 +579,11 @@
         let Some(ItemState::Open(known)) = job.states.get_mut(item.index as usize) else {
             return false;
         };
+        // Each output has a location of its own, by which a copy of its record is known.
+        let location = (progress.output.part, progress.output.offset);
+        if !job.outputs.entry(item.index).or_default().insert(location) {
+            return false;
+        }
         // An output of another version replaces a longer one: no replica was left that
         // could continue that.
         let is_further = known.is_none_or(|known| {
