Record a software version again after a removal that may be carried out late

If a version comes back just after the attempt to remove its record, the store may carry the removal out after the new record. The members then take the version as recorded while the store does not list it, and after a restart of all processes a stream that began at it may be joined with another version (read, not played).

Cause: a keyed record has no order of its own; the last write that the store carries out counts.

The member that sent a removal records the version once more when the removal can't be carried out any more, if the version has replicas by then. The check `at` of the store's appends would close the gap of up to 15 s before that; `Store` does not offer it.

--- a/cicadagate-policy/src/process/version_record.rs
+++ b/cicadagate-policy/src/process/version_record.rs
@@ -16,7 +16,9 @@
 
 A member that sees no replica of a version for [`UNRECORDED_AFTER_MS`] takes it as
 unrecorded, and the owner removes it only after [`REMOVE_AFTER_MS`]: a version that comes
-back is recorded again, also where the notice of its removal was lost.
+back is recorded again, also where the notice of its removal was lost. The store may carry a
+removal out late, after the version was recorded again, so the member that sent it records
+a version that has come back once more after [`LATE_REMOVAL_MS`].
 
 # Cost
 
@@ -48,6 +50,8 @@
 /// Time without a replica after which a version is forgotten, in milliseconds. Until then
 /// a new owner may remove it if the previous one ended.
 pub const FORGET_AFTER_MS: u64 = 2 * REMOVE_AFTER_MS;
+/// Time within which the store carries out a removal, in milliseconds.
+pub const LATE_REMOVAL_MS: u64 = 15_000;
 /// Most versions that are remembered.
 pub const MAX_VERSIONS: usize = 4_096;
 
@@ -92,6 +96,8 @@
     missing_since: Option<Time>,
     /// Time before which no further attempt to write is made.
     next_write: Time,
+    /// When this member last tried to remove it, until it is recorded again for sure.
+    removal_sent: Option<Time>,
 }
 
 impl Entry {
@@ -103,6 +109,7 @@
             last_seen: now,
             missing_since: None,
             next_write: Time::default(),
+            removal_sent: None,
         }
     }
 
@@ -111,6 +118,12 @@
         self.is_stored = true;
         self.last_seen = now;
         self.missing_since = None;
+        self.removal_sent = self.removal_sent.filter(|_| !self.is_removal_over(now));
+    }
+
+    fn is_removal_over(&self, now: Time) -> bool {
+        let over = |sent: Time| now.since(sent) >= LATE_REMOVAL_MS;
+        self.removal_sent.is_some_and(over)
     }
 
     fn may_write(&mut self, now: Time) -> bool {
@@ -234,6 +247,9 @@
             };
             entry.last_seen = now;
             if entry.is_recorded {
+                if entry.is_removal_over(now) && entry.may_write(now) {
+                    changes.push(RecordChange::Add(name.clone()));
+                }
                 continue;
             }
             let since = *entry.missing_since.get_or_insert(now);
@@ -245,6 +261,7 @@
         for (version, entry) in &mut self.entries {
             let is_gone = now.since(entry.last_seen) >= REMOVE_AFTER_MS;
             if is_gone && entry.is_stored && owns(*version) && entry.may_write(now) {
+                entry.removal_sent = Some(now);
                 changes.push(RecordChange::Remove(*version));
             }
         }
