Write a member's record again if the store does not list it

An instance that was restarted could stay missing from the store's list of members for the whole life of its process, so that others which start later do not find it there: the removal sent by the process before, which waits 200 ms for it, may be carried out after the new record was written.

A process reads the list every 5 s anyway; if its own record is missing there, it writes it again, unless it is stopping.

--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -2,7 +2,9 @@
 Datagrams between gateways: membership and load reports.
 
 Gateways discover each other through seed addresses and through the store, in
-which each of them keeps a record with its address. Load reports are sent to all
+which each of them keeps a record with its address. The store may carry out the removal of
+a record seconds late, after the next process of the same instance has written its own, so
+a process that does not find its record writes it again. Load reports are sent to all
 members that are alive or suspected to have failed; their period grows with the
 number of members.
 */
@@ -313,8 +315,13 @@
                 Err(err) => event!(APPEND_FAILED, topic = MEMBERS_TOPIC, reason: = err),
             }
         }
-        let is_read = read_members(&gateway).await;
-        let delay = if is_announced && is_read {
+        let listed = read_members(&gateway).await;
+        if let Some(is_listed) = listed
+            && gateway.time_since_stop().is_none()
+        {
+            is_announced = is_listed;
+        }
+        let delay = if is_announced && listed.is_some() {
             READ_INTERVAL
         } else {
             RETRY_DELAY
@@ -323,18 +330,25 @@
     }
 }
 
-async fn read_members(gateway: &Rc<Gateway>) -> bool {
+/// Reads the addresses of all instances; returns whether this process's is among them, or
+/// `None` if the store can't be read.
+async fn read_members(gateway: &Rc<Gateway>) -> Option<bool> {
+    let own = gateway.settings.addresses.peers;
+    let mut is_listed = false;
     let mut found = Vec::new();
     let mut after: Option<String> = None;
     loop {
         let Ok(page) = gateway.store.latest(MEMBERS_TOPIC, after.as_deref()).await else {
-            return false;
+            return None;
         };
         after = page.items.last().map(|item| item.key.clone());
         for item in page.items {
             let value = item.value.unwrap_or_default();
             match postcard::from_bytes::<Announcement>(&value) {
-                Ok(announcement) => found.push(announcement.peers),
+                Ok(announcement) => {
+                    is_listed |= item.key == gateway.settings.instance && announcement.peers == own;
+                    found.push(announcement.peers);
+                }
                 Err(err) if !value.is_empty() => {
                     event!(RECORD_SKIPPED, key = item.key, reason: = err);
                 }
@@ -358,5 +372,5 @@
     gateway
         .members_read_at
         .set(read_at.or_else(|| Some(gateway.now())));
-    true
+    Some(is_listed)
 }
