--- a/cicadagate-policy/tests/batch_share.rs
+++ b/cicadagate-policy/tests/batch_share.rs
@@ -3,8 +3,11 @@
 use {
     cicadagate_policy::{
         ids::{JobId, MemberId},
-        process::batch_share::{
-            DEADLINE_FILL_PERCENT, NORMAL_FILL_PERCENT, Plan, Slots, fill_percent, plan, runner,
+        process::{
+            batch_share::{
+                DEADLINE_FILL_PERCENT, NORMAL_FILL_PERCENT, Plan, Slots, fill_percent, plan, runner,
+            },
+            demand_swing::{FREE_SLOT_QUERIES, Swing, free_slot_queries},
         },
         version::job_index::ItemRef,
     },
@@ -96,3 +99,20 @@
     assert_eq!(fill_percent(15_000), NORMAL_FILL_PERCENT);
     assert_eq!(fill_percent(2_000), DEADLINE_FILL_PERCENT);
 }
+
+// Guards against overflows in the shares of services whose replicas have very many slots.
+#[test]
+fn very_many_slots_do_not_overflow() {
+    let slots = Slots {
+        total: u32::MAX,
+        online: 0,
+        fill_percent: 100,
+    };
+    assert_eq!(slots.for_batch(), u32::MAX as usize);
+    let swing = Swing {
+        peak: u32::MAX,
+        trough: 0,
+    };
+    assert!(swing.applies(u32::MAX, 1_000));
+    assert_eq!(free_slot_queries(0, u32::MAX), FREE_SLOT_QUERIES);
+}
--- a/cicadagate-policy/tests/replicas.rs
+++ b/cicadagate-policy/tests/replicas.rs
@@ -227,3 +227,27 @@
     assert_eq!(set.register(next), ReplicaChange::Added);
     assert!(choose(&set, NOW, 1).is_some());
 }
+
+// Guards against an overflow in the choice among replicas with very many slots, of which the
+// weights are the squares.
+#[test]
+fn replicas_with_very_many_slots_are_chosen() {
+    let mut set = ReplicaSet::default();
+    for index in 0..3 {
+        let mut many = registration(&format!("i{index}"));
+        many.slots = u32::MAX;
+        set.register(many);
+    }
+    for seed in 0..8 {
+        let connected = ReplicaLoad {
+            is_connected: true,
+            ..ReplicaLoad::default()
+        };
+        let chosen = set.choose(NOW, &Wanted::of("llm"), mix64(seed, 1), |_| connected);
+        assert!(chosen.is_some());
+    }
+    let usable = set.usable_slots(NOW, "llm", |replica| {
+        u64::from(replica.registration.slots) * 1_000
+    });
+    assert_eq!(usable, u32::MAX);
+}
