Compute shares of slots without overflow

In builds with overflow checks the request's task ended and its caller got no response (odd_entries processes_start_among_odd_entries: "attempt to add with overflow" in the process); in release builds the weights wrap around, and so do the slots for items (Slots::for_batch) and the checks of the demand's swing, so that requests and items go by arbitrary shares. Cause: weights are the square of the free slots times 64, and percentages of slots were computed in 32 bits. Fix: weights and their sum saturate; percentages are computed in 64 bits.

--- a/cicadagate-policy/src/process/batch_share.rs
+++ b/cicadagate-policy/src/process/batch_share.rs
@@ -97,8 +97,9 @@
     /// fleet.
     #[must_use]
     pub fn for_batch(self) -> usize {
-        let fillable = self.total * self.fill_percent / 100;
-        fillable.saturating_sub(self.online) as usize
+        let fillable = u64::from(self.total) * u64::from(self.fill_percent) / 100;
+        let free = fillable.saturating_sub(u64::from(self.online));
+        usize::try_from(free).unwrap_or(usize::MAX)
     }
 }
 
--- a/cicadagate-policy/src/process/demand_swing.rs
+++ b/cicadagate-policy/src/process/demand_swing.rs
@@ -94,19 +94,24 @@
     pub const fn applies(self, total_slots: u32, period_ms: u64) -> bool {
         let difference = self.peak.saturating_sub(self.trough);
         period_ms > MAX_FRESH_PERIOD_MS
-            && self.peak * 100 >= self.trough * MIN_RATIO_PERCENT
+            && is_share(self.peak, self.trough, MIN_RATIO_PERCENT)
             && difference > 0
-            && difference * 100 >= total_slots * MIN_SWING_PERCENT
+            && is_share(difference, total_slots, MIN_SWING_PERCENT)
     }
 }
 
+/// Returns whether a part is at least `percent` percent of a whole.
+const fn is_share(part: u32, whole: u32, percent: u32) -> bool {
+    part as u64 * 100 >= whole as u64 * percent as u64
+}
+
 /// Returns how many replicas an online request asks for a free slot only.
 ///
 /// `used` is the number of slots that online requests and items occupy by the reports.
 #[must_use]
 pub const fn free_slot_queries(used: u32, total_slots: u32) -> usize {
     let free = total_slots.saturating_sub(used);
-    if free * 100 >= total_slots * MIN_FREE_PERCENT && total_slots > 0 {
+    if is_share(free, total_slots, MIN_FREE_PERCENT) && total_slots > 0 {
         FREE_SLOT_QUERIES
     } else {
         0
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -857,7 +857,7 @@
             .filter(|candidate| candidate.penalty == least_penalty)
             .collect();
         let weight = |candidate: &&Candidate<'_>| candidate.weight();
-        let total: u64 = preferred.iter().map(weight).sum();
+        let total = preferred.iter().map(weight).fold(0, u64::saturating_add);
         if total == 0 {
             let least_used = preferred.into_iter().min_by_key(|candidate| {
                 (
@@ -947,7 +947,7 @@
     fn weight(&self) -> u64 {
         let weight = u64::from(self.free_slots()).pow(2);
         if self.is_connected {
-            weight * CONNECTED_WEIGHT
+            weight.saturating_mul(CONNECTED_WEIGHT)
         } else {
             weight
         }
