Read the store before a stream of unknown version goes on

Cause: a gateway that nobody tells the origin of a stream took its own registrations and the list of versions, which it read at its start, as the present state.

Change: unless several versions are known already, the list and the registrations are read once more, in reads that begin after the request has arrived. Another version in them, or a failed read, refuses the stream (503). The stream began before its caller resumed it, and its version was registered and listed before that, so the length of the cut or suspension and the clock don't matter. A listed version that nobody knows any more is removed in time, since it would refuse streams for ever now.

--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -26,6 +26,7 @@
 * `queries`: queries to other gateways that wait for a reply.
 * `stream_origins`: which software version began a stream.
 * `stop`: shutdown without interrupting requests.
+* `version_check`: reads that precede a decision about a stream of unknown origin.
 * `version_record`: software versions that the store lists.
 */
 
@@ -51,6 +52,7 @@
 pub mod slots;
 mod stop;
 pub mod stream_origins;
+pub mod version_check;
 mod version_record;
 
 use {
@@ -212,6 +214,8 @@
     pub version_record: RefCell<VersionRecord>,
     /// Whether the first attempt to read and complete the listed versions has ended.
     version_record_tried: Cell<bool>,
+    /// Reads for streams of unknown origin.
+    version_checks: version_check::SharedReads,
     /// Notices of lost contact with replicas that may still be sent.
     lost_contact_notices: lost_contact::NoticeBudget,
 }
@@ -290,6 +294,7 @@
             registrations_current: Notify::new(),
             version_record: RefCell::default(),
             version_record_tried: Cell::default(),
+            version_checks: version_check::SharedReads::default(),
             lost_contact_notices: lost_contact::NoticeBudget::default(),
             settings,
         })
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -38,7 +38,7 @@
 /// immediate retries would make all of them time out again.
 const LATEST_RETRY_PERIODS: u64 = 2;
 /// Most bytes of one read.
-const MAX_READ_BYTES: usize = 1024 * 1024;
+pub(super) const MAX_READ_BYTES: usize = 1024 * 1024;
 
 /// Follows the registrations until the process ends.
 pub(super) async fn follow(gateway: Rc<Gateway>) {
@@ -295,6 +295,19 @@
     }
 }
 
+/// Records the version that a record registers, and changes nothing else.
+pub(super) fn note_version(gateway: &Gateway, record: &Bytes) {
+    let Some(item) = gateway.store.decode_keyed(record) else {
+        return;
+    };
+    let Some(value) = &item.value else { return };
+    // The reader of registrations logs records that can't be decoded.
+    if let Ok(registration) = gateway.codec.registration(&item.key, value) {
+        let mut history = gateway.version_history.borrow_mut();
+        history.note(gateway.now(), &registration.service, registration.version());
+    }
+}
+
 /// Records that the version of a replica whose registration ends or changes was registered
 /// until now. Where others read the registrations, its renewals are not seen here.
 fn note_last_version(gateway: &Gateway, endpoint: EndpointId) {
--- a/cicadagate-gateway/src/process/stream_origins.rs
+++ b/cicadagate-gateway/src/process/stream_origins.rs
@@ -13,6 +13,7 @@
             membership::Health,
             placement::{PlacementCandidate, data_centre_hash},
             stream_origins::{StreamOriginMessage, holders, members_to_ask},
+            version_record::VersionName,
         },
     },
     cicadagate_wire::datagram::GatewayDatagram,
@@ -48,14 +49,15 @@
         }
     }
 
-    /// Returns the only version of a service at which a stream may have begun.
+    /// Returns the only version of a service at which a stream may have begun, as far as
+    /// this gateway knows. `listed` are versions that the store lists.
     #[must_use]
-    pub fn only_version(&self, service: &str) -> Option<SoftwareVersion> {
+    pub fn only_version(&self, service: &str, listed: &[VersionName]) -> Option<SoftwareVersion> {
         let replicas = self.replicas.borrow();
         let present = replicas.versions_of(service);
         let history = self.version_history.borrow();
         let record = self.version_record.borrow();
-        record.only_version(self.now(), service, present, &history)
+        record.only_version(self.now(), service, present, &history, listed)
     }
 }
 
--- a/cicadagate-gateway/src/process/version_record.rs
+++ b/cicadagate-gateway/src/process/version_record.rs
@@ -2,7 +2,7 @@
 Software versions that the store lists.
 
 [`version_record`](cicadagate_policy::process::version_record) decides; this module reads
-the list once, writes the changes that are due, and tells the other gateways.
+the list at the start, writes the changes that are due, and tells the other gateways.
 */
 
 use {
@@ -60,7 +60,8 @@
     }
 }
 
-async fn read(gateway: &Gateway) -> Result<Vec<VersionName>> {
+/// Reads the versions that the store lists.
+pub(super) async fn read(gateway: &Gateway) -> Result<Vec<VersionName>> {
     let mut listed = Vec::new();
     let mut after: Option<String> = None;
     loop {
--- a/cicadagate-gateway/src/request/resumption.rs
+++ b/cicadagate-gateway/src/request/resumption.rs
@@ -10,6 +10,7 @@
     crate::process::{
         Gateway,
         stream_origins::{self, OriginSource},
+        version_check,
     },
     cicadagate_node::event,
     cicadagate_policy::ids::SoftwareVersion,
@@ -31,11 +32,13 @@
     };
     let asked_at = gateway.now();
     let found = stream_origins::find(gateway, stream).await;
-    let bound = match found {
-        Some((version, _)) => service_with(gateway, request, version)
-            .map(|service| (service, version))
-            .ok_or(RequestError::VersionGone),
-        None => only_origin(gateway, request).ok_or(RequestError::VersionUnknown),
+    let bound = if let Some((version, _)) = found {
+        let service = service_with(gateway, request, version);
+        let bound = service.map(|service| (service, version));
+        bound.ok_or(RequestError::VersionGone)
+    } else {
+        let origin = only_origin(gateway, request).await;
+        origin.ok_or(RequestError::VersionUnknown)
     };
     let outcome = match (&bound, found) {
         (Ok(_), Some((_, OriginSource::Known))) => "known",
@@ -76,10 +79,16 @@
 
 /// Returns the service and version at which a stream of the request's route must have
 /// begun, since there is no other.
-fn only_origin(gateway: &Gateway, request: &PendingRequest) -> Option<(String, SoftwareVersion)> {
+async fn only_origin(
+    gateway: &Rc<Gateway>,
+    request: &PendingRequest,
+) -> Option<(String, SoftwareVersion)> {
     let [target] = request.route.targets.as_slice() else {
         return None;
     };
-    let version = gateway.only_version(&target.service)?;
+    // If several versions are known, a read can't change that.
+    gateway.only_version(&target.service, &[])?;
+    let listed = version_check::read(gateway).await?;
+    let version = gateway.only_version(&target.service, &listed)?;
     Some((target.service.clone(), version))
 }
--- a/cicadagate-policy/src/process/version_record.rs
+++ b/cicadagate-policy/src/process/version_record.rs
@@ -11,17 +11,23 @@
 
 The store lists the versions of each service, one key each. A version is recorded before
 resumable streams are sent to its replicas, and removed once no stream that began at it
-can be alive. A process reads the list once at its start; what it lists counts as present
+can be alive. A process reads the list at its start; what it lists counts as present
 for [`VERSION_MEMORY_MS`]. No times are stored, so that clocks do not matter.
 
+What a member has seen since may be stale without its knowledge: notices are lost, and a
+member that was cut off or suspended acts on its old state before it has read anything. So
+a stream of unknown origin goes on only after the list and the registrations were read
+once more, in reads that began after the caller resumed it: the stream had begun before,
+and its version was registered before that.
+
 A member that sees no replica of a version for [`UNRECORDED_AFTER_MS`] takes it as
 unrecorded, and the owner removes it only after [`REMOVE_AFTER_MS`]: a version that comes
 back is recorded again, also where the notice of its removal was lost.
 
 # Cost
 
-One store call for each version that appears and one for each that is gone, none for
-streams.
+One store call for each version that appears and one for each that is gone; two for the
+streams of unknown origin that callers resume during one read, none for others.
 */
 
 use {
@@ -147,6 +153,16 @@
         }
     }
 
+    /// Records what the store lists at a later read. A version that no member knows any more
+    /// is removed in time.
+    pub fn note_listed(&mut self, now: Time, listed: &[VersionName]) {
+        for name in listed {
+            if let Some(entry) = self.entry(now, name.id()) {
+                entry.is_stored = true;
+            }
+        }
+    }
+
     /// Returns whether the store was read.
     #[must_use]
     pub const fn is_read(&self) -> bool {
@@ -188,7 +204,8 @@
     }
 
     /// Returns the only version of a service at which a stream may have begun; `None` if
-    /// there are several, or if the record does not show that there is only one.
+    /// there are several, or if the record does not show that there is only one. `listed`
+    /// is what the store listed at a read that began after the caller resumed the stream.
     #[must_use]
     pub fn only_version(
         &self,
@@ -196,11 +213,16 @@
         service: &str,
         present: impl Iterator<Item = SoftwareVersion>,
         history: &VersionHistory,
+        listed: &[VersionName],
     ) -> Option<SoftwareVersion> {
         let version = history.only_version(now, service, present)?;
         if is_injected(Fault::IgnoreVersionRecord) {
             return Some(version);
         }
+        let mut of_service = listed.iter().filter(|name| name.service == service);
+        if of_service.any(|name| name.id() != version) {
+            return None;
+        }
         let read_at = self.read_at.filter(|_| !self.is_incomplete)?;
         let was_listed = self
             .entries
--- a/cicadagate-policy/tests/version_record.rs
+++ b/cicadagate-policy/tests/version_record.rs
@@ -51,12 +51,24 @@
 
     /// Returns what a resumed stream of unknown version is bound to.
     fn conclude(&mut self, now: Time, versions: &[&str]) -> Option<SoftwareVersion> {
+        self.conclude_after_read(now, versions, versions)
+    }
+
+    /// Returns the same if the store lists `listed` since the stream was resumed.
+    fn conclude_after_read(
+        &mut self,
+        now: Time,
+        versions: &[&str],
+        listed: &[&str],
+    ) -> Option<SoftwareVersion> {
+        let listed: Vec<VersionName> = listed.iter().map(|version| name(version)).collect();
         let present = versions.iter().map(|version| name(version).id());
         for version in present.clone() {
             self.history.note(now, SERVICE, version);
         }
         let history = &self.history;
-        self.record.only_version(now, SERVICE, present, history)
+        self.record
+            .only_version(now, SERVICE, present, history, &listed)
     }
 
     fn due(&mut self, now: Time, versions: &[&str], is_owner: bool) -> Vec<RecordChange> {
@@ -130,6 +142,68 @@
     assert_eq!(unread.due(much_later, &["v1"], true), []);
 }
 
+/// Returns whether a member that was cut off or suspended while another version joined takes
+/// the one that it knows for the only one, for each time at which it was started.
+fn concludes_after_suspension() -> Vec<bool> {
+    let suspended_until = Time(2 * VERSION_MEMORY_MS);
+    let concludes = |started: u64, listed: &[&str]| {
+        let mut member = Member::start(Time(started), listed);
+        let concluded = member.conclude_after_read(suspended_until, &["v1"], &["v1", "v2"]);
+        concluded.is_some()
+    };
+    vec![
+        concludes(1, &["v1"]),
+        concludes(suspended_until.0 - 1, &["v1"]),
+        // The time of the suspension proves nothing.
+        concludes(1, &[]),
+    ]
+}
+
+// Guards against a member that takes the only version that it has seen for the only one,
+// although it was out of step while another one joined.
+#[test]
+fn a_version_that_joined_unseen_is_found_in_the_store() {
+    assert_eq!(concludes_after_suspension(), [false; 3]);
+    let mut member = Member::start(Time(1), &["v1"]);
+    let only = Some(name("v1").id());
+    assert_eq!(member.conclude_after_read(Time(2), &["v1"], &["v1"]), only);
+    let other_service = VersionName {
+        service: "other".to_owned(),
+        ..name("v2")
+    };
+    let concluded = member.record.only_version(
+        Time(2),
+        SERVICE,
+        [name("v1").id()].into_iter(),
+        &member.history,
+        &[name("v1"), other_service],
+    );
+    assert_eq!(concluded, only);
+}
+
+#[test]
+fn detects_that_the_store_is_ignored_after_a_suspension() {
+    inject(Some(Fault::IgnoreVersionRecord));
+    assert_eq!(concludes_after_suspension(), [true; 3]);
+}
+
+// Guards against a version that stays listed, and whose presence refuses streams, since all
+// members that knew it ended or forgot it before they removed it.
+#[test]
+fn a_listed_version_that_nobody_knows_is_removed() {
+    let mut owner = Member::start(Time(1), &["v1"]);
+    let found = Time(1_000);
+    // Later reads do not put the removal off.
+    let mut now = found;
+    while now < found.plus(REMOVE_AFTER_MS) {
+        owner.record.note_listed(now, &[name("v0"), name("v1")]);
+        assert_eq!(owner.due(now, &["v1"], true), [], "{now:?}");
+        now = now.plus(1_000);
+    }
+    let removal = vec![RecordChange::Remove(name("v0").id())];
+    assert_eq!(owner.due(now, &["v1"], true), removal);
+}
+
 // Guards against versions that nobody records since the owner ended, and against members
 // that write at the same time as the owner.
 #[test]
