Log and count responses that are not attributed to a request

On-call engineers could not see that a replica responds twice, late or without an id: such responses were discarded without a line.

RESPONSE_DISCARDED has the request that was waiting, the endpoint, the status, the echoed id and the reason, and cicadagate_discarded_responses_total counts by reason: other_request, unattributed. The same holds for connections to other gateways.

Behaviour is unchanged.

--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -15,7 +15,7 @@
     actix_http::ResponseHead,
     actix_rt::time::sleep,
     bytes::Bytes,
-    cicadagate_node::event,
+    cicadagate_node::{connection::http_client::DiscardedResponse, event},
     cicadagate_policy::{
         ids::EndpointId,
         process::{
@@ -343,10 +343,12 @@
 }
 
 impl Gateway {
-    /// Records what responses that were discarded say of their replicas. They were to
-    /// requests that were sent at an unknown time.
-    pub fn note_discarded_heads(&self) {
-        for (endpoint, head) in self.pool.take_discarded_heads() {
+    /// Logs responses that were discarded, and records what they say of their replicas.
+    /// They are to requests that were sent at an unknown time.
+    pub fn note_discarded_heads(&self, request: &str) {
+        for discarded in self.pool.take_discarded() {
+            let endpoint = discarded.endpoint;
+            self.log_discarded(request, &discarded);
             let replica = {
                 let replicas = self.replicas.borrow();
                 replicas
@@ -354,10 +356,25 @@
                     .map(|replica| Rc::clone(&replica.registration))
             };
             if let Some(replica) = replica {
-                self.note_head("", &replica, &head, Time::default());
+                self.note_head("", &replica, &discarded.head, Time::default());
             }
         }
     }
+
+    /// Logs and counts a response that was not attributed to a request.
+    pub fn log_discarded(&self, request: &str, discarded: &DiscardedResponse) {
+        let (head, reason) = (&discarded.head, discarded.reason.as_str());
+        let counter = &self.metrics.discarded_responses;
+        counter.with_label_values(&[reason]).inc();
+        event!(
+            RESPONSE_DISCARDED,
+            request,
+            endpoint: = discarded.endpoint,
+            status = head.status.as_u16(),
+            echoed:? = head.headers.get(&self.codec.headers().request_id),
+            reason
+        );
+    }
 }
 
 /// Records that another gateway says of a replica that it is leaving.
--- a/cicadagate-gateway/src/request/through_member.rs
+++ b/cicadagate-gateway/src/request/through_member.rs
@@ -84,7 +84,11 @@
         let send = gateway
             .member_pool
             .send(now, pool_key, addr, reuse, &outgoing);
-        match timeout(left, send).await {
+        let received = timeout(left, send).await;
+        for discarded in gateway.member_pool.take_discarded() {
+            gateway.log_discarded(&request.id, &discarded);
+        }
+        match received {
             Ok(Ok(response)) if response.head.headers.contains_key(&MEMBER_HOP) => {
                 event!(
                     ATTEMPT_FAILED,
--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -359,7 +359,7 @@
 /// may have run.
 pub async fn send_once(addr: SocketAddr, req: &ReplicaRequest) -> Result<ReplicaResponse> {
     let conn = Connection::open(addr).await?;
-    exchange(conn, None, Attribution::ById, req, drop).await
+    exchange(conn, None, Attribution::ById, req, |_, _| ()).await
 }
 
 /// Returns whether a request may use a connection with others before or after it.
@@ -367,6 +367,26 @@
     req.id.is_some() && req.method != Method::HEAD
 }
 
+/// Why a response was discarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiscardReason {
+    /// It echoes the id of another request.
+    OtherRequest,
+    /// It echoes no id and may be to another request.
+    Unattributed,
+}
+
+impl DiscardReason {
+    /// Returns the name for logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::OtherRequest => "other_request",
+            Self::Unattributed => "unattributed",
+        }
+    }
+}
+
 /// Whose id a response echoes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Echo {
@@ -397,7 +417,7 @@
     pool_handle: Option<PoolHandle>,
     attribution: Attribution,
     req: &ReplicaRequest,
-    on_discarded: impl Fn(ResponseHead),
+    on_discarded: impl Fn(ResponseHead, DiscardReason),
 ) -> Result<ReplicaResponse> {
     let mut codec = ClientCodec::default();
     let mut unsent = encode(&mut codec, req)?;
@@ -409,7 +429,7 @@
         let echo = echo(&head.headers, req);
         let is_attributed = echo == Echo::Own || attribution == Attribution::ByOrder;
         if echo == Echo::Missing && !is_attributed && earlier_requests > 0 {
-            on_discarded(head);
+            on_discarded(head, DiscardReason::Unattributed);
             return Err(ExchangeError::Unattributed);
         }
         let keep_alive_timeout = keep_alive_timeout(&head.headers);
@@ -437,7 +457,7 @@
                 earlier_requests,
             });
         }
-        on_discarded(head);
+        on_discarded(head, DiscardReason::OtherRequest);
         // A response to another method may have a body.
         if req.method == Method::HEAD {
             return Err(ExchangeError::MismatchedId);
--- a/cicadagate-node/src/connection/http_client/mod.rs
+++ b/cicadagate-node/src/connection/http_client/mod.rs
@@ -13,7 +13,8 @@
 
 pub use {
     exchange::{
-        Body, BodyFraming, ExchangeError, ReplicaRequest, ReplicaResponse, Result, send_once,
+        Body, BodyFraming, DiscardReason, ExchangeError, ReplicaRequest, ReplicaResponse, Result,
+        send_once,
     },
-    pool::{Pool, Reuse},
+    pool::{DiscardedResponse, Pool, Reuse},
 };
--- a/cicadagate-node/src/connection/http_client/pool.rs
+++ b/cicadagate-node/src/connection/http_client/pool.rs
@@ -14,8 +14,8 @@
 
 use {
     super::exchange::{
-        Attribution, Connection, ExchangeError, ReplicaRequest, ReplicaResponse, Result,
-        allows_reuse, exchange,
+        Attribution, Connection, DiscardReason, ExchangeError, ReplicaRequest, ReplicaResponse,
+        Result, allows_reuse, exchange,
     },
     actix_http::ResponseHead,
     cicadagate_policy::{ids::EndpointId, time::Time},
@@ -92,6 +92,18 @@
     }
 }
 
+/// A response that was discarded, since it is not known to be to the request that was
+/// sent last.
+#[derive(Debug)]
+pub struct DiscardedResponse {
+    /// Replica.
+    pub endpoint: EndpointId,
+    /// Status and headers.
+    pub head: ResponseHead,
+    /// Why it was discarded.
+    pub reason: DiscardReason,
+}
+
 /// Idle connections to all replicas.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -101,7 +113,7 @@
     opened: Cell<u64>,
     reused: Cell<u64>,
     ignore_announced_until: Cell<Time>,
-    discarded_heads: RefCell<Vec<(EndpointId, ResponseHead)>>,
+    discarded: RefCell<Vec<DiscardedResponse>>,
 }
 
 impl Pool {
@@ -164,10 +176,14 @@
             idle_list: Rc::clone(&idle_list),
             now: Rc::clone(&self.now),
         };
-        let on_discarded = |head| {
-            let mut heads = self.discarded_heads.borrow_mut();
-            if heads.len() < MAX_DISCARDED_HEADS {
-                heads.push((endpoint, head));
+        let on_discarded = |head, reason| {
+            let mut discarded = self.discarded.borrow_mut();
+            if discarded.len() < MAX_DISCARDED_HEADS {
+                discarded.push(DiscardedResponse {
+                    endpoint,
+                    head,
+                    reason,
+                });
             }
         };
         let outcome = exchange(conn, Some(handle), self.attribution, req, on_discarded).await;
@@ -179,10 +195,10 @@
         outcome
     }
 
-    /// Takes the heads of responses that were discarded since the last call, since they
-    /// were to other requests. They still tell of the replica.
-    pub fn take_discarded_heads(&self) -> Vec<(EndpointId, ResponseHead)> {
-        self.discarded_heads.take()
+    /// Takes the responses that were discarded since the last call. Their heads still tell
+    /// of the replica.
+    pub fn take_discarded(&self) -> Vec<DiscardedResponse> {
+        self.discarded.take()
     }
 
     /// Connects to a replica and adds the connection to the pool.
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -109,6 +109,7 @@
     ATTEMPT_FAILED = 523, Warn, "An attempt at a replica failed.";
     REQUEST_BROKEN = 524, Warn, "A request ended without its complete response.";
     CALLER_LEFT = 525, Info, "A caller disconnected before its response was complete.";
+    RESPONSE_DISCARDED = 548, Warn, "A response was not attributed to the request that was sent last on its connection: it echoes another id, or none on a reused connection.";
     BATCH_PREEMPTED = 505, Debug, "A batch stream was preempted by online work.";
     ORDER_SENT = 506, Info, "A load order for a version was sent to an engine.";
     ORDER_FAILED = 507, Warn, "An engine refused a load order or did not respond to it.";
--- a/cicadagate-node/src/metrics.rs
+++ b/cicadagate-node/src/metrics.rs
@@ -6,6 +6,7 @@
 
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    core::Collector,
 };
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -25,6 +26,8 @@
     pub attempts: IntCounterVec,
     /// Bodies of replicas' responses by what ended them.
     pub body_ends: IntCounterVec,
+    /// Responses that were discarded, by reason.
+    pub discarded_responses: IntCounterVec,
     /// Requests that a leaving replica responded to, by how its leaving was known when
     /// the response arrived.
     pub requests_to_leaving: IntCounterVec,
@@ -54,6 +57,16 @@
     pub registration_reads: IntCounterVec,
 }
 
+fn register<C: Collector + Clone + 'static>(
+    registry: &Registry,
+    metric: prometheus::Result<C>,
+) -> C {
+    let metric = metric.expect("constant names are valid");
+    let registered = registry.register(Box::new(metric.clone()));
+    registered.expect("names differ");
+    metric
+}
+
 impl Metrics {
     /// Creates and registers the metrics.
     ///
@@ -64,28 +77,17 @@
     pub fn new() -> Self {
         let registry = Registry::new();
         let counter = |name: &str, help: &str, label: &str| {
-            let counter = IntCounterVec::new(Opts::new(name, help), &[label]);
-            let counter = counter.expect("constant names are valid");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("names differ");
-            counter
+            register(
+                &registry,
+                IntCounterVec::new(Opts::new(name, help), &[label]),
+            )
         };
         let histogram = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
-            let histogram = Histogram::with_opts(opts).expect("constant names are valid");
-            registry
-                .register(Box::new(histogram.clone()))
-                .expect("names differ");
-            histogram
+            register(&registry, Histogram::with_opts(opts))
         };
         let gauge = |name: &str, help: &str, labels: &[&str]| {
-            let gauge = IntGaugeVec::new(Opts::new(name, help), labels);
-            let gauge = gauge.expect("constant names are valid");
-            registry
-                .register(Box::new(gauge.clone()))
-                .expect("names differ");
-            gauge
+            register(&registry, IntGaugeVec::new(Opts::new(name, help), labels))
         };
         let state = gauge("cicadagate_state", "Sizes of state, by kind.", &["kind"]);
         let waiting_tokens = gauge(
@@ -110,6 +112,11 @@
                 "Bodies of replicas' responses by what ended them.",
                 "end",
             ),
+            discarded_responses: counter(
+                "cicadagate_discarded_responses_total",
+                "Responses that were not attributed to the last request of their connection, by reason.",
+                "reason",
+            ),
             requests_to_leaving: counter(
                 "cicadagate_requests_to_leaving_total",
                 "Requests that leaving replicas responded to, by how the leaving was known.",
@@ -180,6 +187,10 @@
                 "cicadagate_datagram_bytes_total",
                 "Bytes of datagrams, by direction.",
             ),
+            (
+                "cicadagate_discarded_responses_total",
+                "Responses that were not attributed to the last request of their connection, by reason.",
+            ),
             (
                 "cicadagate_first_piece_seconds",
                 "Seconds until the first piece of an answer.",
--- a/cicadagate-node/tests/docs.rs
+++ b/cicadagate-node/tests/docs.rs
@@ -82,6 +82,7 @@
         &metrics.preemptions,
         &metrics.requests_to_leaving,
         &metrics.resumptions,
+        &metrics.discarded_responses,
         &metrics.registration_reads,
     ] {
         counter.with_label_values(&["x"]).inc();
--- a/cicadagate-node/tests/http_client.rs
+++ b/cicadagate-node/tests/http_client.rs
@@ -8,7 +8,7 @@
     actix_rt::net::TcpListener,
     bytes::Bytes,
     cicadagate_node::connection::http_client::{
-        ExchangeError, Pool, ReplicaRequest, Result, Reuse,
+        DiscardReason, ExchangeError, Pool, ReplicaRequest, Result, Reuse,
     },
     cicadagate_policy::{ids::EndpointId, time::Time},
     std::{future::Future, net::SocketAddr},
@@ -124,7 +124,9 @@
         let err = send(&pool, addr, "b").await.expect_err("no response");
         assert!(matches!(err, ExchangeError::Unattributed), "{err}");
         assert!(err.may_have_run());
-        assert_eq!(pool.take_discarded_heads().len(), 1);
+        let discarded = pool.take_discarded();
+        let reasons: Vec<_> = discarded.iter().map(|discarded| discarded.reason).collect();
+        assert_eq!(reasons, [DiscardReason::Unattributed]);
         // The connection is closed.
         send(&pool, addr, "c").await.expect("a response");
         assert_eq!(pool.counts(), (2, 1));
@@ -172,6 +174,8 @@
         let request = send(&pool, addr, "a");
         let waiting = actix_rt::time::timeout(std::time::Duration::from_millis(200), request);
         assert!(waiting.await.is_err(), "it is discarded");
-        assert_eq!(pool.take_discarded_heads().len(), 1);
+        let discarded = pool.take_discarded();
+        let reasons: Vec<_> = discarded.iter().map(|discarded| discarded.reason).collect();
+        assert_eq!(reasons, [DiscardReason::OtherRequest]);
     });
 }
