Wait for current registrations before a stream goes on at its version

What callers saw: at a gateway that was suspended, streams of known version went on at a replica that had restarted under its id with other software and had registered again meanwhile.

Cause: the gateway chose by the registrations of before the suspension.

Change: a stream that goes on at a version waits until the registrations are at most the drain time old, for 0.6 s at most, and not while the reader of the registrations knows that the store is away. The age counts from when a read was sent, not from its end, so that a response that was received before the suspension and handled after it doesn't count as current.

--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -37,6 +37,11 @@
 /// In a large fleet that starts as a whole these reads take the store seconds, and
 /// immediate retries would make all of them time out again.
 const LATEST_RETRY_PERIODS: u64 = 2;
+/// Longest time for which a stream that goes on at a software version waits for current
+/// registrations, in milliseconds.
+const MAX_CURRENT_WAIT_MS: u64 = 600;
+/// Time between two checks whether the registrations are current.
+const CURRENT_CHECK: Duration = Duration::from_millis(5);
 /// Most bytes of one read.
 pub(super) const MAX_READ_BYTES: usize = 1024 * 1024;
 
@@ -191,6 +196,7 @@
         Role::Served => "fallback",
     };
     registration_news::count(gateway, kind);
+    let sent = gateway.now();
     let topic = gateway.codec.replica_topic();
     let read = gateway
         .store
@@ -203,9 +209,8 @@
         let mut feed = gateway.registration_feed.borrow_mut();
         feed.note_read(record, is_change);
     }
-    let now = gateway.now();
     let mut feed = gateway.registration_feed.borrow_mut();
-    feed.finish_read(now, page.end);
+    feed.finish_read(sent, page.end);
     if feed.next() >= Some(page.end) {
         gateway.replicas.borrow_mut().note_complete_read();
     }
@@ -323,6 +328,24 @@
 }
 
 impl Gateway {
+    /// Waits, for at most [`MAX_CURRENT_WAIT_MS`], until the registrations are those of at
+    /// most the drain time ago. They are older if this process was suspended, and a replica
+    /// may have restarted with other software meanwhile. While the store is known to be away
+    /// there is no wait.
+    pub async fn wait_for_current_registrations(&self) {
+        let limits = registration_news::read_limits(self);
+        let since = self.now();
+        loop {
+            let now = self.now();
+            let is_current = self.registration_feed.borrow().is_current(now, &limits);
+            let is_in_vain = !self.replicas.borrow().is_store_reachable();
+            if is_current || is_in_vain || now.since(since) >= MAX_CURRENT_WAIT_MS {
+                return;
+            }
+            sleep(CURRENT_CHECK).await;
+        }
+    }
+
     /// Records what the head of a replica's response says of the replica. The
     /// request was sent at `sent_at` or later.
     pub fn note_head(
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -106,7 +106,10 @@
             if (is_cut_off && self.is_from_member) || self.may_go_through_member(gateway) {
                 return SendOutcome::Failed(self.resolve_error(RequestError::NoReplica));
             }
-            let slot_requested_at = now;
+            if self.version.is_some() {
+                gateway.wait_for_current_registrations().await;
+            }
+            let slot_requested_at = gateway.now();
             let Some(target) = self.take_slot(gateway).await else {
                 return SendOutcome::Failed(self.resolve_error(RequestError::NoReplica));
             };
--- a/cicadagate-policy/src/process/registration_readers.rs
+++ b/cicadagate-policy/src/process/registration_readers.rs
@@ -353,13 +353,19 @@
         }
     }
 
-    /// Records the end of an own read: the topic ended at `end`.
-    pub fn finish_read(&mut self, now: Time, end: u64) {
+    /// Records the end of an own read that was sent at `sent`: the topic ended at `end`.
+    pub fn finish_read(&mut self, sent: Time, end: u64) {
         if self.next.is_some_and(|next| next >= end) {
-            self.at_end = now;
+            self.at_end = self.at_end.max(sent);
         }
     }
 
+    /// Returns whether the member was at the end of the topic within the drain time.
+    #[must_use]
+    pub const fn is_current(&self, now: Time, limits: &ReadLimits) -> bool {
+        now.since(self.at_end) < limits.drain_ms
+    }
+
     /// Returns whether the latest records are fewer bytes than the records from the member's
     /// offset to `end`.
     #[must_use]
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -304,6 +304,12 @@
         }
     }
 
+    /// Returns whether the store is reachable, as far as known.
+    #[must_use]
+    pub const fn is_store_reachable(&self) -> bool {
+        self.store_unreachable_since.is_none()
+    }
+
     fn keeps_lapsed(&self, now: Time) -> bool {
         self.store_unreachable_since.is_some()
             || self
