--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -328,7 +328,7 @@
 }
 
 impl Gateway {
-    /// Waits, for at most [`MAX_CURRENT_WAIT_MS`], until the registrations are those of at
+    /// Waits, for at most `MAX_CURRENT_WAIT_MS`, until the registrations are those of at
     /// most the drain time ago. They are older if this process was suspended, and a replica
     /// may have restarted with other software meanwhile. While the store is known to be away
     /// there is no wait.
