Reject a page of records that does not begin at the requested offset

A page that another gateway returns is authenticated but not bound to its request. A page from another offset would be applied to the job index, which skips records or applies them out of order.

Not seen, and not reproduced: a connection carries one operation at a time and is dropped if its response is not read, so such a page needs a replayed response. There is no test for it, as it needs a forged peer.

--- a/cicadagate-gateway/src/process/fleet_store.rs
+++ b/cicadagate-gateway/src/process/fleet_store.rs
@@ -411,7 +411,7 @@
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         };
         match Rc::clone(self).execute(operation).await? {
-            Output::Page(page) => Ok(page),
+            Output::Page(page) if page.from == from => Ok(page),
             _ => Err(mismatched_response()),
         }
     }
