--- a/cicadagate-policy/src/version/job_index.rs
+++ b/cicadagate-policy/src/version/job_index.rs
@@ -26,8 +26,9 @@
 
 # Cost
 
-Each process keeps an entry of some tens of bytes for each item and another for
-its result. A result is listed one append later than its content was written.
+Each process keeps an entry of some tens of bytes for each item and another for its
+result, and the locations of the partial outputs of items without a result. A result is
+listed one append later than its content was written.
 */
 
 use {
