--- a/cicadagate-policy/src/version/jobs.rs
+++ b/cicadagate-policy/src/version/jobs.rs
@@ -473,8 +473,11 @@
     /// Run the item.
     Run,
     /// Record the outcome as unknown: the item can't be repeated, and the
-    /// intent of another claim came first.
+    /// intent of an earlier claim came first.
     Unknown,
+    /// Nothing: the intent of a later claim came first, so the claimant has
+    /// lost the job, and the item is the later claimant's to run.
+    ClaimLost,
 }
 
 /// The state of the items of one job, computed from its data stream.
