A superseded claimant gives no item an outcome

Callers could read "outcome unknown" for an item that ran once and completed.

Cause: `Items::status` told each claimant but the writer of the first intent that the outcome is unknown, also one whose claim is the earlier one. A claimant that reads the data stream before the jobs stream (it was paused, or reads of the jobs stream fail) meets the intent of the claim that replaced its own, and writes `Unknown` as the item's result. The first result in log order counts, so the later claimant's result is dropped.

Fix: fencing tokens are offsets of claims that follow each other, so a larger one is a later claim. Only an intent of an earlier claim makes an outcome unknown; behind that of a later claim the claimant does nothing. The records and how they are folded are unchanged, so previous builds read them alike.

--- a/cicadagate-batch/src/process/worker.rs
+++ b/cicadagate-batch/src/process/worker.rs
@@ -280,7 +280,7 @@
             }
             match self.items.status(index, self.fence, idempotent) {
                 ItemStatus::Run => return Some(index),
-                ItemStatus::Done => {}
+                ItemStatus::Done | ItemStatus::ClaimLost => {}
                 ItemStatus::Unknown => self.buffer_result(index, Outcome::Unknown),
             }
         }
--- a/cicadagate-policy/src/version/jobs.rs
+++ b/cicadagate-policy/src/version/jobs.rs
@@ -37,7 +37,10 @@
         ids::{FileId, JobId, MemberId, Offset},
     },
     serde::{Deserialize, Serialize},
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        cmp::Ordering,
+        collections::{BTreeMap, BTreeSet},
+    },
 };
 
 /// Maximum number of items of one job.
@@ -559,11 +562,17 @@
         if item.result.is_some() {
             return ItemStatus::Done;
         }
-        let is_other_claim = item.intent.is_some_and(|intent| intent != fence);
-        if is_other_claim && !idempotent && !is_injected(Fault::IgnoreIntent) {
-            return ItemStatus::Unknown;
+        let Some(intent) = item.intent.filter(|_| !idempotent) else {
+            return ItemStatus::Run;
+        };
+        // Claims follow each other by compare-and-set, so the claim with the
+        // larger fencing token is the later one.
+        match intent.cmp(&fence) {
+            _ if is_injected(Fault::IgnoreIntent) => ItemStatus::Run,
+            Ordering::Less => ItemStatus::Unknown,
+            Ordering::Equal => ItemStatus::Run,
+            Ordering::Greater => ItemStatus::ClaimLost,
         }
-        ItemStatus::Run
     }
 
     /// Returns the offset of the record that holds an item's result.
--- a/cicadagate-policy/tests/jobs/mod.rs
+++ b/cicadagate-policy/tests/jobs/mod.rs
@@ -56,6 +56,8 @@
     cancelled: BTreeMap<usize, Time>,
     /// Offset of the first result of each item, which is the expected one.
     results: BTreeMap<(usize, u32), Offset>,
+    /// Fence of the first intent of each job, whose writer may run the items.
+    first_intents: BTreeMap<usize, Offset>,
     counts: Counts,
 }
 
@@ -108,6 +110,7 @@
             acknowledged: BTreeSet::new(),
             cancelled: BTreeMap::new(),
             results: BTreeMap::new(),
+            first_intents: BTreeMap::new(),
             counts: Counts::new(),
         };
         simulation.jobs.append(Record::File(input_file()));
@@ -291,7 +294,8 @@
             fence,
             items,
         });
-        self.read_logs(worker);
+        self.first_intents.entry(job).or_insert(fence);
+        self.workers[worker].read_data(&self.data);
         self.workers[worker].intended.insert((job, offset));
     }
 
@@ -323,8 +327,17 @@
             .items(job)
             .status(item, fence, may_repeat)
         {
-            ItemStatus::Done => return Ok(()),
+            ItemStatus::Done | ItemStatus::ClaimLost => return Ok(()),
             ItemStatus::Unknown => {
+                if self
+                    .first_intents
+                    .get(&job)
+                    .is_some_and(|first| *first > fence)
+                {
+                    return Err(format!(
+                        "worker {worker} gave up item {item} of job {job}, which a later claim runs"
+                    ));
+                }
                 self.count("item unknown");
                 self.workers[worker]
                     .unwritten
--- a/cicadagate-policy/tests/jobs/worker.rs
+++ b/cicadagate-policy/tests/jobs/worker.rs
@@ -73,6 +73,14 @@
     }
 
     pub fn read(&mut self, jobs: &Stream<Record>, data: &Stream<Data>, now: Time) {
+        self.read_jobs(jobs);
+        self.read_data(data);
+        if !self.catch_up.has_gap() {
+            self.last_read = now;
+        }
+    }
+
+    fn read_jobs(&mut self, jobs: &Stream<Record>) {
         for (offset, record) in jobs.records_from(self.next) {
             self.next = offset.next();
             let covers = record.covers();
@@ -82,14 +90,15 @@
                 }
             }
         }
+    }
+
+    /// Reads the data stream only, as a worker does after an append to it.
+    pub fn read_data(&mut self, data: &Stream<Data>) {
         for (offset, record) in data.records_from(self.data_next) {
             self.data_next = offset.next();
             for items in &mut self.items {
                 items.apply(offset, &record);
             }
         }
-        if !self.catch_up.has_gap() {
-            self.last_read = now;
-        }
     }
 }
