Tests: an item that may run once only is preempted (red)

The owner of a replica preempts any batch request for online work and starts it again afterwards. Requests of the queue carry whether they may be repeated now; the queue does not use it yet.

--- a/cicadagate-dispatch/src/process/mod.rs
+++ b/cicadagate-dispatch/src/process/mod.rs
@@ -227,6 +227,7 @@
             class: submit.class,
             cost: submit.cost,
             start_by: now.plus(within),
+            may_repeat: submit.idempotent,
         };
         replica.queue.submit(now, request).map_err(|refused| {
             let reason = match refused {
--- a/cicadagate-lab/src/slopes/decisions.rs
+++ b/cicadagate-lab/src/slopes/decisions.rs
@@ -309,6 +309,7 @@
                 class,
                 cost: 20,
                 start_by,
+                may_repeat: true,
             };
             black_box(queue.submit(Time(1), request)).is_ok()
         };
--- a/cicadagate-policy/src/process/replica_queue.rs
+++ b/cicadagate-policy/src/process/replica_queue.rs
@@ -76,6 +76,8 @@
     pub cost: u64,
     /// Latest time at which it may start.
     pub start_by: Time,
+    /// Whether it may be sent to the replica again.
+    pub may_repeat: bool,
 }
 
 /// Why a request was not queued. A refused request has not run.
--- a/cicadagate-policy/tests/queue.rs
+++ b/cicadagate-policy/tests/queue.rs
@@ -19,6 +19,7 @@
         class,
         cost: 10,
         start_by: Time(u64::MAX),
+        may_repeat: true,
     }
 }
 
@@ -154,6 +155,34 @@
     assert!(matches!(actions.last(), Some(Action::Start(r)) if r.class == Class::Online));
 }
 
+/// Guards against a batch item that must run once and is sent to its replica
+/// again after a preemption.
+#[test]
+fn a_request_that_may_not_be_repeated_is_not_preempted() {
+    let mut queue = queue(3, 0);
+    for (number, may_repeat) in [(0, false), (1, true), (2, false)] {
+        let item = Request {
+            may_repeat,
+            ..request(number, "b", Class::Batch)
+        };
+        queue.submit(NOW, item).expect("queued");
+    }
+    let running = start_all(&mut queue, NOW);
+    assert_eq!(running.len(), 3);
+    queue
+        .submit(NOW, request(0, "a", Class::Online))
+        .expect("queued");
+    let mut preempted = Vec::new();
+    while let Some(action) = queue.next_action(NOW) {
+        if let Action::Preempt(id) = action {
+            preempted.push(id);
+        }
+    }
+    let repeatable = running.iter().filter(|request| request.may_repeat);
+    let expected: Vec<RequestId> = repeatable.map(|request| request.id).collect();
+    assert_eq!(preempted, expected);
+}
+
 #[test]
 fn the_same_request_is_queued_once() {
     let mut queue = queue(1, 0);
--- a/cicadagate-policy/tests/requests/mod.rs
+++ b/cicadagate-policy/tests/requests/mod.rs
@@ -203,6 +203,7 @@
             class,
             cost: PIECES,
             start_by: self.now.plus(within),
+            may_repeat: idempotent,
         };
         let deadline = self.now.plus(END_WITHIN_MS);
         let owner = usize::from(id.0[0]) % OWNERS;
