Requests that may not be repeated are not preempted

Batch items on a route that is not idempotent could run twice: preempted for an online request after they had been sent, they were sent to the replica again from their start.

Cause: the queue chose among all running batch requests, and the owner starts a preempted request again whatever it is.

Evidence: a_request_that_may_not_be_repeated_is_not_preempted failed before (3 of 3 preempted, 1 expected).

Fix: only requests that may be repeated are preempted. Online requests wait for the others, which end by themselves.

This also leaves no request for which the refusal "not run" of a preempted and then expired request is wrong and matters: only batch items that may be repeated are preempted, and they are tried again either way.

--- a/cicadagate-policy/src/process/replica_queue.rs
+++ b/cicadagate-policy/src/process/replica_queue.rs
@@ -76,7 +76,8 @@
     pub cost: u64,
     /// Latest time at which it may start.
     pub start_by: Time,
-    /// Whether it may be sent to the replica again.
+    /// Whether it may be sent to the replica again. A request that may not is
+    /// never preempted.
     pub may_repeat: bool,
 }
 
@@ -371,19 +372,15 @@
         if !self.cfg.priorities {
             return None;
         }
-        let allowed = self.batch_allowance(now);
-        let mut batch = self
-            .running
-            .values_mut()
-            .filter(|running| running.request.class == Class::Batch && !running.preempted);
-        let last = batch.next_back()?;
-        let count = 1 + batch.count();
-        if count <= allowed {
+        if self.running_count(Class::Batch) <= self.batch_allowance(now) {
             return None;
         }
-        let id = last.request.id;
-        self.running.get_mut(&id)?.preempted = true;
-        Some(id)
+        let last = self.running.values_mut().rev().find(|running| {
+            let request = running.request;
+            request.class == Class::Batch && request.may_repeat && !running.preempted
+        })?;
+        last.preempted = true;
+        Some(last.request.id)
     }
 
     fn select(&self, now: Time) -> Option<Queued> {
--- a/cicadagate-policy/tests/requests/mod.rs
+++ b/cicadagate-policy/tests/requests/mod.rs
@@ -327,6 +327,9 @@
         });
         if resumed {
             self.count("resumed batch");
+            if !self.callers[&id].idempotent {
+                return Err("a request that is not idempotent was sent again".to_owned());
+            }
             return Ok(());
         }
         let runs = self.runs.entry(id).or_insert(0);
