--- a/cicadagate-batch/src/request/run.rs
+++ b/cicadagate-batch/src/request/run.rs
@@ -14,7 +14,10 @@
     cicadagate_policy::{
         ids::{CustomerId, JobId, RequestId, hash64},
         process::replica_queue::Class,
-        request::replica_selection::prefix_hash,
+        request::{
+            item_tries::{ItemTries, TryFailure},
+            replica_selection::prefix_hash,
+        },
         version::{
             config::{Route, choose_backend},
             jobs::{Job, Outcome},
@@ -34,10 +37,6 @@
 const DEFAULT_MAX_TOKENS: u64 = 16;
 /// Maximum delay between two tries, in milliseconds.
 const MAX_RETRY_DELAY_MS: u64 = 5_000;
-/// Tries that did not run the item, such as when no replica is available,
-/// before the item fails. They do not count as tries of the item, so that it
-/// outlasts outages of replicas and of the log.
-const MAX_UNAVAILABLE_TRIES: u32 = 600;
 
 /// Runs an item until it has an outcome; `None` if its route has no deployment
 /// with a positive weight now.
@@ -46,9 +45,9 @@
         let reason = format!("no route leads to '{}'", job.endpoint);
         return Some(Outcome::Failed(reason));
     };
-    let (mut tries, mut unavailable_tries) = (0, 0);
+    let mut tries = ItemTries::new(batch.settings.max_tries);
     loop {
-        let spec = request_spec(job, index, line, &route, tries + unavailable_tries)?;
+        let spec = request_spec(job, index, line, &route, tries.ended())?;
         let is_idempotent = spec.idempotent;
         let failure = match run_try(batch, spec, job).await {
             Ok(body) => return Some(Outcome::Completed(body)),
@@ -57,17 +56,7 @@
         if !is_idempotent && !failure.not_run {
             return Some(Outcome::Unknown);
         }
-        match failure.kind {
-            FailureKind::Permanent | FailureKind::KeyWithdrawn => {
-                return Some(fail_item(job.id, index, &failure));
-            }
-            FailureKind::Busy | FailureKind::Unavailable | FailureKind::LogUnavailable => {
-                unavailable_tries += 1;
-            }
-            FailureKind::Failed if failure.not_run => unavailable_tries += 1,
-            FailureKind::Failed | FailureKind::Deadline => tries += 1,
-        }
-        if tries >= batch.settings.max_tries || unavailable_tries >= MAX_UNAVAILABLE_TRIES {
+        if tries.note_failure(try_failure(&failure)) {
             return Some(fail_item(job.id, index, &failure));
         }
         let delay_ms = failure
@@ -78,6 +67,17 @@
     }
 }
 
+/// Returns how a failed try counts.
+const fn try_failure(failure: &Failure) -> TryFailure {
+    match failure.kind {
+        FailureKind::Permanent | FailureKind::KeyWithdrawn => TryFailure::Permanent,
+        FailureKind::Failed | FailureKind::Deadline if failure.failed_by_endpoint => {
+            TryFailure::Endpoint
+        }
+        _ => TryFailure::Unavailable,
+    }
+}
+
 /// Logs the final failure of an item and returns its outcome.
 fn fail_item(job: JobId, index: u32, failure: &Failure) -> Outcome {
     event!(ITEM_FAILED, job: = job, item = index, reason = failure.detail.as_str());
--- a/cicadagate-node/src/request/answer.rs
+++ b/cicadagate-node/src/request/answer.rs
@@ -122,6 +122,8 @@
     pub kind: FailureKind,
     /// Whether it has certainly not run.
     pub not_run: bool,
+    /// Whether an endpoint failed at least one attempt.
+    pub failed_by_endpoint: bool,
     /// Retry-after in milliseconds; `None` if a retry can't succeed.
     pub retry_after_ms: Option<u64>,
     /// HTTP status of the endpoint or of the process that owns it, 0 if there
@@ -379,8 +381,8 @@
                 detail,
                 ..
             } => {
+                self.attempts.mark_failed_by_endpoint(progress);
                 if permanent {
-                    self.attempts.mark_failed(progress);
                     let failure = self.fail(FailureKind::Permanent, &detail);
                     return Err(Failure {
                         status,
@@ -522,6 +524,7 @@
         let failure = Failure {
             kind,
             not_run,
+            failed_by_endpoint: self.attempts.is_failed_by_endpoint(),
             retry_after_ms: Some(retry_ms),
             status: 0,
             detail: detail.to_owned(),
--- a/cicadagate-policy/src/request/attempt.rs
+++ b/cicadagate-policy/src/request/attempt.rs
@@ -106,6 +106,8 @@
     current_progress: Progress,
     /// Furthest progress of the earlier attempts.
     earlier_progress: Progress,
+    /// Whether an endpoint failed an attempt.
+    endpoint_failed: bool,
     /// Number of pieces relayed.
     relayed: u64,
     /// The complete response was relayed.
@@ -135,6 +137,7 @@
             runs: 0,
             current_progress: Progress::NotSent,
             earlier_progress: Progress::NotSent,
+            endpoint_failed: false,
             relayed: 0,
             ended: false,
         }
@@ -167,9 +170,26 @@
     /// The report replaces the local progress, also by an earlier state: what
     /// was sent to the next hop may not have been sent on from there.
     pub const fn mark_failed(&mut self, progress: Progress) {
+        self.endpoint_failed = !matches!(progress, Progress::NotSent);
         self.current_progress = progress;
     }
 
+    /// Records that the owner reports the current attempt as failed by its
+    /// endpoint, with its progress.
+    ///
+    /// A lost owner or a gap in its frames says nothing of the endpoint and is
+    /// recorded by [`mark_failed`](Self::mark_failed).
+    pub const fn mark_failed_by_endpoint(&mut self, progress: Progress) {
+        self.mark_failed(progress);
+        self.endpoint_failed = true;
+    }
+
+    /// Returns `true` if an endpoint failed an attempt.
+    #[must_use]
+    pub const fn is_failed_by_endpoint(&self) -> bool {
+        self.endpoint_failed
+    }
+
     /// Returns `true` if the request may run more than once.
     #[must_use]
     pub const fn is_idempotent(&self) -> bool {
