Lost owners do not count as failed tries of an item

An item of the separate binaries was given up after `max_tries` (4) tries whose owner, a process of ours, was lost: killed, restarted or cut off. No endpoint had failed it.

Cause: a try that may have run counted as failed, whether the owner reported a failure of the endpoint or the connection to the owner ended, a frame was missing, or the deadline passed while the try waited.

Items that may run once only end as unknown, as before.

Left: an owner that gives up a preempted request past its latest start (600 s) reports it as it reports a failed endpoint, and it still counts.

--- a/cicadagate-policy/src/request/attempt.rs
+++ b/cicadagate-policy/src/request/attempt.rs
@@ -170,7 +170,6 @@
     /// The report replaces the local progress, also by an earlier state: what
     /// was sent to the next hop may not have been sent on from there.
     pub const fn mark_failed(&mut self, progress: Progress) {
-        self.endpoint_failed = !matches!(progress, Progress::NotSent);
         self.current_progress = progress;
     }
 
