--- a/cicadagate-lab/tests/jobs.rs
+++ b/cicadagate-lab/tests/jobs.rs
@@ -5,6 +5,7 @@
 
 use {
     cicadagate_lab::load::caller::{check_output, job_lines},
+    futures_util::future::join,
     serde_json::{Value, json},
     std::{net::SocketAddr, time::Duration},
     support::{
@@ -105,6 +106,50 @@
     });
 }
 
+/// Guards against a response "not run" to a submission whose record is in the
+/// log, so that its job runs.
+#[test]
+fn a_submission_that_may_run_is_not_reported_as_not_run() {
+    run(async {
+        let setup = start(small_spec("unknown")).await;
+        let entry = setup.fleet.entries()[0];
+        let lines = job_lines(MODEL, &prompts(4), TOKENS);
+        let file = setup.caller.upload(entry, &lines).await.expect("uploaded");
+        // The log fails while the append is on its way, which takes effect.
+        let operation_ms = 1_000;
+        setup
+            .fleet
+            .inject_platform_faults(&json!({"log_slow_ms": operation_ms}))
+            .await
+            .expect("slow");
+        let submit = async { setup.caller.create_job(entry, &file, CHAT, "unknown").await };
+        let fail = async {
+            actix_rt::time::sleep(Duration::from_millis(operation_ms * 3 / 2)).await;
+            let down = json!({"log_down": true, "lose_answers": 1});
+            setup.fleet.inject_platform_faults(&down).await
+        };
+        let (rejection, down) = join(submit, fail).await;
+        down.expect("down");
+        let up = json!({"log_down": false, "log_slow_ms": 0, "lose_answers": 0});
+        setup.fleet.inject_platform_faults(&up).await.expect("up");
+        let is_known = async || {
+            let jobs = setup.fleet.ctl("i1", &["jobs"]).expect("jobs");
+            jobs["jobs"].as_array().is_some_and(|jobs| !jobs.is_empty())
+        };
+        setup
+            .fleet
+            .wait("the job is known", LIMIT, is_known)
+            .await
+            .expect("its record is in the log");
+        let rejection = rejection.expect_err("not read back");
+        assert!(rejection.contains("\"not_run\":false"), "{rejection}");
+        // A resend with the same key returns the same job.
+        let job = setup.caller.create_job(entry, &file, CHAT, "unknown").await;
+        let id = id_of(&job.expect("accepted"));
+        wait_for_job(&setup.caller, entry, &id).await;
+    });
+}
+
 /// A job that runs during an outage of the log completes with each item exactly
 /// once.
 #[test]
