--- a/cicadagate-lab/tests/jobs.rs
+++ b/cicadagate-lab/tests/jobs.rs
@@ -150,6 +150,32 @@
     });
 }
 
+/// Guards against a submission that is answered with the job of another one,
+/// which came at the same time with the same idempotency key and another file.
+#[test]
+fn submissions_with_one_key_for_two_files_conflict() {
+    run(async {
+        let setup = start(small_spec("conflict")).await;
+        let entry = setup.fleet.entries()[0];
+        let upload = async |prompt: &str| {
+            let lines = job_lines(MODEL, &[prompt.to_owned()], TOKENS);
+            setup.caller.upload(entry, &lines).await.expect("uploaded")
+        };
+        let (first, second) = (upload("first").await, upload("second").await);
+        setup
+            .fleet
+            .inject_platform_faults(&json!({"log_slow_ms": 500}))
+            .await
+            .expect("slow");
+        let submit = async |file: &str| setup.caller.create_job(entry, file, CHAT, "one").await;
+        let (first, second) = join(submit(&first), submit(&second)).await;
+        let accepted = usize::from(first.is_ok()) + usize::from(second.is_ok());
+        assert_eq!(accepted, 1, "{first:?} {second:?}");
+        let rejection = first.and(second).expect_err("one is rejected");
+        assert!(rejection.contains("\"conflict\""), "{rejection}");
+    });
+}
+
 /// A job that runs during an outage of the log completes with each item exactly
 /// once.
 #[test]
