--- a/cicadagate-lab/tests/platform.rs
+++ b/cicadagate-lab/tests/platform.rs
@@ -5,7 +5,7 @@
 
 use {
     cicadagate_lab::load::{Caller, Outcome, caller::job_lines},
-    serde_json::json,
+    serde_json::{Value, json},
     std::time::{Duration, Instant},
     support::{LIMIT, MODEL, assert_all_correct, prompts, run, small_spec, start, streams},
 };
@@ -306,3 +306,32 @@
             .expect("loaded");
     });
 }
+
+/// Guards against a secret that is returned for a repeated request to create a
+/// key, and that is not the secret of the key.
+#[test]
+fn a_repeated_creation_of_a_key_returns_no_invalid_secret() {
+    run(async {
+        let setup = start(small_spec("secret")).await;
+        let create = || {
+            let args = ["create-key", "qalaat", "--id", "second"];
+            setup
+                .fleet
+                .ctl("i1", &[&["--request-id", "second"], args.as_slice()].concat())
+        };
+        let first = create().expect("created");
+        let again = create();
+        setup.fleet.wait_in_force().expect("in force");
+        let is_valid = async |response: &Value| {
+            let secret = response["secret"].as_str().unwrap_or_default();
+            let file = Caller::new(secret)
+                .upload(setup.fleet.entries()[0], &job_lines(MODEL, &prompts(1), 1))
+                .await;
+            file.is_ok()
+        };
+        assert!(is_valid(&first).await, "the first secret is the key's");
+        if let Ok(again) = again {
+            assert!(is_valid(&again).await, "the second secret is not the key's");
+        }
+    });
+}
