A call to a batch process that may be carried out is not reported as not run

Callers were told "nothing was accepted", `not_run: true`, for a submission whose job then ran; one that sends it again without a key gets a second job.

Cause: three places turned an unknown outcome into "not done". The batch process answered so after an append without a response, and after one that was not read back in 5 s; the entry marked each error of a batch process as not run; and a call that one batch process may have carried out, and that was then refused by another one or could not be sent to it, counted as not run.

Fix: an append that the log has not refused leads to `outcome_unknown`, the only code whose error does not promise "not run". `call_batch` joins what it knows of all processes that it tried: "not done" only if none of them may have done it. That part has no test of its own. The reply has the same form, so entries of the previous build go on to read it, and report it as they did.

--- a/cicadagate-batch/src/process/files.rs
+++ b/cicadagate-batch/src/process/files.rs
@@ -5,7 +5,7 @@
 use {
     super::{
         Batch,
-        requests::{error_reply, log_unavailable},
+        requests::{error_reply, log_unavailable, not_read_back},
     },
     crate::{request::Line, version::DataStream},
     bytes::{Bytes, BytesMut},
@@ -57,12 +57,7 @@
         let file = self.jobs.state.borrow().file(id).cloned();
         match file {
             Some(file) if is_read_back => file_reply(&file),
-            _ if appended.is_ok() => error_reply(
-                "log_unavailable",
-                "the file is not read back yet; send it again",
-                2_000,
-            ),
-            _ => log_unavailable(),
+            _ => not_read_back(&appended),
         }
     }
 
--- a/cicadagate-batch/src/process/requests.rs
+++ b/cicadagate-batch/src/process/requests.rs
@@ -7,13 +7,13 @@
 
 use {
     super::Batch,
-    cicadagate_node::clock::unix_time_secs,
+    cicadagate_node::{clock::unix_time_secs, platform::PlatformError},
     cicadagate_policy::{
-        ids::{FileId, JobId, hash64},
+        ids::{FileId, JobId, Offset, hash64},
         process::membership::Role,
         version::jobs::{Job, JobState, MAX_ITEMS, Phase, Record, may_acknowledge},
     },
-    cicadagate_wire::peer::{BatchCall, BatchReply, JobStatus},
+    cicadagate_wire::peer::{BatchCall, BatchReply, JobStatus, OUTCOME_UNKNOWN},
 };
 
 /// Retry-after when the log is unavailable, in milliseconds.
@@ -28,8 +28,8 @@
     }
 }
 
-/// Returns the reply for a request that failed because of the log. A record may
-/// have been appended all the same if only the response was lost.
+/// Returns the reply for a request that failed because of the log, before it
+/// appended its record or since the log refused the record.
 pub(super) fn log_unavailable() -> BatchReply {
     error_reply(
         "log_unavailable",
@@ -38,6 +38,20 @@
     )
 }
 
+/// Returns the reply for a request whose record was not read back in time after
+/// its append.
+pub(super) fn not_read_back(appended: &Result<Offset, PlatformError>) -> BatchReply {
+    match appended {
+        Err(err) if !err.may_have_taken_effect() => log_unavailable(),
+        _ => error_reply(
+            OUTCOME_UNKNOWN,
+            "the log has not confirmed the request, which may still take effect; \
+             send it again with the same idempotency key",
+            LOG_RETRY_MS,
+        ),
+    }
+}
+
 fn not_found() -> BatchReply {
     error_reply("not_found", "there is no such file or job", 0)
 }
@@ -132,12 +146,7 @@
         let state = self.jobs.state.borrow().job(id).cloned();
         match state {
             Some(state) if is_read_back => self.job_reply(&state),
-            _ if appended.is_ok() => error_reply(
-                "log_unavailable",
-                "the job is not read back yet; send it again",
-                LOG_RETRY_MS,
-            ),
-            _ => log_unavailable(),
+            _ => not_read_back(&appended),
         }
     }
 
@@ -160,8 +169,8 @@
             let is_read_back = self
                 .wait_until(|state| state.job(job).is_some_and(ended))
                 .await;
-            if appended.is_err() && !is_read_back {
-                return log_unavailable();
+            if !is_read_back {
+                return not_read_back(&appended);
             }
         }
         self.find_job(customer, job)
--- a/cicadagate-entry/src/request/batches.rs
+++ b/cicadagate-entry/src/request/batches.rs
@@ -26,20 +26,22 @@
 /// Returns an error if no batch process replies or the reply is an error.
 pub(super) async fn call_batch(info: &RequestInfo, request: BatchCall) -> Result<BatchReply> {
     let hash = CustomerId::of(&info.customer.name).raw();
-    match cicadagate_node::request::call_batch(&info.entry.node, hash, &request).await {
+    let outcome = cicadagate_node::request::call_batch(&info.entry.node, hash, &request).await;
+    let err = match outcome.reply {
         Some(BatchReply::Error {
             code,
             message,
             retry_ms,
-        }) => Err(ApiError::from_peer(code, message, retry_ms)),
-        Some(reply) => Ok(reply),
-        None => Err(ApiError::not_run(
+        }) => ApiError::from_peer(code, message, retry_ms),
+        Some(reply) => return Ok(reply),
+        None => ApiError::not_run(
             503,
             "unavailable",
             "no batch process answers",
             BATCH_RETRY_MS,
-        )),
-    }
+        ),
+    };
+    Err(err.unless_run(outcome.may_be_done))
 }
 
 pub(super) async fn create(info: RequestInfo, mut req: Request) -> Result<Response<BoxBody>> {
--- a/cicadagate-entry/src/request/error.rs
+++ b/cicadagate-entry/src/request/error.rs
@@ -11,6 +11,7 @@
         connection::http::respond_json,
         request::{Failure, FailureKind},
     },
+    cicadagate_wire::peer::OUTCOME_UNKNOWN,
     serde_json::{Value, json},
 };
 
@@ -56,16 +57,24 @@
             _ if retry_ms > 0 => 503,
             _ => 400,
         };
+        let not_run = code != OUTCOME_UNKNOWN;
         let retry_ms = (retry_ms > 0).then_some(retry_ms);
         Self {
             status,
             code,
             message,
-            not_run: true,
+            not_run,
             retry_ms,
         }
     }
 
+    /// Returns the error without the promise that the request has not run if an
+    /// earlier try may have run it.
+    pub const fn unless_run(mut self, may_have_run: bool) -> Self {
+        self.not_run = self.not_run && !may_have_run;
+        self
+    }
+
     /// Creates an error for a request that failed without a complete response.
     pub fn from_failure(failure: &Failure) -> Self {
         let (status, code) = match failure.kind {
--- a/cicadagate-node/src/platform/mod.rs
+++ b/cicadagate-node/src/platform/mod.rs
@@ -34,10 +34,18 @@
         /// HTTP status.
         status: u16,
     },
-    /// A response or a record is invalid.
+    /// A response or a record is invalid. The call may have taken effect.
     #[snafu(display("unintelligible answer: {detail}"))]
     InvalidResponse {
         /// What is wrong with it.
         detail: String,
     },
 }
+
+impl PlatformError {
+    /// Returns whether the call may have taken effect.
+    #[must_use]
+    pub const fn may_have_taken_effect(&self) -> bool {
+        !matches!(self, Self::Refused { .. })
+    }
+}
--- a/cicadagate-node/src/request/mod.rs
+++ b/cicadagate-node/src/request/mod.rs
@@ -12,6 +12,6 @@
 
 pub use {
     answer::{Failure, FailureKind, RequestRun, RequestSpec, ResponseEvent},
-    batch::call_batch,
+    batch::{CallOutcome, call_batch},
     router::Router,
 };
--- a/cicadagate-operator/src/request/jobs.rs
+++ b/cicadagate-operator/src/request/jobs.rs
@@ -53,7 +53,7 @@
 
     async fn call_batch(&self, call: BatchCall) -> Result<BatchReply> {
         let order_seed = self.node.own_info().id.raw();
-        match call_batch(&self.node, order_seed, &call).await {
+        match call_batch(&self.node, order_seed, &call).await.reply {
             Some(BatchReply::Error { code, message, .. }) if code == "not_found" => {
                 Err(Status::not_found(message))
             }
--- a/cicadagate-wire/src/peer.rs
+++ b/cicadagate-wire/src/peer.rs
@@ -229,6 +229,10 @@
     pub keep_until: u64,
 }
 
+/// Error code of a call that may still take effect. The errors of all other
+/// codes say that it has not and never will.
+pub const OUTCOME_UNKNOWN: &str = "outcome_unknown";
+
 /// A batch process's response to a [`BatchCall`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
