A submission is not answered with the job of another one

Of two submissions at once with one idempotency key and two files, both were answered 200: the second one with the job of the first, whose file it had not sent.

Cause: the id of a job is that of its key, and the first record in log order wins. The check for another job with the key was made before the append only; after it, whichever job had the id was the answer.

Evidence: submissions_with_one_key_for_two_files_conflict failed before (2 accepted, 1 expected) and passes now.

Fix: the job that is read back is compared as that of a resend is.

--- a/cicadagate-batch/src/process/requests.rs
+++ b/cicadagate-batch/src/process/requests.rs
@@ -133,7 +133,7 @@
             id,
             customer,
             file,
-            endpoint,
+            endpoint: endpoint.clone(),
             items: input.lines,
             data_from,
             created,
@@ -145,7 +145,8 @@
         let is_read_back = self.wait_until(|state| may_acknowledge(state, id)).await;
         let state = self.jobs.state.borrow().job(id).cloned();
         match state {
-            Some(state) if is_read_back => self.job_reply(&state),
+            // Another submission with the same key may have come first.
+            Some(state) if is_read_back => self.reply_to_resend(&state, file, &endpoint),
             _ => not_read_back(&appended),
         }
     }
