A repeated creation of a key returns no invalid secret

An operator whose create-key got no response is told to ask again with the same request id, and got a secret that was no key's.

Cause: each request draws a secret, and the repeated record's verdict is the first one's, "accepted". The key has the first secret.

Evidence: a_repeated_creation_of_a_key_returns_no_invalid_secret failed before and passes now.

Fix: a secret is returned only if the key in the configuration has it. Otherwise the request is refused, and says that the key exists and to create another one; the first secret is kept nowhere.

--- a/cicadagate-lab/tests/platform.rs
+++ b/cicadagate-lab/tests/platform.rs
@@ -315,9 +315,10 @@
         let setup = start(small_spec("secret")).await;
         let create = || {
             let args = ["create-key", "qalaat", "--id", "second"];
-            setup
-                .fleet
-                .ctl("i1", &[&["--request-id", "second"], args.as_slice()].concat())
+            setup.fleet.ctl(
+                "i1",
+                &[&["--request-id", "second"], args.as_slice()].concat(),
+            )
         };
         let first = create().expect("created");
         let again = create();
--- a/cicadagate-operator/src/request/apply.rs
+++ b/cicadagate-operator/src/request/apply.rs
@@ -83,7 +83,32 @@
             }),
         };
         event!(CHANGE_DECIDED, id: = id, accepted = result.is_ok());
-        Ok(ApplyResponse { secret, ..result? })
+        let response = result?;
+        if let Change::PutKey(key) = &record.change
+            && !self.is_secret_of(key)
+        {
+            // An earlier request with the same id decided, with another secret.
+            return Err(Status::already_exists(format!(
+                "key '{}' was created before, and its secret is not kept; \
+                 withdraw it and create another one",
+                key.id
+            )));
+        }
+        Ok(ApplyResponse { secret, ..response })
+    }
+
+    /// Returns whether the secret of a created key is the one in the
+    /// configuration.
+    fn is_secret_of(&self, created: &Key) -> bool {
+        let config = self.node.config.borrow();
+        let object_key = ObjectKey::Key(created.id.clone());
+        config.objects().any(|(key, object)| {
+            *key == object_key
+                && matches!(
+                    &object.value,
+                    Object::Key(key) | Object::WithdrawnKey(key) if key.hash == created.hash
+                )
+        })
     }
 
     fn create_key(&self, key: rpc::Key, id: &RequestId) -> Result<(Change, String)> {
