Requests of an item under two claims have different ids

An item that was claimed anew could be refused by its replica as a duplicate while the request of the lost claimant still waited or ran there. Owners also keep what they run by request id alone.

Cause: the id of an item's request was derived from the job, the item and the number of the try, and each claim counts tries from 0.

Evidence: a_request_of_a_lost_claimant_does_not_hold_up_that_of_the_next failed with the id of before (Err(Duplicate) for claim 9 behind claim 5) and passes now.

Fix: the claim's fencing token is part of the id. Processes of the previous build keep their ids, which differ from the new ones.

--- a/cicadagate-batch/src/process/worker.rs
+++ b/cicadagate-batch/src/process/worker.rs
@@ -184,10 +184,11 @@
                     self.buffer_result(index, Outcome::Failed("the line is missing".to_owned()));
                     continue;
                 };
+                let fence = self.fence;
                 running.push(async move {
                     let _guard = batch.node.track_running();
                     batch.running_items.set(batch.running_items.get() + 1);
-                    let outcome = run_item(&batch, &job, index, &line).await;
+                    let outcome = run_item(&batch, &job, fence, index, &line).await;
                     batch.running_items.set(batch.running_items.get() - 1);
                     (index, outcome)
                 });
--- a/cicadagate-batch/src/request/run.rs
+++ b/cicadagate-batch/src/request/run.rs
@@ -12,7 +12,7 @@
         trace::TraceContext,
     },
     cicadagate_policy::{
-        ids::{CustomerId, JobId, RequestId, hash64},
+        ids::{CustomerId, JobId, Offset, RequestId},
         process::replica_queue::Class,
         request::{
             item_tries::{ItemTries, TryFailure},
@@ -20,7 +20,7 @@
         },
         version::{
             config::{Route, choose_backend},
-            jobs::{Job, Outcome},
+            jobs::{Job, Outcome, request_id},
         },
     },
     cicadagate_wire::peer::EndpointKind,
@@ -38,16 +38,23 @@
 /// Maximum delay between two tries, in milliseconds.
 const MAX_RETRY_DELAY_MS: u64 = 5_000;
 
-/// Runs an item until it has an outcome; `None` if its route has no deployment
-/// with a positive weight now.
-pub(crate) async fn run_item(batch: &Batch, job: &Job, index: u32, line: &Line) -> Option<Outcome> {
+/// Runs an item under the claim with fencing token `fence` until it has an
+/// outcome; `None` if its route has no deployment with a positive weight now.
+pub(crate) async fn run_item(
+    batch: &Batch,
+    job: &Job,
+    fence: Offset,
+    index: u32,
+    line: &Line,
+) -> Option<Outcome> {
     let Some(route) = route(batch, job, line) else {
         let reason = format!("no route leads to '{}'", job.endpoint);
         return Some(Outcome::Failed(reason));
     };
     let mut tries = ItemTries::new(batch.settings.max_tries);
     loop {
-        let spec = request_spec(job, index, line, &route, tries.ended())?;
+        let id = request_id(job.id, fence, index, tries.ended());
+        let spec = request_spec(job, id, line, &route)?;
         let is_idempotent = spec.idempotent;
         let failure = match run_try(batch, spec, job).await {
             Ok(body) => return Some(Outcome::Completed(body)),
@@ -99,20 +106,8 @@
     route(batch, job, line).is_none_or(|route| !route.non_idempotent)
 }
 
-/// Returns the request of one try. The id is derived from job, item and try, so
-/// that each try is a request of its own.
-fn request_spec(
-    job: &Job,
-    index: u32,
-    line: &Line,
-    route: &Route,
-    try_number: u32,
-) -> Option<RequestSpec> {
-    let mut id = [0; 16];
-    id[..8].copy_from_slice(&job.id.raw().to_le_bytes());
-    let suffix = hash64(&[&index.to_le_bytes(), &try_number.to_le_bytes()]);
-    id[8..].copy_from_slice(&suffix.to_le_bytes());
-    let id = RequestId(id);
+/// Returns the request of one try; each try is a request of its own.
+fn request_spec(job: &Job, id: RequestId, line: &Line, route: &Route) -> Option<RequestSpec> {
     let is_model = job.endpoint.starts_with("/v1/");
     let body = line.body.to_string();
     let model = line.body["model"].as_str().unwrap_or_default();
--- a/cicadagate-policy/src/version/jobs.rs
+++ b/cicadagate-policy/src/version/jobs.rs
@@ -34,7 +34,7 @@
 use {
     crate::{
         fault_injection::{Fault, is_injected},
-        ids::{FileId, JobId, MemberId, Offset},
+        ids::{FileId, JobId, MemberId, Offset, RequestId, hash64},
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -603,6 +603,24 @@
     }
 }
 
+/// Returns the id of the request that is sent in one try of an item under the
+/// claim with fencing token `fence`.
+///
+/// The requests of a lost claimant may still wait or run while the next one
+/// sends its own, so requests of two claims never share an id.
+#[must_use]
+pub fn request_id(job: JobId, fence: Offset, item: u32, try_number: u32) -> RequestId {
+    let mut id = [0; 16];
+    id[..8].copy_from_slice(&job.raw().to_le_bytes());
+    let suffix = hash64(&[
+        &fence.0.to_le_bytes(),
+        &item.to_le_bytes(),
+        &try_number.to_le_bytes(),
+    ]);
+    id[8..].copy_from_slice(&suffix.to_le_bytes());
+    RequestId(id)
+}
+
 /// Returns `true` if a job may be acknowledged to its caller.
 ///
 /// A job is known to be durable only once its record has been read back from
--- a/cicadagate-policy/tests/items.rs
+++ b/cicadagate-policy/tests/items.rs
@@ -1,8 +1,10 @@
 //! What claimants may do with the items of a job.
 
 use cicadagate_policy::{
-    ids::{JobId, Offset},
-    version::jobs::{Data, ItemStatus, Items, Outcome},
+    ids::{CustomerId, JobId, Offset},
+    process::replica_queue::{Class, Config, ReplicaQueue, Request},
+    time::Time,
+    version::jobs::{Data, ItemStatus, Items, Outcome, request_id},
 };
 
 const JOB: JobId = JobId::from_raw(1);
@@ -43,3 +45,26 @@
     assert_eq!(items.failed(), 0, "the item completed");
     assert_eq!(items.result_offset(0), Some(Offset(4)));
 }
+
+/// Guards against an item that its replica refuses as a duplicate while the
+/// request of a lost claimant still waits or runs there.
+#[test]
+fn a_request_of_a_lost_claimant_does_not_hold_up_that_of_the_next() {
+    let mut queue = ReplicaQueue::new(Config::default());
+    let request = |fence, item, try_number| Request {
+        id: request_id(JOB, Offset(fence), item, try_number),
+        customer: CustomerId::of("c"),
+        class: Class::Batch,
+        cost: 1,
+        start_by: Time(u64::MAX),
+        may_repeat: true,
+    };
+    for (fence, item, try_number) in [(5, 0, 0), (9, 0, 0), (9, 0, 1), (9, 1, 0)] {
+        let queued = queue.submit(Time(1), request(fence, item, try_number));
+        assert_eq!(
+            queued,
+            Ok(()),
+            "item {item}, claim {fence}, try {try_number}"
+        );
+    }
+}
