--- a/cicadagate-policy/src/version/jobs.rs
+++ b/cicadagate-policy/src/version/jobs.rs
@@ -34,10 +34,13 @@
 use {
     crate::{
         fault_injection::{Fault, is_injected},
-        ids::{FileId, JobId, MemberId, Offset},
+        ids::{FileId, JobId, MemberId, Offset, RequestId, hash64},
     },
     serde::{Deserialize, Serialize},
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        cmp::Ordering,
+        collections::{BTreeMap, BTreeSet},
+    },
 };
 
 /// Maximum number of items of one job.
@@ -473,8 +476,11 @@
     /// Run the item.
     Run,
     /// Record the outcome as unknown: the item can't be repeated, and the
-    /// intent of another claim came first.
+    /// intent of an earlier claim came first.
     Unknown,
+    /// Nothing: the intent of a later claim came first, so the claimant has
+    /// lost the job, and the item is the later claimant's to run.
+    ClaimLost,
 }
 
 /// The state of the items of one job, computed from its data stream.
@@ -556,11 +562,17 @@
         if item.result.is_some() {
             return ItemStatus::Done;
         }
-        let is_other_claim = item.intent.is_some_and(|intent| intent != fence);
-        if is_other_claim && !idempotent && !is_injected(Fault::IgnoreIntent) {
-            return ItemStatus::Unknown;
+        let Some(intent) = item.intent.filter(|_| !idempotent) else {
+            return ItemStatus::Run;
+        };
+        // Claims follow each other by compare-and-set, so the claim with the
+        // larger fencing token is the later one.
+        match intent.cmp(&fence) {
+            _ if is_injected(Fault::IgnoreIntent) => ItemStatus::Run,
+            Ordering::Less => ItemStatus::Unknown,
+            Ordering::Equal => ItemStatus::Run,
+            Ordering::Greater => ItemStatus::ClaimLost,
         }
-        ItemStatus::Run
     }
 
     /// Returns the offset of the record that holds an item's result.
@@ -591,6 +603,24 @@
     }
 }
 
+/// Returns the id of the request that is sent in one try of an item under the
+/// claim with fencing token `fence`.
+///
+/// The requests of a lost claimant may still wait or run while the next one
+/// sends its own, so requests of two claims never share an id.
+#[must_use]
+pub fn request_id(job: JobId, fence: Offset, item: u32, try_number: u32) -> RequestId {
+    let mut id = [0; 16];
+    id[..8].copy_from_slice(&job.raw().to_le_bytes());
+    let suffix = hash64(&[
+        &fence.0.to_le_bytes(),
+        &item.to_le_bytes(),
+        &try_number.to_le_bytes(),
+    ]);
+    id[8..].copy_from_slice(&suffix.to_le_bytes());
+    RequestId(id)
+}
+
 /// Returns `true` if a job may be acknowledged to its caller.
 ///
 /// A job is known to be durable only once its record has been read back from
--- a/cicadagate-policy/tests/repeated_records.rs
+++ b/cicadagate-policy/tests/repeated_records.rs
@@ -1,204 +1,117 @@
-//! Records of the job index that stand in the log more than once, the copies right after
-//! their original or behind newer records.
+//! Second and late copies of records change nothing: fuzz tests that append each
+//! kind of record of the streams of the separate binaries once and again, right
+//! after the first copy or behind newer records.
+
+#[path = "support/mod.rs"]
+mod support;
+
+#[path = "repeated_records/mod.rs"]
+mod repeated_records;
 
 use {
     cicadagate_policy::{
-        fault_injection::{Fault, inject},
-        ids::{CustomerId, ItemRunId, JobId, SoftwareVersion},
-        version::job_index::{
-            ContentLocation, ItemEntry, ItemRef, ItemState, JobIndex, Outcome, Progress, Record,
-            Submission,
+        fault_injection::Fault,
+        ids::{Offset, RequestId},
+        version::config::{
+            Change, Customer, MAX_DECIDED_IDS, ObjectKey, Record, Rejection, State, Verdict,
         },
     },
-    quickcheck::{Arbitrary, Gen, QuickCheck},
+    repeated_records::RepeatedRecords,
+    support::{FuzzPlan, assert_all_occurred, check_guarantees, count_detected},
 };
 
-const JOBS: u64 = 4;
-const ITEMS: u32 = 3;
-const FUZZ_CASES: u64 = 2_000;
-
-/// Returns a location; each content has its own.
-fn place(offset: u64) -> ContentLocation {
-    ContentLocation {
-        part: 0,
-        offset,
-        records: 1,
-        bytes: 10,
-    }
-}
-
-fn submission(job: u64, accepted_ms: u64) -> Submission {
-    let items = (0..ITEMS).map(|index| ItemEntry {
-        id: format!("item {index}"),
-        tokens: 10,
-        content: place(u64::from(index)),
-    });
-    Submission {
-        job: JobId::from_raw(job),
-        customer: CustomerId::of("huka"),
-        customer_name: "huka".to_owned(),
-        route: "r".to_owned(),
-        host: "a.example".to_owned(),
-        config_version: 1,
-        accepted_ms,
-        due_ms: accepted_ms + 1_000,
-        give_up_ms: accepted_ms + 60_000,
-        items: items.collect(),
-    }
-}
-
-fn saved(item: ItemRef, version: &str, last_event: u64, offset: u64) -> Record {
-    Record::SavedAtVersion {
-        item,
-        progress: Progress {
-            output: place(offset),
-            last_event,
-            version: None,
-        },
-        version: SoftwareVersion::of(version),
-    }
-}
-
-/// Returns a record about an item of an accepted job.
-fn item_record(g: &mut Gen, item: ItemRef, at: u64) -> Record {
-    match u8::arbitrary(g) % 8 {
-        0 | 1 => Record::Finished {
-            item,
-            outcome: *g
-                .choose(&[Outcome::Done(place(at)), Outcome::Abandoned])
-                .expect("some"),
-        },
-        2..=4 => {
-            let version = *g.choose(&["v1", "v2"]).expect("some");
-            saved(item, version, u64::arbitrary(g) % 5, at)
-        }
-        5 => Record::Saved {
-            item,
-            progress: Progress {
-                output: place(at),
-                last_event: u64::arbitrary(g) % 5,
-                version: None,
-            },
-        },
-        6 => Record::FailedRun {
-            item,
-            run: ItemRunId::from_raw(at),
-        },
-        _ => Record::Ended { job: item.job },
-    }
+#[test]
+fn copies_of_records_change_no_state() {
+    let counts = check_guarantees::<RepeatedRecords>(FuzzPlan::from_env(1, 600, 200));
+    assert_all_occurred(
+        &counts,
+        &[
+            "repeated",
+            "file",
+            "accept",
+            "claim",
+            "cancel",
+            "close",
+            "snapshot",
+            "move of a file",
+            "move of results",
+            "intent of items",
+            "results",
+            "chunk",
+            "intent of a request",
+            "customer",
+            "removed customer",
+            "key",
+            "withdrawn key",
+            "drain",
+            "end of a drain",
+            "roster",
+            "settled roster",
+            "snapshot of the configuration",
+            "model version",
+            "route",
+            "removed route",
+        ],
+    );
 }
 
-/// A log, and at which records which earlier ones are repeated. Records about a job follow its
-/// acceptance, since processes write them only after they have read it.
-#[derive(Clone, Debug)]
-struct RepeatedLog {
-    records: Vec<Record>,
-    /// Positions of an original and of the record behind which its copy stands.
-    copies: Vec<(usize, usize)>,
+fn assert_detected(fault: Fault) {
+    let plan = FuzzPlan::from_env(1, 50, 200);
+    assert!(
+        count_detected::<RepeatedRecords>(plan, fault) > 0,
+        "{fault:?} not detected"
+    );
 }
 
-impl Arbitrary for RepeatedLog {
-    fn arbitrary(g: &mut Gen) -> Self {
-        let len = u64::arbitrary(g) % 60;
-        let mut index = JobIndex::default();
-        let mut records: Vec<Record> = Vec::new();
-        for at in 0..len {
-            let job = u64::arbitrary(g) % JOBS;
-            let item = ItemRef {
-                job: JobId::from_raw(job),
-                index: u32::arbitrary(g) % ITEMS,
-            };
-            let is_about_item = index.job(item.job).is_some() && u8::arbitrary(g) % 5 > 0;
-            let record = match u8::arbitrary(g) % 3 {
-                _ if is_about_item => item_record(g, item, at),
-                0 => Record::Accepted(submission(job, 1_000 + at)),
-                _ => Record::Submitted {
-                    submission: submission(job, 1_000 + at),
-                    attempt: at,
-                    token_limit: *g.choose(&[30, 60, 90]).expect("some"),
-                },
-            };
-            index.apply(record.clone());
-            records.push(record);
-        }
-        let mut copies = Vec::new();
-        for original in 0..records.len() {
-            while u8::arbitrary(g) % 2 == 0 {
-                let distance = usize::arbitrary(g) % (records.len() - original);
-                copies.push((original, original + distance));
-            }
-        }
-        Self { records, copies }
-    }
-
-    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
-        let all = self.clone();
-        Box::new((0..all.copies.len()).map(move |at| {
-            let mut fewer = all.clone();
-            fewer.copies.remove(at);
-            fewer
-        }))
-    }
+#[test]
+fn detects_copies_of_results_that_count() {
+    assert_detected(Fault::LastResultWins);
 }
 
-/// Returns whether no copy changes anything in the index: jobs, results and their positions,
-/// partial outputs, failures, token counts and refused attempts.
-#[allow(clippy::needless_pass_by_value)] // quickcheck passes its inputs by value.
-fn copies_change_nothing(log: RepeatedLog) -> bool {
-    let mut index = JobIndex::default();
-    for (at, record) in log.records.iter().enumerate() {
-        index.apply(record.clone());
-        let before = format!("{index:?}");
-        for (original, _) in log.copies.iter().filter(|(_, behind)| *behind == at) {
-            index.apply(log.records[*original].clone());
-        }
-        if format!("{index:?}") != before {
-            return false;
-        }
-    }
-    true
+#[test]
+fn detects_copies_of_intents_that_count() {
+    assert_detected(Fault::IgnoreIntent);
 }
 
-// Guards against results, refusals, counts and partial outputs that differ since an append was
-// carried out twice, or once more seconds later.
 #[test]
-fn copies_of_records_change_nothing() {
-    QuickCheck::new()
-        .tests(FUZZ_CASES)
-        .quickcheck(copies_change_nothing as fn(RepeatedLog) -> bool);
+fn detects_copies_of_changes_that_count() {
+    assert_detected(Fault::SkipIdCheck);
 }
 
-#[test]
-fn a_planted_fault_is_detected() {
-    inject(Some(Fault::ForgetRefusedAttempt));
-    let mut g = Gen::new(100);
-    let detected = (0..FUZZ_CASES).any(|_| !copies_change_nothing(RepeatedLog::arbitrary(&mut g)));
-    inject(None);
-    assert!(detected);
+fn rate_change(id: &str, based_on: Offset, rate_milli: u64) -> Record {
+    Record {
+        id: RequestId::of(id),
+        based_on,
+        change: Change::PutCustomer(Customer {
+            name: "c".to_owned(),
+            rate_milli,
+            burst: 1,
+        }),
+    }
 }
 
-// Guards against items that start over since a late copy of an output, of a software version
-// that is gone, replaces the output that can be continued.
+/// Guards against a change that a copy restores after its request id has been
+/// forgotten.
 #[test]
-fn a_late_copy_of_an_output_of_another_version_does_not_return() {
-    let item = ItemRef {
-        job: JobId::from_raw(1),
-        index: 0,
-    };
-    let old = [saved(item, "v1", 20, 1), saved(item, "v1", 10, 2)];
-    for copy in &old {
-        let mut index = JobIndex::default();
-        index.apply(Record::Accepted(submission(1, 1_000)));
-        for record in old.iter().chain(&[saved(item, "v2", 5, 3)]) {
-            index.apply(record.clone());
-        }
-        assert!(!index.apply(copy.clone()));
-        let job = index.job(item.job).expect("accepted");
-        let Some(ItemState::Open(Some(progress))) = job.state(0) else {
-            panic!("an open item with an output");
-        };
-        assert_eq!(progress.version, Some(SoftwareVersion::of("v2")));
-        // A version that is installed again has new outputs.
-        assert!(index.apply(saved(item, "v1", 4, 4)));
+fn a_copy_of_a_change_with_a_forgotten_id_is_rejected() {
+    let mut state = State::default();
+    let first = rate_change("first", Offset::NONE, 1_000);
+    assert!(matches!(
+        state.apply(Offset(1), &first),
+        Some(Verdict::Accepted(_))
+    ));
+    let changes = MAX_DECIDED_IDS as u64 + 1;
+    for version in 1..=changes {
+        let next = rate_change(&version.to_string(), Offset(version), 1_000 + version);
+        state.apply(Offset(version + 1), &next);
     }
+    assert_eq!(state.verdict(first.id), None);
+    let now_at = state.object_version(&ObjectKey::Customer("c".to_owned()));
+    let copy = state.apply(Offset(changes + 2), &first);
+    assert_eq!(
+        copy,
+        Some(Verdict::Rejected(Rejection::Conflict { now_at }))
+    );
+    let rate_milli = state.customer("c").map(|customer| customer.rate_milli);
+    assert_eq!(rate_milli, Some(1_000 + changes));
 }
--- a/cicadagate-policy/tests/requests/mod.rs
+++ b/cicadagate-policy/tests/requests/mod.rs
@@ -203,6 +203,7 @@
             class,
             cost: PIECES,
             start_by: self.now.plus(within),
+            may_repeat: idempotent,
         };
         let deadline = self.now.plus(END_WITHIN_MS);
         let owner = usize::from(id.0[0]) % OWNERS;
@@ -326,6 +327,9 @@
         });
         if resumed {
             self.count("resumed batch");
+            if !self.callers[&id].idempotent {
+                return Err("a request that is not idempotent was sent again".to_owned());
+            }
             return Ok(());
         }
         let runs = self.runs.entry(id).or_insert(0);
