Wait for the other path also if the store rejects an operation as full

Callers could see a job refused with 503 that then ran: the store rejected the append with 507 after more than 120 ms, when it had been sent through another gateway as well, and that copy was carried out.

Cause: only an unavailable store made the direct path wait for the forwarded operation; 507 was returned at once, and counts as not done.

--- a/cicadagate-gateway/src/process/fleet_store.rs
+++ b/cicadagate-gateway/src/process/fleet_store.rs
@@ -15,8 +15,9 @@
 gateway carries it out and returns the store's response. An operation that takes
 much longer than usual is hedged: it is also forwarded, and the first usable
 response counts. The code that uses the store does not see which path was taken.
-Appending a record twice is harmless, so an operation whose response was lost is
-forwarded like any other. An operation that fails on both paths was not carried out
+An operation whose response was lost is forwarded like any other, so an append may be
+carried out twice, the second time seconds later: each kind of record has to mean the
+same if there are two of it. An operation that fails on both paths was not carried out
 only if both say so. While the store does not respond directly but another
 gateway reaches it, operations are forwarded without a direct attempt, except
 for one every half second that tries the store first.
@@ -213,7 +214,8 @@
             outcome = &mut direct => {
                 self.record_outcome(outcome.as_ref().err());
                 match outcome {
-                    Err(err) if err.is_unavailable() => {
+                    // The forwarded operation may be carried out whatever this one says.
+                    Err(err) if err.is_unavailable() || err.is_not_done() => {
                         forwarded.await.map_err(|next| err.join(next))
                     }
                     outcome => outcome,
