A late response does not raise a replica's rate

A replica that has lowered its rate could be sent too many requests for a moment (LIMIT): a second copy of a response from before named the higher rate and counted as observed now.

A rate that allows more than the known one counts only if its request was sent after that one was observed, as it was for the end of a rate. The next response corrects a rise that is ignored.

--- a/cicadagate-policy/src/process/replica_rates.rs
+++ b/cicadagate-policy/src/process/replica_rates.rs
@@ -201,6 +201,15 @@
     bucket: Bucket,
 }
 
+/// Returns whether a rate allows more than another; `None` is no limit.
+fn is_higher(rate: Option<RequestRate>, other: Option<RequestRate>) -> bool {
+    match (rate, other) {
+        (None, _) => true,
+        (Some(_), None) => false,
+        (Some(rate), Some(other)) => rate > other,
+    }
+}
+
 /// The rates that replicas have named, and the tokens that this process has
 /// granted as their owner.
 #[derive(Clone, Debug, Default)]
@@ -210,7 +219,8 @@
 
 impl ReplicaRates {
     /// Records the rate in a response of a replica's incarnation, if it named
-    /// one, to a request that was sent at `sent_at`.
+    /// one, to a request that was sent at `sent_at`. A rate that allows more than the
+    /// known one counts only if the request was sent after that was observed.
     pub fn note_response(
         &mut self,
         now: Time,
@@ -222,7 +232,8 @@
         let is_outdated = match self.replicas.get(&endpoint) {
             None => rate.is_none(),
             Some(known) if started_ms != known.started_ms => started_ms < known.started_ms,
-            Some(known) => rate.is_none() && sent_at < known.observed_at,
+            // It may be a second copy of a response from before the known one.
+            Some(known) => sent_at < known.observed_at && is_higher(rate, known.rate),
         };
         if is_outdated {
             return RateChange::None;
--- a/cicadagate-policy/tests/replica_rates.rs
+++ b/cicadagate-policy/tests/replica_rates.rs
@@ -358,6 +358,28 @@
     assert_eq!(named(&mut rates, 260, 255, Some(3.0), 1), RateChange::None);
 }
 
+// Guards against too many requests to a replica that has lowered its rate, since a response
+// from before, which comes a second time, names the higher one.
+#[test]
+fn a_late_response_does_not_raise_a_rate() {
+    let mut rates = ReplicaRates::default();
+    let mut named = |at, sent_at, per_s| {
+        let _ = rates.note_response(
+            Time(at),
+            REPLICA,
+            STARTED_MS,
+            Time(sent_at),
+            Some(rate(per_s)),
+        );
+        rates.rate(REPLICA)
+    };
+    assert_eq!(named(100, 90, 50.0), Some(rate(50.0)));
+    assert_eq!(named(200, 190, 5.0), Some(rate(5.0)));
+    assert_eq!(named(210, 0, 50.0), Some(rate(5.0)), "it is late");
+    assert_eq!(named(220, 0, 3.0), Some(rate(3.0)), "a lower one counts");
+    assert_eq!(named(240, 230, 50.0), Some(rate(50.0)), "it is raised");
+}
+
 // Guards against a rate that never gets older since members tell each other of it, so
 // that it can't be ended.
 #[test]
