RESPONSE_DISCARDED names the request that waited

The line named the request that finished next on any connection, which is another one under concurrency; so it could not show whose response was late.

The pool keeps the id of the waiting request with each discarded response. The two tests of http_client that discard a response check it.

--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -445,7 +445,7 @@
         .pool
         .send(now, endpoint, registration.addr, Reuse::Any, &request);
     let received = timeout(IDLE_TIMEOUT, send).await;
-    gateway.note_discarded_heads(&task.id);
+    gateway.note_discarded_heads();
     let response = match received {
         Ok(Ok(response)) => response,
         Ok(Err(err)) => {
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -381,10 +381,10 @@
 impl Gateway {
     /// Logs responses that were discarded, and records what they say of their replicas.
     /// They are to requests that were sent at an unknown time.
-    pub fn note_discarded_heads(&self, request: &str) {
+    pub fn note_discarded_heads(&self) {
         for discarded in self.pool.take_discarded() {
             let endpoint = discarded.endpoint;
-            self.log_discarded(request, &discarded);
+            self.log_discarded(&discarded);
             let replica = {
                 let replicas = self.replicas.borrow();
                 replicas
@@ -398,13 +398,13 @@
     }
 
     /// Logs and counts a response that was not attributed to a request.
-    pub fn log_discarded(&self, request: &str, discarded: &DiscardedResponse) {
+    pub fn log_discarded(&self, discarded: &DiscardedResponse) {
         let (head, reason) = (&discarded.head, discarded.reason.as_str());
         let counter = &self.metrics.discarded_responses;
         counter.with_label_values(&[reason]).inc();
         event!(
             RESPONSE_DISCARDED,
-            request,
+            request = discarded.request.as_str(),
             endpoint: = discarded.endpoint,
             status = head.status.as_u16(),
             echoed:? = head.headers.get(&self.codec.headers().request_id),
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -152,7 +152,7 @@
                 .pool
                 .send(now, target.endpoint, addr, reuse, &replica_request);
             let received = timeout(left, send).await;
-            gateway.note_discarded_heads(&self.id);
+            gateway.note_discarded_heads();
             let outcome = match received {
                 Err(_) => return SendOutcome::Failed(self.resolve_error(RequestError::TimedOut)),
                 Ok(Ok(response)) => self.handle_response(gateway, response, target),
--- a/cicadagate-gateway/src/request/through_member.rs
+++ b/cicadagate-gateway/src/request/through_member.rs
@@ -94,7 +94,7 @@
             .send(now, pool_key, addr, reuse, &outgoing);
         let received = timeout(left, send).await;
         for discarded in gateway.member_pool.take_discarded() {
-            gateway.log_discarded(&request.id, &discarded);
+            gateway.log_discarded(&discarded);
         }
         match received {
             Ok(Ok(response)) if response.head.headers.contains_key(&MEMBER_HOP) => {
--- a/cicadagate-node/src/connection/http_client/pool.rs
+++ b/cicadagate-node/src/connection/http_client/pool.rs
@@ -98,6 +98,9 @@
 pub struct DiscardedResponse {
     /// Replica.
     pub endpoint: EndpointId,
+    /// Id of the request that waited for a response on the connection; empty if it had
+    /// none.
+    pub request: String,
     /// Status and headers.
     pub head: ResponseHead,
     /// Why it was discarded.
@@ -179,8 +182,10 @@
         let on_discarded = |head, reason| {
             let mut discarded = self.discarded.borrow_mut();
             if discarded.len() < MAX_DISCARDED_HEADS {
+                let id = req.id.as_ref().map(|(_, id)| id.clone());
                 discarded.push(DiscardedResponse {
                     endpoint,
+                    request: id.unwrap_or_default(),
                     head,
                     reason,
                 });
--- a/cicadagate-node/tests/http_client.rs
+++ b/cicadagate-node/tests/http_client.rs
@@ -127,6 +127,7 @@
         let discarded = pool.take_discarded();
         let reasons: Vec<_> = discarded.iter().map(|discarded| discarded.reason).collect();
         assert_eq!(reasons, [DiscardReason::Unattributed]);
+        assert_eq!(discarded[0].request, "b");
         // The connection is closed.
         send(&pool, addr, "c").await.expect("a response");
         assert_eq!(pool.counts(), (2, 1));
@@ -177,5 +178,6 @@
         let discarded = pool.take_discarded();
         let reasons: Vec<_> = discarded.iter().map(|discarded| discarded.reason).collect();
         assert_eq!(reasons, [DiscardReason::OtherRequest]);
+        assert_eq!(discarded[0].request, "a");
     });
 }
