--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -576,6 +576,8 @@
     let store_operations = bind(addresses.peers).await?;
     event!(
         STARTED,
+        commit = gateway.settings.build.commit,
+        sources = gateway.settings.build.sources,
         instance = gateway.settings.instance.as_str(),
         member: = gateway.member_id,
         callers: = addresses.callers
--- a/cicadagate-gateway/src/settings.rs
+++ b/cicadagate-gateway/src/settings.rs
@@ -83,9 +83,20 @@
     pub cold_slack: f64,
 }
 
+/// What the program was built from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Build {
+    /// Start of the id of the commit that was checked out, or `unknown`.
+    pub commit: &'static str,
+    /// Start of a hash of the sources, in hexadecimal.
+    pub sources: &'static str,
+}
+
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
 pub struct Settings {
+    /// What the program was built from.
+    pub build: Build,
     /// Name of the instance (machine).
     pub instance: String,
     /// Data centre of the instance.
