Refuse requests that may outlast a stopping process

Cause: a process took requests until 1.5 s before its kill and exited 0.5 s before it, so one that needs more than a second was cut. A body in chunks widens the gap, since the check is made at the head.

A call for results does not wait past the exit either (read, not shown).

--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -317,7 +317,7 @@
         }
         let listed = read_members(&gateway).await;
         if let Some(is_listed) = listed
-            && gateway.time_since_stop().is_none()
+            && gateway.ms_since_stop().is_none()
         {
             is_announced = is_listed;
         }
--- a/cicadagate-gateway/src/process/stop.rs
+++ b/cicadagate-gateway/src/process/stop.rs
@@ -3,44 +3,64 @@
 
 After the stop signal the process reports that it is not ready, and its address
 is no longer advertised to callers. It still accepts and serves requests, with
-`Connection: close`, since callers cache addresses for a while. Shortly before
-the platform would kill the process, it rejects new requests without running
-them, and open requests get the remaining time.
+`Connection: close`, since callers cache addresses for a while. Later it refuses new
+requests that may last longer than the process does, and shortly before the
+platform would kill it all of them, without running them. [`Grace`] decides which.
 */
 
 use {
     super::Gateway,
     actix_rt::time::{sleep, timeout},
     cicadagate_node::{event, process::wait_for_signal},
-    cicadagate_policy::time::Time,
+    cicadagate_policy::{
+        process::shutdown::{Grace, Phase},
+        time::Time,
+    },
     std::{rc::Rc, time::Duration},
 };
 
-/// Time before the kill from which new requests are rejected.
-const REJECT_BEFORE_KILL: Duration = Duration::from_millis(1_500);
-/// Time before the kill at which the process exits, even if requests are open.
-const EXIT_BEFORE_KILL: Duration = Duration::from_millis(500);
 /// Longest time for announcing the exit to other gateways and in the store.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval between checks whether the process may exit.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 impl Gateway {
-    /// Returns whether the process is so close to its kill that it rejects new
+    /// Returns whether the process is so close to its kill that it refuses all new
     /// requests.
     #[must_use]
-    pub fn rejects_requests(&self) -> bool {
-        self.time_since_stop()
-            .is_some_and(|since| since >= self.bounds().grace.saturating_sub(REJECT_BEFORE_KILL))
+    pub fn refuses_requests(&self) -> bool {
+        let since_ms = self.ms_since_stop();
+        since_ms.is_some_and(|since_ms| since_ms >= self.grace().refuse_ms())
     }
 
-    /// Returns the time since the stop signal, or `None` before it.
+    /// Returns whether a new request that may last until `deadline` is admitted, as far as
+    /// the stop of the process is concerned.
     #[must_use]
-    pub fn time_since_stop(&self) -> Option<Duration> {
-        use cicadagate_policy::process::shutdown::Phase;
+    pub fn admits_until(&self, now: Time, deadline: Time) -> bool {
+        let since_ms = self.ms_since_stop();
+        since_ms.is_none_or(|since_ms| self.grace().admits(since_ms, deadline.since(now)))
+    }
+
+    /// Returns the time until which responses should begin, `until` if that is earlier or
+    /// the process is not stopping.
+    #[must_use]
+    pub fn respond_until(&self, until: Time) -> Time {
+        match self.phase.get() {
+            Phase::Serving => until,
+            Phase::Leaving { since } => until.min(since.plus(self.grace().respond_ms())),
+        }
+    }
+
+    fn grace(&self) -> Grace {
+        Grace::new(self.bounds().grace)
+    }
+
+    /// Returns the time since the stop signal in milliseconds, or `None` before it.
+    #[must_use]
+    pub fn ms_since_stop(&self) -> Option<u64> {
         match self.phase.get() {
             Phase::Serving => None,
-            Phase::Leaving { since } => Some(Duration::from_millis(self.now().since(since))),
+            Phase::Leaving { since } => Some(self.now().since(since)),
         }
     }
 }
@@ -56,11 +76,10 @@
     super::peers::publish_own_state(gateway, true);
     gateway.item_runner.hand_off(gateway).await;
     loop {
-        let since = gateway.time_since_stop().unwrap_or_default();
-        let grace = gateway.bounds().grace;
+        let since_ms = gateway.ms_since_stop().unwrap_or_default();
         let is_idle = gateway.open_requests.get() == 0;
-        let may_exit = since >= grace.saturating_sub(REJECT_BEFORE_KILL) && is_idle;
-        if may_exit || since >= grace.saturating_sub(EXIT_BEFORE_KILL) {
+        let may_exit = gateway.refuses_requests() && is_idle;
+        if may_exit || since_ms >= gateway.grace().exit_ms() {
             break;
         }
         sleep(POLL_INTERVAL).await;
--- a/cicadagate-gateway/src/request/admission.rs
+++ b/cicadagate-gateway/src/request/admission.rs
@@ -87,6 +87,10 @@
     }
     let destination = Destination::new(gateway, &req, Rc::clone(&route), &id);
     let is_online = route.kind != RouteKind::Batch;
+    let deadline = deadline(gateway, &req, &route, arrival);
+    if is_online && !gateway.admits_until(arrival, deadline) {
+        return refuse(gateway, &id, RequestError::Closing, &route.name, None);
+    }
     let is_from_member = req.headers().contains_key(&MEMBER_HOP);
     let goes_through_member =
         is_online && !is_from_member && through_member::is_needed(gateway, &destination.service);
@@ -115,7 +119,10 @@
     if route.kind == RouteKind::Batch {
         return job_requests::submit(gateway, &id, &context, &route, &body).await;
     }
-    let deadline = deadline(gateway, &req, &route, arrival);
+    // The stop may have begun while the body arrived.
+    if !gateway.admits_until(gateway.now(), deadline) {
+        return refuse(gateway, &id, RequestError::Closing, &route.name, None);
+    }
     let mut request = PendingRequest::new(
         gateway,
         &req,
@@ -138,7 +145,7 @@
     req: &Request,
     is_job_request: bool,
 ) -> Result<RequestContext, RequestError> {
-    if gateway.rejects_requests() {
+    if gateway.refuses_requests() {
         return Err(RequestError::Closing);
     }
     let config = gateway
--- a/cicadagate-gateway/src/request/job_requests.rs
+++ b/cicadagate-gateway/src/request/job_requests.rs
@@ -398,6 +398,8 @@
     }
     let until = gateway.now().plus(wait_ms);
     loop {
+        // The process may be told to stop meanwhile.
+        let until = gateway.respond_until(until);
         let (has_more, is_open) = {
             let index = gateway.jobs.index.borrow();
             let state = index.job(job);
