A body in an unknown transfer coding is no empty body

Cause: the client takes a response with any transfer coding as chunked, and the codec reads one that it does not know as a response without a body.

Change: such a response fails the exchange as malformed; the request may have run.

--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -434,6 +434,11 @@
         }
         let keep_alive_timeout = keep_alive_timeout(&head.headers);
         let framing = BodyFraming::of(&head, &req.method);
+        if framing == BodyFraming::Chunked && codec.message_type() == MessageType::None {
+            return Err(ExchangeError::Malformed {
+                reason: "transfer coding that is not chunked".to_owned(),
+            });
+        }
         let is_own = echo != Echo::Other;
         let is_reusable = is_attributed && allows_reuse(req) && conn.carried.len() < MAX_REQUESTS;
         let is_kept = codec.keep_alive() && (is_reusable || !is_own);
--- a/cicadagate-node/tests/http_client.rs
+++ b/cicadagate-node/tests/http_client.rs
@@ -181,3 +181,89 @@
         assert_eq!(discarded[0].request, "a");
     });
 }
+
+/// Starts a server that writes these bytes to each connection once a request has arrived, and
+/// closes it.
+async fn serve_bytes(bytes: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                if stream.read_buf(&mut head).await.unwrap_or(0) == 0 {
+                    break;
+                }
+            }
+            // The client may have left.
+            let _ = stream.write_all(bytes).await;
+        }
+    });
+    addr
+}
+
+// Guards against a response whose head was cut off at any place, and that counts as one with
+// an empty or short body.
+#[test]
+fn a_response_that_ends_within_its_head_is_an_error() {
+    const HEADS: [&str; 5] = [
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 10\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Id: a\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nConnection: close\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nX-Id: a\r\n\r\n",
+    ];
+    run(async {
+        for head in HEADS {
+            for cut in 0..head.len() {
+                let addr = serve_bytes(&head.as_bytes()[..cut]).await;
+                let sent = send(&Pool::new(), addr, "a").await;
+                assert!(
+                    matches!(sent, Err(ExchangeError::Broken { .. })),
+                    "{cut} of {head:?}: {sent:?}"
+                );
+            }
+            let addr = serve_bytes(head.as_bytes()).await;
+            assert!(send(&Pool::new(), addr, "a").await.is_ok(), "{head:?}");
+        }
+    });
+}
+
+// Guards against a body whose framing is not understood and that counts as an empty one.
+#[test]
+fn a_body_whose_length_is_not_clear_is_not_empty() {
+    const RESPONSES: [&str; 6] = [
+        "HTTP/1.0 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: identity\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: gzip\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: x\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\nhello",
+    ];
+    run(async {
+        for response in RESPONSES {
+            let addr = serve_bytes(response.as_bytes()).await;
+            let req = ReplicaRequest {
+                method: Method::GET,
+                target: "/a".to_owned(),
+                headers: HeaderMap::new(),
+                body: Bytes::new(),
+                id: Some((ID, "a".to_owned())),
+            };
+            let pool = Pool::new();
+            let sent = pool.send(Time(1), EndpointId::default(), addr, Reuse::Any, &req);
+            let Ok(mut received) = sent.await else {
+                continue;
+            };
+            let mut body = Vec::new();
+            let mut is_whole = true;
+            while let Some(chunk) = received.body.chunk().await {
+                match chunk {
+                    Ok(chunk) => body.extend_from_slice(&chunk),
+                    Err(_) => is_whole = false,
+                }
+            }
+            assert!(!is_whole || !body.is_empty(), "{response:?}");
+        }
+    });
+}
