A stream goes on only with a stream

Cause: `Relay::resume` looked at the next answer's status only. A success of another type, with an empty body or one with a blank line, was read as events or as the end of the stream. So was a head within a stream's body: bytes up to a blank line without any field counted as an event. Items had the same fault: a 200 of another type with an empty body ended a run, and the item was listed as done with an empty output.

Change: a continuation has to be of type text/event-stream. Any other success is a failed attempt, after which the next replica is asked. Bytes without a field of an event end the attempt as well. Items check both; a first response without a type still counts as a stream. A success of another type on a streaming route is passed on unchanged, not as events.

--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -12,7 +12,7 @@
             Gateway, contents, lost_contact,
             slots::{SlotOutcome, acquire},
         },
-        request::{event_id_text, is_hop_by_hop, set_replica_headers},
+        request::{event_id_text, is_event_stream, is_hop_by_hop, set_replica_headers},
     },
     actix_http::{
         Method, StatusCode,
@@ -467,6 +467,10 @@
         }
         return outcome;
     }
+    if !is_event_stream(&response.head, after.is_some()) {
+        gateway.replicas.borrow_mut().note_failure(now, endpoint);
+        return RunOutcome::Interrupted("response is no stream of events".to_owned());
+    }
     let run_time = RunTime {
         gateway,
         item: task.item,
@@ -625,6 +629,9 @@
         let mut outputs = gateway.item_runner.outputs.borrow_mut();
         let output = outputs.entry(item).or_default();
         while let Some(event) = parser.next_event() {
+            if !event.is_event() {
+                return RunOutcome::Interrupted("bytes that are no event".to_owned());
+            }
             match output.sequencer.accept(event.id) {
                 SequenceCheck::Drop => continue,
                 SequenceCheck::Gap => {
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -15,7 +15,9 @@
         admission::{Destination, refuse},
         buffer::{self, BufferedBody, MAX_BUFFERED_BYTES},
         event_id_text,
-        headers::{MEMBER_CUT_OFF, MEMBER_HOP, content_length, response_from_replica},
+        headers::{
+            MEMBER_CUT_OFF, MEMBER_HOP, content_length, is_event_stream, response_from_replica,
+        },
         pending::PendingRequest,
         placement::AttemptTarget,
         quarantine::{self, PartList},
@@ -259,7 +261,7 @@
         gateway.note_crash(&target.registration, &self.parts);
     }
 
-    fn record_attempt_failure(
+    pub(super) fn record_attempt_failure(
         &self,
         gateway: &Gateway,
         target: &AttemptTarget,
@@ -392,7 +394,8 @@
             }
         };
         let head = response_from_replica(gateway, &response);
-        if request.route.kind == RouteKind::Streaming && response.head.status.is_success() {
+        let is_stream = is_event_stream(&response.head, false);
+        if request.route.kind == RouteKind::Streaming && is_stream {
             let relay = Relay::new(gateway, request, response.body, target, guard).with_events();
             return head.set_body(BoxBody::new(BodyStream::new(relay.into_stream())));
         }
--- a/cicadagate-gateway/src/request/headers.rs
+++ b/cicadagate-gateway/src/request/headers.rs
@@ -6,7 +6,7 @@
     super::{Response, admission::header_text},
     crate::process::Gateway,
     actix_http::{
-        HttpMessage as _, Request,
+        HttpMessage as _, Request, ResponseHead,
         header::{self, HeaderMap, HeaderName, HeaderValue},
     },
     cicadagate_node::connection::http_client::ReplicaResponse,
@@ -25,6 +25,19 @@
     value.to_str().ok()?.trim().parse().ok()
 }
 
+/// Returns whether a response is a stream of events, by its status and its type. One that
+/// names no type counts only if it begins a stream: what is appended to events that were
+/// passed on before has to say that it is events too.
+#[must_use]
+pub fn is_event_stream(head: &ResponseHead, continues: bool) -> bool {
+    let Some(value) = head.headers.get(header::CONTENT_TYPE) else {
+        return head.status.is_success() && !continues;
+    };
+    let media_type = value.to_str().unwrap_or_default().split(';').next();
+    let media_type = media_type.unwrap_or_default().trim();
+    head.status.is_success() && media_type.eq_ignore_ascii_case("text/event-stream")
+}
+
 /// Creates a response with the status and the headers of a replica's response,
 /// without hop-by-hop headers and the header that marks a refusal.
 pub(super) fn response_from_replica(gateway: &Gateway, response: &ReplicaResponse) -> Response {
--- a/cicadagate-gateway/src/request/mod.rs
+++ b/cicadagate-gateway/src/request/mod.rs
@@ -31,7 +31,7 @@
 mod resumption;
 mod through_member;
 
-pub use headers::{is_hop_by_hop, set_replica_headers};
+pub use headers::{is_event_stream, is_hop_by_hop, set_replica_headers};
 use {
     crate::process::Gateway,
     actix_http::{Request, StatusCode, body::BoxBody, header},
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -14,8 +14,8 @@
 
 use {
     super::{
-        event_id_text, forward::SendOutcome, pending::PendingRequest, placement::AttemptTarget,
-        quarantine::PartList,
+        event_id_text, forward::SendOutcome, headers::is_event_stream, pending::PendingRequest,
+        placement::AttemptTarget, quarantine::PartList,
     },
     crate::process::{Gateway, RequestGuard},
     actix_rt::time::timeout,
@@ -238,6 +238,10 @@
             return out.freeze();
         }
         while let Some(event) = events.parser.next_event() {
+            if !event.is_event() {
+                self.failure = Some("bytes that are no event");
+                break;
+            }
             let check = match &mut events.sequencer {
                 Some(sequencer) => sequencer.accept(event.id),
                 None => SequenceCheck::Pass,
@@ -278,11 +282,16 @@
         };
         *parser = EventParser::default();
         let last = sequencer.last();
-        if !self.request.record_interruption(&self.gateway, last) {
-            return Err(self.cut_short(reason));
-        }
-        match self.request.send(&self.gateway).await {
-            SendOutcome::Response(response, target) if response.head.status.is_success() => {
+        let mut reason = reason.to_owned();
+        while self.request.record_interruption(&self.gateway, last) {
+            let (response, target) = match self.request.send(&self.gateway).await {
+                SendOutcome::Response(response, target) => (response, target),
+                SendOutcome::Failed(request_error) => {
+                    return Err(self.cut_short(request_error.describe().1));
+                }
+            };
+            let status = response.head.status;
+            if is_event_stream(&response.head, true) {
                 event!(
                     REQUEST_RESUMED,
                     request = self.request.id.as_str(),
@@ -293,17 +302,17 @@
                 self.framing = response.body.framing();
                 self.body = Some(response.body);
                 self.target = target;
-                Ok(())
+                return Ok(());
             }
-            SendOutcome::Response(response, _) => {
-                let reason = format!(
-                    "status {} on resuming the stream",
-                    response.head.status.as_u16()
-                );
-                Err(self.cut_short(&reason))
+            reason = format!("status {} on resuming the stream", status.as_u16());
+            if !status.is_success() {
+                break;
             }
-            SendOutcome::Failed(request_error) => Err(self.cut_short(request_error.describe().1)),
+            reason.push_str(", but no stream of events");
+            self.request
+                .record_attempt_failure(&self.gateway, &target, &reason);
         }
+        Err(self.cut_short(&reason))
     }
 
     fn cut_short(&mut self, reason: &str) -> ResponseCutShort {
--- a/cicadagate-policy/src/request/sse.rs
+++ b/cicadagate-policy/src/request/sse.rs
@@ -17,6 +17,9 @@
 body says. If only the end of its connection ends it, so was a stream without any
 event. One that ends after an event counts as complete, since nothing tells the
 two apart.
+
+Bytes up to a blank line that have no field of an event, such as the head of another
+response, are no event.
 */
 
 use bytes::{Bytes, BytesMut};
@@ -34,7 +37,21 @@
     pub id: Option<u64>,
 }
 
+/// Names of the fields of an event.
+const FIELDS: [&[u8]; 4] = [b"data", b"id", b"event", b"retry"];
+
 impl Event {
+    /// Returns whether the bytes have a field of an event or a comment, or are blank lines:
+    /// anything else was not written as an event.
+    #[must_use]
+    pub fn is_event(&self) -> bool {
+        let is_known = |line: &[u8]| {
+            let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+            line.starts_with(b":") || FIELDS.contains(&name)
+        };
+        is_blank(&self.raw) || lines(&self.raw).any(is_known)
+    }
+
     /// Returns the event's data lines, joined by line feeds.
     #[must_use]
     pub fn data(&self) -> Option<Vec<u8>> {
