A later attempt of a job is not refused if an earlier one may run

The 503 promises that no part of the job runs.

Cause: each attempt knew only its own appends. The store is down at the later attempt, which is certain that it has done nothing itself, and says so of the job.

Change: a gateway whose append of a submission gets no response tells three others, chosen by rendezvous hashing, and a gateway that would refuse a submission for the lack of the store or of room asks up to eight. If one knows of an attempt without an outcome, the answer is 502, which promises nothing; the caller submits again, as after a 503.

Evidence: a_job_whose_earlier_attempt_may_run_is_not_refused_at_another_instance. On: "502, then [503, 503, 503, 503], and it ran", one of them at the same instance. Now 502 each time; another job is refused with 503 as before.

--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -25,6 +25,7 @@
 * `slots`: requests slots from the owners of replicas.
 * `queries`: queries to other gateways that wait for a reply.
 * `stream_origins`: which software version began a stream.
+* `unresolved_jobs`: submissions of batch jobs without an outcome.
 * `stop`: shutdown without interrupting requests.
 * `version_check`: reads that precede a decision about a stream of unknown origin.
 * `version_record`: software versions that the store lists.
@@ -52,6 +53,7 @@
 pub mod slots;
 mod stop;
 pub mod stream_origins;
+pub mod unresolved_jobs;
 pub mod version_check;
 mod version_record;
 
@@ -89,6 +91,7 @@
             shutdown::Phase,
             slot_ledger::{Purpose, SlotLedger},
             stream_origins::{StreamOrigins, VersionHistory},
+            unresolved_jobs::UnresolvedJobs,
             version_record::VersionRecord,
         },
         request::{
@@ -184,6 +187,10 @@
     pub version_history: RefCell<VersionHistory>,
     /// Queries for the origin of a stream that wait for a reply.
     pub origin_queries: PendingQueries<Option<SoftwareVersion>>,
+    /// Submissions of batch jobs without an outcome.
+    pub unresolved_jobs: RefCell<UnresolvedJobs>,
+    /// Queries for submissions without an outcome that wait for a reply.
+    pub unresolved_queries: PendingQueries<bool>,
     /// Batch jobs.
     pub jobs: jobs::Jobs,
     /// Recently used bodies and outputs of items.
@@ -275,6 +282,8 @@
             stream_origins: RefCell::default(),
             version_history: RefCell::default(),
             origin_queries: PendingQueries::default(),
+            unresolved_jobs: RefCell::default(),
+            unresolved_queries: PendingQueries::default(),
             jobs: jobs::Jobs::default(),
             content_cache: contents::SharedCache::default(),
             item_runner: item_runner::ItemRunner::default(),
--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -160,6 +160,9 @@
             super::stream_origins::receive(gateway, from, message);
         }
         Ok(GatewayDatagram::CutOff(message)) => super::reachability::receive(gateway, message),
+        Ok(GatewayDatagram::UnresolvedJob(message)) => {
+            super::unresolved_jobs::receive(gateway, from, message);
+        }
         Ok(GatewayDatagram::Registrations(news)) => {
             super::registration_news::receive(gateway, news);
         }
--- a/cicadagate-gateway/src/process/stream_origins.rs
+++ b/cicadagate-gateway/src/process/stream_origins.rs
@@ -106,7 +106,7 @@
 }
 
 /// Returns the other gateways whose health is at least `health`.
-fn candidates(gateway: &Gateway, health: Health) -> Vec<PlacementCandidate> {
+pub(super) fn candidates(gateway: &Gateway, health: Health) -> Vec<PlacementCandidate> {
     let members = gateway.members.borrow();
     let healthy = members.members().filter(|(_, found)| *found <= health);
     let candidate = |member: MemberId, data_centre: &str| PlacementCandidate {
@@ -119,7 +119,7 @@
         .collect()
 }
 
-fn addr_of(gateway: &Gateway, member: MemberId) -> Option<SocketAddr> {
+pub(super) fn addr_of(gateway: &Gateway, member: MemberId) -> Option<SocketAddr> {
     let members = gateway.members.borrow();
     members.member(member).map(|(info, _)| info.udp)
 }
--- a/cicadagate-gateway/src/request/job_requests.rs
+++ b/cicadagate-gateway/src/request/job_requests.rs
@@ -8,6 +8,10 @@
 Responses about a job come from an index that was up to date at most
 [`MAX_INDEX_AGE_MS`] ago; if the process can't bring it up to date, the response
 is an error.
+
+A refusal promises that no part of the job runs, so it is only given if no earlier attempt
+to submit the job is known to have no outcome; see
+[`unresolved_jobs`](cicadagate_policy::process::unresolved_jobs).
 */
 
 use {
@@ -18,7 +22,7 @@
     },
     crate::{
         platform::{JobRequest, ListedResult, StoreError, SubmittedItem},
-        process::{Gateway, contents, item_runner::ItemContent},
+        process::{Gateway, contents, item_runner::ItemContent, unresolved_jobs},
     },
     actix_http::Request,
     actix_rt::time::sleep,
@@ -112,9 +116,9 @@
         Ok(entries) => entries,
         Err(err) => {
             // Without a record in the index no item of the job runs, so the
-            // refusal is correct.
+            // refusal is correct for this attempt.
             event!(JOB_REFUSED, job = id, reason: = err);
-            return refuse_without_store(gateway, id, &route.name);
+            return pending.refuse_without_store(gateway).await;
         }
     };
     let accepted_ms = unix_time_ms();
@@ -133,9 +137,8 @@
     let outcome = if route.max_waiting_tokens > 0 {
         pending.append_limited(gateway, submission).await
     } else {
-        append_with_retries(gateway, arrival, &Record::Accepted(submission))
-            .await
-            .without_limit()
+        let record = Record::Accepted(submission);
+        pending.append(gateway, &record).await.without_limit()
     };
     match outcome {
         SubmissionOutcome::Accepted => {
@@ -150,9 +153,10 @@
             respond(202, "application/json", "{}")
         }
         SubmissionOutcome::OverTokenLimit => {
-            pending.refuse_over_limit(gateway, pending.count(gateway))
+            let count = pending.count(gateway);
+            pending.refuse_over_limit(gateway, count).await
         }
-        SubmissionOutcome::NotDone => refuse_without_store(gateway, id, &route.name),
+        SubmissionOutcome::NotDone => pending.refuse_without_store(gateway).await,
         SubmissionOutcome::Unknown => {
             refuse(gateway, id, RequestError::NoAnswer, &route.name, None)
         }
@@ -199,7 +203,7 @@
         // another instance.
         if let Err(err) = gateway.jobs.sync(gateway, gateway.now()).await {
             event!(JOB_REFUSED, job = self.id, reason: = err);
-            return Some(refuse_without_store(gateway, self.id, &self.route.name));
+            return Some(self.refuse_without_store(gateway).await);
         }
         if gateway.jobs.index.borrow().job(self.job).is_some() {
             event!(JOB_ACCEPTED, job = self.id, repeated = true);
@@ -207,10 +211,38 @@
         }
         let count = self.count(gateway);
         self.check(count).err()?;
-        Some(self.refuse_over_limit(gateway, count))
+        Some(self.refuse_over_limit(gateway, count).await)
+    }
+
+    async fn refuse_without_store(&self, gateway: &Rc<Gateway>) -> Response {
+        let error = RequestError::StoreUnavailable;
+        self.refuse(gateway, error, RETRY_AFTER).await
+    }
+
+    /// Refuses this attempt, or says that the outcome is unknown if that of an earlier one is.
+    async fn refuse(
+        &self,
+        gateway: &Rc<Gateway>,
+        error: RequestError,
+        retry_after: Duration,
+    ) -> Response {
+        let route = &self.route.name;
+        if unresolved_jobs::is_unresolved(gateway, self.job).await {
+            let reason = "an earlier attempt has no outcome";
+            event!(JOB_REFUSED, job = self.id, reason);
+            return refuse(gateway, self.id, RequestError::NoAnswer, route, None);
+        }
+        refuse(gateway, self.id, error, route, Some(retry_after))
+    }
+
+    /// Appends a record of the submission, with retries, and tells other gateways if that
+    /// has no outcome.
+    async fn append(&self, gateway: &Rc<Gateway>, record: &Record) -> AppendOutcome {
+        let note_unresolved = || gateway.note_unresolved_job(self.job);
+        append_with_retries(gateway, self.arrival, record, note_unresolved).await
     }
 
-    fn refuse_over_limit(&self, gateway: &Rc<Gateway>, count: TokenCount) -> Response {
+    async fn refuse_over_limit(&self, gateway: &Rc<Gateway>, count: TokenCount) -> Response {
         // The index may have room again since it refused the job.
         let retry_after_ms = self
             .check(count)
@@ -227,8 +259,8 @@
             retry_after_ms
         );
         let delay = Duration::from_millis(retry_after_ms);
-        let error = RequestError::TooManyTokens;
-        refuse(gateway, self.id, error, &self.route.name, Some(delay))
+        self.refuse(gateway, RequestError::TooManyTokens, delay)
+            .await
     }
 
     /// Appends a submission to a limited route, and reads back whether the
@@ -244,7 +276,7 @@
             attempt,
             token_limit: self.route.max_waiting_tokens,
         };
-        let outcome = append_with_retries(gateway, self.arrival, &record).await;
+        let outcome = self.append(gateway, &record).await;
         if outcome == AppendOutcome::NotDone {
             return SubmissionOutcome::NotDone;
         }
@@ -325,13 +357,22 @@
 }
 
 /// Appends a record, with retries for [`APPEND_RETRY_MS`]. A record that is
-/// appended twice counts once.
-async fn append_with_retries(gateway: &Rc<Gateway>, since: Time, record: &Record) -> AppendOutcome {
+/// appended twice counts once. `on_unknown` is called if an attempt at it may or may not
+/// have been carried out.
+async fn append_with_retries(
+    gateway: &Rc<Gateway>,
+    since: Time,
+    record: &Record,
+    on_unknown: impl Fn(),
+) -> AppendOutcome {
     let mut failure: Option<StoreError> = None;
     loop {
         let Err(err) = gateway.jobs.append(gateway, record).await else {
             return AppendOutcome::Done;
         };
+        if !err.is_not_done() {
+            on_unknown();
+        }
         let joined = match failure.take() {
             Some(earlier) => earlier.join(err),
             None => err,
@@ -512,7 +553,7 @@
         return respond(200, "application/json", "{}");
     }
     let since = gateway.now();
-    match append_with_retries(gateway, since, &Record::Ended { job }).await {
+    match append_with_retries(gateway, since, &Record::Ended { job }, || ()).await {
         AppendOutcome::Done => {
             event!(
                 JOB_CANCELLED,
--- a/cicadagate-policy/src/process/mod.rs
+++ b/cicadagate-policy/src/process/mod.rs
@@ -28,4 +28,5 @@
 pub mod slot_ledger;
 pub mod slot_queue;
 pub mod stream_origins;
+pub mod unresolved_jobs;
 pub mod version_record;
--- a/cicadagate-wire/src/datagram.rs
+++ b/cicadagate-wire/src/datagram.rs
@@ -23,6 +23,7 @@
         membership::Message, quarantine::QuarantineMessage, rate_limit::LimitMessage,
         reachability::CutOffMessage, registration_readers::RegistrationNews, reports::Report,
         slot_ledger::SlotMessage, stream_origins::StreamOriginMessage,
+        unresolved_jobs::UnresolvedJobMessage,
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
 };
@@ -50,6 +51,8 @@
     CutOff(CutOffMessage),
     /// Changes of replicas' registrations, from a member that reads them for others.
     Registrations(RegistrationNews),
+    /// A submission of a batch job without an outcome, or a query for it.
+    UnresolvedJob(UnresolvedJobMessage),
 }
 
 /// Encodes and decodes datagrams.
