--- a/cicadagate-gateway/src/request/job_requests.rs
+++ b/cicadagate-gateway/src/request/job_requests.rs
@@ -562,6 +562,7 @@
             );
             respond(200, "application/json", "{}")
         }
-        AppendOutcome::NotDone | AppendOutcome::Unknown => refuse_without_store(gateway, id, ""),
+        AppendOutcome::NotDone => refuse_without_store(gateway, id, ""),
+        AppendOutcome::Unknown => refuse(gateway, id, RequestError::NoAnswer, "", None),
     }
 }
