Runs before a request goes through another gateway count

Change: the header of the hop has the number of replicas that may still run the request, and a request that has none left is not sent on. A gateway that does not answer counts as one run.

--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -238,6 +238,7 @@
         !self.is_from_member
             && !self.has_begun
             && may_repeat
+            && self.attempts.runs_left() > 0
             && (self.unreachable >= MAX_UNREACHABLE
                 || (self.unreachable > 0 && gateway.is_cut_off(&self.service)))
             && pick_member(gateway, &self.service, &[]).is_some()
--- a/cicadagate-gateway/src/request/headers.rs
+++ b/cicadagate-gateway/src/request/headers.rs
@@ -13,7 +13,8 @@
     cicadagate_policy::process::replicas::Registration,
 };
 
-/// Header of a request that another gateway sends on; it is not sent on again.
+/// Header of a request that another gateway sends on; it is not sent on again. The value is
+/// the number of replicas that may still run it.
 pub(super) const MEMBER_HOP: HeaderName = HeaderName::from_static("cicadagate-member-hop");
 /// Value of [`MEMBER_HOP`] on the response of a gateway that has not sent the request to a
 /// replica, since it is cut off itself.
--- a/cicadagate-gateway/src/request/pending.rs
+++ b/cicadagate-gateway/src/request/pending.rs
@@ -85,8 +85,13 @@
             prompt_parts: mut parts,
         } = destination;
         let names = gateway.codec.headers();
+        let max_attempts = route.max_attempts.max(1);
+        // What may have run before the request was sent on counts, too.
+        let attempts_left = header_text(req, &MEMBER_HOP)
+            .parse()
+            .unwrap_or(max_attempts);
         let attempts = Attempts::new(route.is_repeatable(), deadline)
-            .with_max_run_attempts(route.max_attempts.max(1));
+            .with_max_run_attempts(attempts_left.clamp(1, max_attempts));
         let last_event = header_text(req, &names.last_event_id).parse().ok();
         let resumed_request = header_text(req, &names.resumed_request);
         let customer_id = context.customer.as_ref().map(|customer| customer.id);
--- a/cicadagate-gateway/src/request/through_member.rs
+++ b/cicadagate-gateway/src/request/through_member.rs
@@ -5,7 +5,8 @@
 which serves them like those of its own callers: it checks the API key and the rate limit,
 and chooses the replica. A header keeps it from sending them on again. What other gateways
 say of a request counts together with the attempts before: it has not run only if none of
-them may have run it.
+them may have run it, and it may run at no more replicas than its route allows. A gateway
+that does not answer counts as one replica.
 */
 
 use {
@@ -55,7 +56,7 @@
     guard: RequestGuard,
 ) -> Result<Response, RequestError> {
     let mut tried: Vec<MemberId> = Vec::new();
-    while tried.len() < MAX_MEMBERS {
+    while tried.len() < MAX_MEMBERS && request.attempts.runs_left() > 0 {
         let now = gateway.now();
         if now >= request.deadline {
             break;
@@ -156,7 +157,8 @@
     }
     let left_ms = request.deadline.since(now);
     headers.insert(names.deadline_ms.clone(), HeaderValue::from(left_ms));
-    headers.insert(MEMBER_HOP, HeaderValue::from_static("1"));
+    let attempts_left = HeaderValue::from(request.attempts.runs_left());
+    headers.insert(MEMBER_HOP, attempts_left);
     ReplicaRequest {
         method: request.method.clone(),
         target: request.target.clone(),
--- a/cicadagate-policy/src/request/attempt.rs
+++ b/cicadagate-policy/src/request/attempt.rs
@@ -201,13 +201,19 @@
         self.earlier_progress.max(self.current_progress)
     }
 
+    /// Returns how many further attempts may run.
+    #[must_use]
+    pub fn runs_left(&self) -> u32 {
+        let runs = self.runs + u32::from(self.current_progress != Progress::NotSent);
+        self.max_runs.saturating_sub(runs)
+    }
+
     /// Decides what follows a failed attempt.
     pub fn decide(&self, now: Time, budget: &mut RetryBudget) -> RetryDecision {
         let maybe_run = self.furthest() != Progress::NotSent;
         let may_repeat = !maybe_run || self.idempotent || is_injected(Fault::RetryNonIdempotent);
-        let runs = self.runs + u32::from(self.current_progress != Progress::NotSent);
         let is_within_limits =
-            now < self.deadline && runs < self.max_runs && self.number < MAX_ATTEMPTS;
+            now < self.deadline && self.runs_left() > 0 && self.number < MAX_ATTEMPTS;
         // An attempt that was not sent put no load on an endpoint, so a retry
         // after it costs no budget.
         let is_free = self.current_progress == Progress::NotSent;
