An item whose runs have failed as often as allowed does not run again

Cause: the decision to give an item up was made only after a run. A pause dropped it, and the append of the failure with it. The same holds for an item whose result was being written.

Change: the decision is made before each run as well. The append of a failure goes on when the item is paused, and an item that has its result is not paused.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -130,6 +130,9 @@
 struct ItemRun {
     stop: Rc<Notify>,
     is_stopping: Cell<bool>,
+    /// Whether the item has its result, which is being written. Another run would only
+    /// repeat it.
+    is_settled: Cell<bool>,
     /// Run that is or was in progress last; the default id if none was sent.
     id: Cell<ItemRunId>,
     /// Replica that runs the item, if any.
@@ -183,6 +186,17 @@
         }
     }
 
+    /// Stops an item that is to run later, unless it has its result.
+    fn pause(&self, item: ItemRef) {
+        let is_settled = {
+            let runs = self.runs.borrow();
+            runs.get(&item).is_some_and(|run| run.is_settled.get())
+        };
+        if !is_settled {
+            self.stop(item);
+        }
+    }
+
     /// Returns the limits on a service's items; `None` if its load does not vary enough
     /// or the reports are fresh.
     fn limits(&self, gateway: &Gateway, service: &str, slots: Slots) -> Option<ItemLimits> {
@@ -293,7 +307,7 @@
         let saved = timeout(HAND_OFF_TIMEOUT, results::save_grown_outputs(gateway, 1)).await;
         if matches!(saved, Ok(true)) {
             for item in self.running() {
-                self.stop(item);
+                self.pause(item);
             }
         }
     }
@@ -531,7 +545,7 @@
 fn carry_out(gateway: &Rc<Gateway>, plan: Plan, slots: usize, now: Time) {
     for item in plan.pause {
         event!(ITEM_PAUSED, item: = ItemName(item), slots);
-        gateway.item_runner.stop(item);
+        gateway.item_runner.pause(item);
     }
     for item in plan.start {
         let restart_after = gateway
@@ -686,7 +700,7 @@
             |route: &Rc<Route>| route.targets.iter().any(|target| target.service == service);
         if route.is_some_and(is_of_service) {
             event!(ITEM_PAUSED, item: = ItemName(item), reason = "replicas can't be reached");
-            gateway.item_runner.stop(item);
+            gateway.item_runner.pause(item);
         }
     }
 }
@@ -735,6 +749,7 @@
     let run = Rc::new(ItemRun {
         stop: Rc::new(Notify::new()),
         is_stopping: Cell::new(false),
+        is_settled: Cell::new(false),
         id: Cell::default(),
         endpoint: Cell::new(None),
         since: Cell::default(),
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -170,12 +170,21 @@
     };
     let mut refusals = 0_u32;
     while !run.is_stopping.get() && unix_time_ms() < task.give_up_ms + MAX_CLOCK_SKEW_MS {
+        // A run that failed may have ended at a process, or in a pause, that left the decision.
+        if known_failures(gateway, item).total >= task.max_failures() {
+            run.is_settled.set(true);
+            return abandon(gateway, item, "all attempts failed").await;
+        }
         run.id.set(ItemRunId::default());
         let outcome = run_once(gateway, &task, run).await;
         run.endpoint.set(None);
         match outcome {
-            RunOutcome::Done => return finish(gateway, &task).await,
+            RunOutcome::Done => {
+                run.is_settled.set(true);
+                return finish(gateway, &task).await;
+            }
             RunOutcome::Rejected(failed) => {
+                run.is_settled.set(true);
                 log_failed_run(&task, &failed, known_failures(gateway, item));
                 return abandon(gateway, item, "replica rejected the item").await;
             }
@@ -183,7 +192,7 @@
                 let count = count_failure(gateway, item, failed.id).await;
                 log_failed_run(&task, &failed, count);
                 if count.total >= task.max_failures() {
-                    return abandon(gateway, item, "all attempts failed").await;
+                    continue;
                 }
             }
             RunOutcome::NoSlot(load) => {
@@ -222,13 +231,21 @@
         let mut failures = gateway.item_runner.failures.borrow_mut();
         failures.entry(item).or_default().push(run);
     }
-    let record = Record::FailedRun { item, run };
-    if let Err(err) = gateway.jobs.append(gateway, &record).await {
+    // A pause of the item must not end the append.
+    let recorded = actix_rt::spawn(record_failure(Rc::clone(gateway), item, run));
+    if let Err(err) = recorded.await {
         event!(APPEND_FAILED, item: = ItemName(item), run: = run, reason: = err);
     }
     known_failures(gateway, item)
 }
 
+async fn record_failure(gateway: Rc<Gateway>, item: ItemRef, run: ItemRunId) {
+    let record = Record::FailedRun { item, run };
+    if let Err(err) = gateway.jobs.append(&gateway, &record).await {
+        event!(APPEND_FAILED, item: = ItemName(item), run: = run, reason: = err);
+    }
+}
+
 /// Returns the failed runs of an item that this process knows of.
 pub(super) fn known_failures(gateway: &Gateway, item: ItemRef) -> FailureCount {
     let failures = gateway.item_runner.failures.borrow();
