Items do not wait for the version of a replica that is leaving

Cause: an item with partial output waits for a replica of the software version that wrote it. If only another gateway says that the last such replica is leaving, the replica still counted, while its owner grants it no slot: the item asked again until the replica was gone.

Change: for items, a version counts only if a replica of it is left of which nobody says that it is leaving; otherwise the item starts over at another version.

--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -315,11 +315,13 @@
         .get(&item)
         .and_then(|output| output.sequencer.last());
     let is_of_use = |progress: &Progress| {
-        let is_served = |version| gateway.replicas.borrow().serves_version(&service, version);
-        progress.version.is_some_and(is_served)
+        let replicas = gateway.replicas.borrow();
+        let is_kept = |version| replicas.keeps_version(gateway.now(), &service, version);
+        progress.version.is_some_and(is_kept)
             && last_kept.is_none_or(|last_kept| last_kept < progress.last_event)
     };
-    if let Some(progress) = progress.filter(is_of_use) {
+    let progress = progress.filter(is_of_use);
+    if let Some(progress) = progress {
         let data = contents::read(gateway, progress.output)
             .await
             .map_err(|err| err.to_string())?;
@@ -357,14 +359,19 @@
 }
 
 /// Drops the partial output of an item if no replica of the software version that wrote
-/// it is left.
+/// it is left, but for those that are leaving: they take no items.
 fn drop_output_of_gone_version(gateway: &Gateway, item: ItemRef, id: &str, service: &str) {
     let mut outputs = gateway.item_runner.outputs.borrow_mut();
     let kept = outputs.get(&item);
     let Some(version) = kept.and_then(|output| output.version) else {
         return;
     };
-    if gateway.replicas.borrow().serves_version(service, version) {
+    let now = gateway.now();
+    if gateway
+        .replicas
+        .borrow()
+        .keeps_version(now, service, version)
+    {
         return;
     }
     if let Some(output) = outputs.remove(&item) {
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -788,6 +788,17 @@
             .any(|replica| replica.version == version)
     }
 
+    /// Returns whether a service has a replica of a software version of which nobody says
+    /// that it is leaving.
+    #[must_use]
+    pub fn keeps_version(&self, now: Time, service: &str, version: SoftwareVersion) -> bool {
+        let mut replicas = self.replicas_of(service);
+        replicas.any(|replica| {
+            replica.version == version
+                && !self.is_told_leaving(now, &replica.registration, replica.endpoint)
+        })
+    }
+
     /// Returns the software versions of a service's replicas, draining ones included.
     pub fn versions_of(&self, service: &str) -> impl Iterator<Item = SoftwareVersion> {
         self.replicas
