A body without end ends with its deadline

Cause: the deadline was only looked at while the body had no bytes ready. A replica that sends at least as fast as the caller reads always has some.

Change: 250 ms after the deadline a body that is not at its end is cut short, also one that is relayed from another gateway (read, not shown); what is ready by then is still passed on.

--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -46,6 +46,15 @@
     reason: String,
 }
 
+/// Time after the deadline for which what has already arrived of a body is passed on.
+const LATE_BODY_TIME: Duration = Duration::from_millis(250);
+
+/// Returns whether a body that is still not at its end is cut short: one that always has
+/// more bytes never waits for any, so that no timeout ends it.
+pub(super) fn is_body_late(now: Time, deadline: Time) -> bool {
+    Duration::from_millis(now.since(deadline)) >= LATE_BODY_TIME
+}
+
 type ChunkStream = Pin<Box<dyn Stream<Item = Result<Bytes, ResponseCutShort>>>>;
 
 /// The events of a stream.
@@ -134,7 +143,11 @@
             {
                 return Some(Err(err));
             }
-            let left_ms = self.request.deadline.since(self.gateway.now());
+            let now = self.gateway.now();
+            if is_body_late(now, self.request.deadline) {
+                return Some(Err(self.cut_short("deadline exceeded")));
+            }
+            let left_ms = self.request.deadline.since(now);
             let may_resume = self.is_resumable() && self.sent_bytes > 0;
             let wait_ms = if may_resume {
                 IDLE_TIMEOUT_MS.min(left_ms)
--- a/cicadagate-gateway/src/request/through_member.rs
+++ b/cicadagate-gateway/src/request/through_member.rs
@@ -14,6 +14,7 @@
         RequestError, Response,
         headers::{MEMBER_HOP, content_length, response_from_replica},
         pending::PendingRequest,
+        relay::is_body_late,
     },
     crate::process::{Gateway, RequestGuard, reachability::pick_member},
     actix_http::{
@@ -213,9 +214,10 @@
 impl RelayedBody {
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
         let body = self.body.as_mut()?;
-        let left = Duration::from_millis(self.deadline.since(self.gateway.now()));
+        let now = self.gateway.now();
+        let left = Duration::from_millis(self.deadline.since(now));
         let reason = match timeout(left, body.chunk()).await {
-            Ok(Some(Ok(chunk))) => {
+            Ok(Some(Ok(chunk))) if !is_body_late(now, self.deadline) => {
                 self.bytes += chunk.len();
                 return Some(Ok(chunk));
             }
@@ -225,7 +227,7 @@
                 return None;
             }
             Ok(Some(Err(err))) => err.to_string(),
-            Err(_) => "deadline exceeded".to_owned(),
+            Ok(Some(Ok(_))) | Err(_) => "deadline exceeded".to_owned(),
         };
         self.body = None;
         event!(
