--- a/cicadagate-gateway/src/request/admission.rs
+++ b/cicadagate-gateway/src/request/admission.rs
@@ -119,7 +119,7 @@
     if route.kind == RouteKind::Batch {
         return job_requests::submit(gateway, &id, &context, &route, &body).await;
     }
-    // The stop may have begun while the body arrived.
+    // The body may have taken long, or the stop may have begun meanwhile.
     if !gateway.admits_until(gateway.now(), deadline) {
         return refuse(gateway, &id, RequestError::Closing, &route.name, None);
     }
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -47,7 +47,7 @@
 }
 
 /// Time after the deadline for which what has already arrived of a body is passed on.
-const LATE_BODY_TIME: Duration = Duration::from_millis(250);
+const LATE_BODY_TIME: Duration = Duration::from_millis(50);
 
 /// Returns whether a body that is still not at its end is cut short: one that always has
 /// more bytes never waits for any, so that no timeout ends it.
