KNOWN-RED: a leaving replica that is preferred for its version; its test

Traced: items of one process ask the owner of a leaving replica for a slot over 1,000 times, since contact with the other replicas was lost once and `ReplicaSet::choose` takes only those whose version is least in doubt.

--- a/cicadagate-policy/tests/leaving_replicas.rs
+++ b/cicadagate-policy/tests/leaving_replicas.rs
@@ -7,7 +7,7 @@
         ids::{EndpointId, mix64},
         process::replicas::{
             LeavingReplica, LeavingSource, Registration, ReplicaLoad, ReplicaSet, TOLD_LEAVING_MS,
-            Wanted,
+            VersionProof, Wanted,
         },
         time::Time,
     },
@@ -174,3 +174,31 @@
         assert_eq!(set.leaving_source(end, endpoint(0)), None);
     }
 }
+
+// Guards against items and requests that ask the owner of a leaving replica for a slot again
+// and again, since contact with all other replicas was lost once.
+#[test]
+fn a_replica_that_is_leaving_is_not_preferred_for_its_version() {
+    let now = Time(1_000);
+    let mut set = ReplicaSet::default();
+    for index in 0..REPLICAS {
+        let _ = set.register(registration(index, 1, false));
+    }
+    for index in 1..REPLICAS {
+        set.note_lost_contact(endpoint(index), false);
+    }
+    let told = LeavingReplica {
+        started_ms: 1,
+        left_ms: TOLD_LEAVING_MS,
+    };
+    let _ = set.note_told_leaving(now, endpoint(0), told);
+    let wanted = Wanted {
+        proof: VersionProof::Preferred,
+        ..Wanted::of("llm")
+    };
+    for seed in 0..SEQUENCES {
+        let chosen = set.choose(now, &wanted, seed, |_| ReplicaLoad::default());
+        let chosen = chosen.map(|replica| replica.endpoint);
+        assert_ne!(chosen, Some(endpoint(0)));
+    }
+}
