Show how old the registrations and the job index are when they are acted on

An on-call engineer could not tell from a request's or item's id by how old a state it was sent. REQUEST_SENT and ITEM_STARTED now have the ages and from what the registrations were known, cicadagate_state has both ages, and an instance logs when one passes four fifths of its bound and when it is below again. The bound for items is cancelMs of the settings, which were not read so far. No decision uses the ages yet.

--- a/cicadagate-gateway/src/process/directory.rs
+++ b/cicadagate-gateway/src/process/directory.rs
@@ -8,7 +8,7 @@
 */
 
 use {
-    super::Gateway,
+    super::{Gateway, freshness},
     crate::request::{Response, respond},
     actix_http::Request,
     cicadagate_node::clock::unix_time_ms,
@@ -74,6 +74,7 @@
 /// Serves the metrics.
 pub async fn serve_metrics(gateway: Rc<Gateway>, _req: Request) -> Response {
     set_waiting_tokens(&gateway);
+    freshness::set_ages(&gateway, gateway.now());
     respond(200, "text/plain; version=0.0.4", gateway.metrics.render())
 }
 
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -453,6 +453,7 @@
         .get(&task.item)
         .and_then(|output| output.sequencer.last());
     let request = build_request(gateway, task, &registration, after);
+    let sent_at = gateway.now();
     event!(
         ITEM_STARTED,
         item: = ItemName(task.item),
@@ -462,6 +463,9 @@
         version = registration.software_version.as_str(),
         after_event = event_id_text(after),
         due_in_ms = task.due_in_ms(),
+        index_age_ms = gateway.index_freshness().age_ms(sent_at),
+        registrations_age_ms = gateway.registrations_freshness().age_ms(sent_at),
+        registrations_from = gateway.registrations_known_from().as_str(),
         load = gateway.fleet_load(endpoint).total(),
         max_rate = gateway.named_rate(endpoint)
     );
--- a/cicadagate-gateway/src/process/jobs.rs
+++ b/cicadagate-gateway/src/process/jobs.rs
@@ -152,6 +152,12 @@
             .is_some_and(|synced| now.since(synced) <= within_ms)
     }
 
+    /// Returns the time as of which the index is known; `None` if it was never read.
+    #[must_use]
+    pub const fn synced_at(&self) -> Option<Time> {
+        self.synced_at.get()
+    }
+
     /// Returns the time since which the index was up to date, in milliseconds;
     /// `None` if it never was.
     #[must_use]
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -7,6 +7,7 @@
 * `cold`: replicas that are cold, and the rates that this allows.
 * `config`: follows the operators' records.
 * `evacuation`: applies evacuations of data centres.
+* `freshness`: the age of what this process knows.
 * `reachability`: services whose replicas this instance can't reach.
 * `registry`: follows the replicas' registrations.
 * `registration_news`: changes of registrations, read by few gateways for all.
@@ -37,6 +38,7 @@
 pub mod directory;
 mod evacuation;
 pub mod fleet_store;
+mod freshness;
 pub mod item_runner;
 pub mod jobs;
 pub mod limits;
@@ -215,6 +217,8 @@
     random_state: Cell<u64>,
     /// Position in the topic of registrations.
     registration_feed: RefCell<RegistrationFeed>,
+    /// Kinds of knowledge that are older than acts by them permit.
+    stale: Cell<freshness::Stale>,
     /// Notified when a message has brought the registrations up to date.
     registrations_current: Notify,
     /// Software versions that the store lists.
@@ -300,6 +304,7 @@
             members_read_at: Cell::default(),
             random_state: Cell::new(seed),
             registration_feed: RefCell::default(),
+            stale: Cell::default(),
             registrations_current: Notify::new(),
             version_record: RefCell::default(),
             version_record_tried: Cell::default(),
--- a/cicadagate-gateway/src/process/reachability.rs
+++ b/cicadagate-gateway/src/process/reachability.rs
@@ -6,7 +6,7 @@
 */
 
 use {
-    super::{Gateway, item_runner, lost_contact, peers},
+    super::{Gateway, freshness, item_runner, lost_contact, peers},
     cicadagate_node::{connection::http_client::ExchangeError, event},
     cicadagate_policy::{
         ids::{EndpointId, MemberId, ServiceId},
@@ -87,6 +87,7 @@
         drop(replicas);
         gateway.member_pool.expire(gateway.now(), |_| true);
         tick(&gateway);
+        freshness::tick(&gateway);
     }
 }
 
--- a/cicadagate-gateway/src/process/registration_news.rs
+++ b/cicadagate-gateway/src/process/registration_news.rs
@@ -6,7 +6,7 @@
 */
 
 use {
-    super::{Gateway, registry},
+    super::{Gateway, freshness::millis, registry},
     cicadagate_node::event,
     cicadagate_policy::process::{
         membership::Health,
@@ -16,7 +16,7 @@
         },
     },
     cicadagate_wire::datagram::GatewayDatagram,
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc},
 };
 
 /// Returns the limits that decide whether and when this gateway reads.
@@ -29,10 +29,6 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Returns how this gateway gets to know the registrations from now on; `before` is how it
 /// did so far.
 pub(super) fn next_role(gateway: &Gateway, before: Role) -> Role {
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -145,6 +145,8 @@
                 load = gateway.fleet_load(target.endpoint).total(),
                 slots = target.registration.slots,
                 left_ms = self.deadline.since(now),
+                registrations_age_ms = gateway.registrations_freshness().age_ms(now),
+                registrations_from = gateway.registrations_known_from().as_str(),
                 version = target.registration.software_version.as_str(),
                 resumes = self.resumed_request.as_str(),
                 after_event = event_id_text(self.last_event)
--- a/cicadagate-gateway/src/settings.rs
+++ b/cicadagate-gateway/src/settings.rs
@@ -53,6 +53,9 @@
     /// Time within which a replica that starts draining must get no more
     /// requests.
     pub drain: Duration,
+    /// Time after the acknowledged cancellation of a job from which none of its items may
+    /// reach a replica.
+    pub cancel: Duration,
     /// Requests by which a customer may exceed its rate limit over the whole
     /// fleet.
     pub limit_tolerance: f64,
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -100,6 +100,10 @@
     REGISTRATION_READS_CHANGED = 560, Info, "Who reads the replicas' registrations has changed: all instances (independent), this one for others (reader), or others for this one (served).";
     REGISTRATION_NEWS_MISSING = 561, Warn, "No instance that reads the replicas' registrations has told this one of their latest state in time; it reads them itself.";
     REGISTRATION_NEWS_RESUMED = 562, Info, "Other instances tell this one of the replicas' registrations again.";
+    REGISTRATIONS_STALE = 563, Warn, "The replicas' registrations are older than permits to send by them.";
+    REGISTRATIONS_FRESH = 564, Info, "The replicas' registrations are recent enough again.";
+    JOB_INDEX_STALE = 622, Warn, "The index of batch jobs is older than permits to start items by it.";
+    JOB_INDEX_FRESH = 623, Info, "The index of batch jobs is recent enough again.";
     STREAM_RESUMPTION = 533, Info, "A caller resumes a stream; it goes on at the software version that began it, or is refused.";
     VERSION_RECORDED = 537, Info, "A software version of a service is listed in the store, before resumable streams are sent to its replicas.";
     VERSION_REMOVED = 538, Info, "A software version is no longer listed in the store: its last replica left more than a minute ago.";
--- /dev/null
+++ b/cicadagate-policy/src/process/freshness.rs
@@ -0,0 +1,74 @@
+/*!
+The age of what a process knows, and the acts that it permits.
+
+# Problem
+
+What a process knows of the fleet is as of the moment at which the store, or another process,
+had it so. It is older than the time at which it arrived, and it grows older while reads are
+slow, answers are lost or the process doesn't run. A request sent by a registration that is too
+old reaches a replica that has left; an item started by an index that is too old runs after its
+job was cancelled.
+
+# Choice
+
+Each kind of knowledge has the time as of which it is known, never later than the truth, and a
+bound: how long after a change acts by the state before it may still reach their target. An act
+is permitted while [`ACT_PERCENT`] of the bound are not over. The rest is for its way there. It is
+checked when the act begins and once more when its first byte is written, since a process may
+stand still in between. An act that isn't permitted waits until the knowledge was renewed, or is
+not done.
+
+# Cost
+
+A comparison for each act. A process that reads less often than the bound requires asks the
+store before it acts, which delays the act by a read.
+*/
+
+use crate::time::Time;
+
+/// Share of a bound within which an act may begin, in percent.
+pub const ACT_PERCENT: u64 = 80;
+
+/// As of when something is known, and how long that permits acts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Freshness {
+    as_of: Time,
+    bound_ms: u64,
+}
+
+impl Freshness {
+    /// Creates the freshness of what is known as of a time. An act that is based on it must
+    /// reach its target within `bound_ms` milliseconds after a change.
+    #[must_use]
+    pub const fn new(as_of: Time, bound_ms: u64) -> Self {
+        Self { as_of, bound_ms }
+    }
+
+    /// Returns the later of two, if both tell the same.
+    #[must_use]
+    pub fn latest(self, other: Self) -> Self {
+        if other.as_of > self.as_of {
+            other
+        } else {
+            self
+        }
+    }
+
+    /// Returns the age, in milliseconds.
+    #[must_use]
+    pub const fn age_ms(self, now: Time) -> u64 {
+        now.since(self.as_of)
+    }
+
+    /// Returns the time until which an act may begin, exclusive.
+    #[must_use]
+    pub const fn permits_until(self) -> Time {
+        self.as_of.plus(self.bound_ms * ACT_PERCENT / 100)
+    }
+
+    /// Returns whether an act may begin now.
+    #[must_use]
+    pub fn permits(self, now: Time) -> bool {
+        now < self.permits_until()
+    }
+}
--- a/cicadagate-policy/src/process/mod.rs
+++ b/cicadagate-policy/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod contact;
 pub mod demand_swing;
 pub mod evacuation;
+pub mod freshness;
 pub mod hold_times;
 pub mod item_order;
 pub mod item_scan;
--- a/cicadagate-policy/src/process/registration_readers.rs
+++ b/cicadagate-policy/src/process/registration_readers.rs
@@ -137,6 +137,27 @@
     Served,
 }
 
+/// From what a member knows the state of the registrations.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum KnownFrom {
+    /// A read of its own.
+    #[default]
+    OwnRead,
+    /// The news of a reader.
+    News,
+}
+
+impl KnownFrom {
+    /// Returns the name for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::OwnRead => "own read",
+            Self::News => "news",
+        }
+    }
+}
+
 /// Limits that decide whether and when members read.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadLimits {
@@ -220,6 +241,7 @@
     known_bytes: u64,
     /// When the member was last at the end of the topic.
     at_end: Time,
+    known_from: KnownFrom,
     is_shared: bool,
     /// Ranges of the last reads, by read.
     sent: VecDeque<Vec<ChangeRange>>,
@@ -240,9 +262,16 @@
         self.next = Some(from);
         self.exact_from = to.max(from);
         self.at_end = now;
+        self.known_from = KnownFrom::OwnRead;
         self.clear_sent();
     }
 
+    /// Returns the time as of which all registrations are known, and from what.
+    #[must_use]
+    pub const fn known_as_of(&self) -> (Time, KnownFrom) {
+        (self.at_end, self.known_from)
+    }
+
     /// Records that the member's offset has expired.
     pub fn expire(&mut self) {
         self.next = None;
@@ -356,7 +385,14 @@
     /// Records the end of an own read that was sent at `sent`: the topic ended at `end`.
     pub fn finish_read(&mut self, sent: Time, end: u64) {
         if self.next.is_some_and(|next| next >= end) {
-            self.at_end = self.at_end.max(sent);
+            self.note_at_end(sent, KnownFrom::OwnRead);
+        }
+    }
+
+    fn note_at_end(&mut self, as_of: Time, known_from: KnownFrom) {
+        if as_of >= self.at_end {
+            self.at_end = as_of;
+            self.known_from = known_from;
         }
     }
 
@@ -436,7 +472,7 @@
             // What this member would send begins with its own next read.
             self.clear_sent();
             if next >= news.end {
-                self.at_end = now;
+                self.note_at_end(now, KnownFrom::News);
             }
             Received::Records(records)
         } else if is_gap {
