--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -10,7 +10,10 @@
 */
 
 use {
-    super::{Gateway, cold, fleet_store::StoreReachability, rates, registration_news, slots},
+    super::{
+        Gateway, cold, fleet_store::StoreReachability, freshness::millis, rates, registration_news,
+        slots,
+    },
     crate::platform::{KeyedRecord, StoreError},
     actix_http::ResponseHead,
     actix_rt::time::sleep,
@@ -126,6 +129,7 @@
     let now = gateway.now();
     let is_reachable = reachability.note(failure);
     let mut replicas = gateway.replicas.borrow_mut();
+    replicas.set_heartbeat(millis(gateway.bounds().heartbeat));
     replicas.set_store_reachable(now, is_reachable);
     let lapsed = replicas.remove_lapsed(now);
     drop(replicas);
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -16,7 +16,9 @@
 that incarnation, and any earlier one of the same id, stays out of use whatever
 its entry says later, since entries may be older than the response. The exception is an entry that is removed while the
 store is unreachable or has been so within [`LAPSED_RETENTION_MS`]: its replica
-is kept until that time is over, since live replicas register again within it.
+is kept until that time is over, since live replicas register again within it. An
+outage counts only from [`MIN_OUTAGE_HEARTBEATS`] on: entries lapse after a longer
+silence of their replicas, and a single read that failed here says nothing of them.
 
 A member that was told so tells the owner of the replica's slots, and the owner each member
 that asks for a slot there. The word of a member only ranks the replica last, and for a
@@ -66,6 +68,10 @@
 /// How long entries that lapsed while the store was unreachable are kept after
 /// it is reachable again, in milliseconds.
 pub const LAPSED_RETENTION_MS: u64 = 2_300;
+/// Time between two renewals of a registration for which the store must have been
+/// unreachable for its outage to have made entries lapse: an entry lapses after three, of
+/// which a part may be over when the outage begins.
+pub const MIN_OUTAGE_HEARTBEATS: u64 = 2;
 /// How long a replica is avoided after its first failure, in milliseconds.
 pub const MIN_AVOID_MS: u64 = 250;
 /// Maximum time that a replica is avoided after a failure, in milliseconds.
@@ -287,6 +293,10 @@
     /// incarnation, and until when that is believed.
     told_leaving: HashMap<EndpointId, (u64, Time)>,
     store_unreachable_since: Option<Time>,
+    /// When the store was last known to be reachable.
+    store_reached_at: Time,
+    /// Shortest outage of the store that makes entries lapse, in milliseconds.
+    min_outage_ms: u64,
     store_recovered_at: Option<Time>,
     evacuations: Evacuations,
     /// Reads of the registrations that reached their end.
@@ -294,16 +304,33 @@
 }
 
 impl ReplicaSet {
+    /// Sets the time between two renewals of a registration, in milliseconds. Until it is
+    /// set, each outage of the store counts.
+    pub const fn set_heartbeat(&mut self, heartbeat_ms: u64) {
+        self.min_outage_ms = MIN_OUTAGE_HEARTBEATS * heartbeat_ms;
+    }
+
     /// Records whether the store is reachable.
     pub fn set_store_reachable(&mut self, now: Time, is_reachable: bool) {
-        if !is_reachable {
+        if is_reachable {
+            if self.is_long_outage(now) {
+                self.store_recovered_at = Some(now);
+            }
+            self.store_unreachable_since = None;
+            self.store_reached_at = now;
+        } else {
             self.store_unreachable_since.get_or_insert(now);
-            self.store_recovered_at = None;
-        } else if self.store_unreachable_since.take().is_some() {
-            self.store_recovered_at = Some(now);
         }
     }
 
+    /// Returns whether the store is unreachable, and may have been for so long that entries
+    /// have lapsed.
+    fn is_long_outage(&self, now: Time) -> bool {
+        // It may have begun right after the last success.
+        self.store_unreachable_since.is_some()
+            && now.since(self.store_reached_at) >= self.min_outage_ms
+    }
+
     /// Returns whether the store is reachable, as far as known.
     #[must_use]
     pub const fn is_store_reachable(&self) -> bool {
@@ -311,7 +338,7 @@
     }
 
     fn keeps_lapsed(&self, now: Time) -> bool {
-        self.store_unreachable_since.is_some()
+        self.is_long_outage(now)
             || self
                 .store_recovered_at
                 .is_some_and(|recovered| now.since(recovered) < LAPSED_RETENTION_MS)
