--- a/cicadagate-gateway/src/process/freshness.rs
+++ b/cicadagate-gateway/src/process/freshness.rs
@@ -19,6 +19,7 @@
 pub(super) struct Stale {
     registrations: bool,
     index: bool,
+    config: bool,
 }
 
 impl Gateway {
@@ -26,7 +27,7 @@
     #[must_use]
     pub fn registrations_freshness(&self) -> Freshness {
         let (as_of, _) = self.registration_feed.borrow().known_as_of();
-        Freshness::new(as_of, millis(self.bounds().drain))
+        Freshness::new(Some(as_of), millis(self.bounds().drain))
     }
 
     /// Returns from what the state of the replicas' registrations is known.
@@ -38,8 +39,15 @@
     /// Returns the freshness of the index of batch jobs.
     #[must_use]
     pub fn index_freshness(&self) -> Freshness {
-        let as_of = self.jobs.synced_at().unwrap_or_default();
-        Freshness::new(as_of, millis(self.bounds().cancel))
+        Freshness::new(self.jobs.synced_at(), millis(self.bounds().cancel))
+    }
+
+    /// Returns the freshness of the operators' records: the configuration and evacuations.
+    #[must_use]
+    pub fn config_freshness(&self) -> Freshness {
+        let bounds = self.bounds();
+        let bound = bounds.config_in_force.min(bounds.evacuation);
+        Freshness::new(self.config_as_of.get(), millis(bound))
     }
 }
 
@@ -47,10 +55,12 @@
 pub(super) fn tick(gateway: &Gateway) {
     let now = gateway.now();
     let (registrations, index) = (gateway.registrations_freshness(), gateway.index_freshness());
+    let config = gateway.config_freshness();
     set_ages(gateway, now);
     let is_stale = Stale {
         registrations: gateway.registrations_loaded.get() && !registrations.permits(now),
         index: gateway.jobs.synced_at().is_some() && !index.permits(now),
+        config: gateway.config_as_of.get().is_some() && !config.permits(now),
     };
     let was_stale = gateway.stale.replace(is_stale);
     if is_stale.registrations != was_stale.registrations {
@@ -70,6 +80,14 @@
             event!(JOB_INDEX_FRESH, age_ms);
         }
     }
+    if is_stale.config != was_stale.config {
+        let age_ms = config.age_ms(now);
+        if is_stale.config {
+            event!(CONFIG_STALE, age_ms);
+        } else {
+            event!(CONFIG_FRESH, age_ms);
+        }
+    }
 }
 
 /// Sets the metrics of the ages.
@@ -77,6 +95,7 @@
     let ages = [
         ("registrations_age_ms", gateway.registrations_freshness()),
         ("job_index_age_ms", gateway.index_freshness()),
+        ("config_age_ms", gateway.config_freshness()),
     ];
     for (kind, freshness) in ages {
         let age_ms = usize::try_from(freshness.age_ms(now)).unwrap_or(usize::MAX);
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -205,6 +205,12 @@
     peer_socket: OnceCell<peers::PeerSocket>,
     /// A newer record of the operators is known elsewhere.
     newer_operator_record: Notify,
+    /// Time as of which the operators' records are known.
+    config_as_of: Cell<Option<Time>>,
+    /// Whether the last read of the operators' records failed.
+    is_config_unread: Cell<bool>,
+    /// Notified when the operators' records were read, or could not be.
+    config_checked: Notify,
     /// Time at which another gateway last told of an evacuation that was not known here.
     last_evacuation_wake: Cell<Time>,
     clock: Clock,
@@ -295,6 +301,9 @@
             bounds: Cell::new(settings.bounds),
             peer_socket: OnceCell::new(),
             newer_operator_record: Notify::new(),
+            config_as_of: Cell::default(),
+            is_config_unread: Cell::default(),
+            config_checked: Notify::new(),
             last_evacuation_wake: Cell::default(),
             clock,
             in_flight: RefCell::default(),
--- a/cicadagate-gateway/src/request/admission.rs
+++ b/cicadagate-gateway/src/request/admission.rs
@@ -72,6 +72,7 @@
     let job_request = gateway
         .codec
         .parse_job_request(req.method(), req.path(), query);
+    gateway.refresh_config().await;
     let context = match identify(gateway, &req, job_request.is_some()) {
         Ok(context) => context,
         Err(request_error) => return refuse(gateway, &id, request_error, "", None),
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -58,6 +58,8 @@
     STORE_LOST = 211, Warn, "The platform's store can't be read; the last known state is used.";
     STORE_BACK = 212, Info, "The platform's store can be read again.";
     CONFIG_OLDER_IGNORED = 213, Info, "A configuration older than the one in force was read and ignored.";
+    CONFIG_STALE = 214, Warn, "The operators' records are older than permits to decide by them.";
+    CONFIG_FRESH = 215, Info, "The operators' records are recent enough again.";
     LIST_UNREACHABLE = 210, Warn, "The platform's instance list can't be read; the last one is used.";
     CONTACT_LOST = 300, Error, "Neither the log nor a majority of witnesses responds: requests are refused.";
     CONTACT_BACK = 301, Info, "The log or a majority of witnesses responds again.";
--- a/cicadagate-policy/src/process/freshness.rs
+++ b/cicadagate-policy/src/process/freshness.rs
@@ -32,38 +32,31 @@
 /// As of when something is known, and how long that permits acts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Freshness {
-    as_of: Time,
+    as_of: Option<Time>,
     bound_ms: u64,
 }
 
 impl Freshness {
-    /// Creates the freshness of what is known as of a time. An act that is based on it must
-    /// reach its target within `bound_ms` milliseconds after a change.
+    /// Creates the freshness of what is known as of a time, `None` if nothing is known yet.
+    /// An act that is based on it must reach its target within `bound_ms` milliseconds after
+    /// a change.
     #[must_use]
-    pub const fn new(as_of: Time, bound_ms: u64) -> Self {
+    pub const fn new(as_of: Option<Time>, bound_ms: u64) -> Self {
         Self { as_of, bound_ms }
     }
 
-    /// Returns the later of two, if both tell the same.
+    /// Returns the age, in milliseconds: since the start of the clock if nothing is known.
     #[must_use]
-    pub fn latest(self, other: Self) -> Self {
-        if other.as_of > self.as_of {
-            other
-        } else {
-            self
-        }
-    }
-
-    /// Returns the age, in milliseconds.
-    #[must_use]
-    pub const fn age_ms(self, now: Time) -> u64 {
-        now.since(self.as_of)
+    pub fn age_ms(self, now: Time) -> u64 {
+        now.since(self.as_of.unwrap_or_default())
     }
 
     /// Returns the time until which an act may begin, exclusive.
     #[must_use]
-    pub const fn permits_until(self) -> Time {
-        self.as_of.plus(self.bound_ms * ACT_PERCENT / 100)
+    pub fn permits_until(self) -> Time {
+        self.as_of.map_or(Time(0), |as_of| {
+            as_of.plus(self.bound_ms * ACT_PERCENT / 100)
+        })
     }
 
     /// Returns whether an act may begin now.
