--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -21,7 +21,7 @@
     actix_rt::time::{sleep, timeout},
     cicadagate_node::{
         clock::unix_time_ms,
-        connection::http_client::{ReplicaRequest, ReplicaResponse, Reuse},
+        connection::http_client::{ExchangeError, ReplicaRequest, ReplicaResponse, Reuse},
         event,
     },
     cicadagate_policy::{
@@ -103,6 +103,10 @@
     Failed(FailedRun),
     /// The replica has no free slot; this is its load.
     NoSlot(InFlight),
+    /// What is known is too old to start the item by it, for this reason.
+    Unknown(&'static str),
+    /// The item has a result, or its job was cancelled.
+    Closed,
     /// The run was interrupted or refused, which is no failure of the item.
     Interrupted(String),
 }
@@ -210,6 +214,20 @@
                 sleep(SLOT_RETRY_DELAY).await;
                 continue;
             }
+            RunOutcome::Unknown(reason) => {
+                refusals += 1;
+                if refusals.is_multiple_of(REFUSALS_PER_LOG) {
+                    event!(
+                        ITEM_WAITING,
+                        item: = ItemName(item),
+                        id = task.id.as_str(),
+                        refusals,
+                        index_age_ms = gateway.index_freshness().age_ms(gateway.now()),
+                        reason
+                    );
+                }
+            }
+            RunOutcome::Closed => return,
             RunOutcome::Interrupted(reason) => {
                 event!(
                     ITEM_RETRIED,
@@ -421,7 +439,21 @@
     Some((replica.endpoint, Rc::clone(&replica.registration)))
 }
 
+/// Waits until what is known permits to start an item; returns why it does not.
+async fn refresh(gateway: &Rc<Gateway>, item: ItemRef) -> Option<RunOutcome> {
+    if gateway.jobs.refresh(gateway).await.is_err() {
+        return Some(RunOutcome::Unknown("the index of jobs can't be read"));
+    }
+    if !gateway.jobs.index.borrow().is_item_open(item) {
+        return Some(RunOutcome::Closed);
+    }
+    None
+}
+
 async fn run_once(gateway: &Rc<Gateway>, task: &Task, run: &ItemRun) -> RunOutcome {
+    if let Some(outcome) = refresh(gateway, task.item).await {
+        return outcome;
+    }
     let now = gateway.now();
     let Some((endpoint, registration)) = choose_replica(gateway, task, now) else {
         return RunOutcome::Interrupted("no replica available".to_owned());
@@ -469,13 +501,21 @@
         load = gateway.fleet_load(endpoint).total(),
         max_rate = gateway.named_rate(endpoint)
     );
+    let may_send = || {
+        gateway.index_freshness().permits(gateway.now())
+            && gateway.jobs.index.borrow().is_item_open(task.item)
+    };
+    let addr = registration.addr;
     let send = gateway
         .pool
-        .send(now, endpoint, registration.addr, Reuse::Any, &request);
+        .send_if(now, endpoint, addr, Reuse::Any, &request, may_send);
     let received = timeout(IDLE_TIMEOUT, send).await;
     gateway.note_discarded_heads();
     let response = match received {
         Ok(Ok(response)) => response,
+        Ok(Err(ExchangeError::Withheld)) => {
+            return RunOutcome::Unknown("the state changed or grew old before it was sent");
+        }
         Ok(Err(err)) => {
             gateway.note_failed(endpoint, &err);
             return RunOutcome::Interrupted(err.to_string());
--- a/cicadagate-gateway/src/process/jobs.rs
+++ b/cicadagate-gateway/src/process/jobs.rs
@@ -3,8 +3,9 @@
 
 A response about a job must not be based on a stale index: [`Jobs::sync`]
 returns once the index holds all records that were in the store when it was
-called. Records that are queued while an append is in progress are appended
-together.
+called. Nor must the start of an item, which may be older by a part of the time
+after a cancellation: [`Jobs::refresh`] reads the index only if it is older. Records that
+are queued while an append is in progress are appended together.
 */
 
 use {
@@ -76,10 +77,23 @@
         if reads.is_multiple_of(READS_PER_CLEANUP) {
             remove_old_jobs(&gateway);
         }
+        wait_for_next_read(&gateway).await;
+    }
+}
+
+/// Waits until the index is as old as it may be without a request or item that needs it.
+async fn wait_for_next_read(gateway: &Gateway) {
+    loop {
         // Bounds the reads per second of all members together.
         let members = gateway.member_count() as u64;
-        let interval_ms = members * 1_000 / MAX_FLEET_READS_PER_S;
-        sleep(Duration::from_millis(MIN_READ_INTERVAL_MS.max(interval_ms))).await;
+        let interval_ms = (members * 1_000 / MAX_FLEET_READS_PER_S).max(MIN_READ_INTERVAL_MS);
+        let age_ms = gateway.jobs.age_ms(gateway.now()).unwrap_or(u64::MAX);
+        // The index may be read for others meanwhile.
+        let left_ms = interval_ms.saturating_sub(age_ms);
+        if left_ms == 0 {
+            return;
+        }
+        sleep(Duration::from_millis(left_ms)).await;
     }
 }
 
@@ -105,6 +119,27 @@
         if self.synced_at.get().is_some_and(|synced| synced > since) {
             return Ok(());
         }
+        self.read_to_end(gateway).await
+    }
+
+    /// Waits until the index is recent enough to start items by it, and reads it if needed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store can't be read.
+    pub async fn refresh(&self, gateway: &Rc<Gateway>) -> Result<()> {
+        if gateway.index_freshness().permits(gateway.now()) {
+            return Ok(());
+        }
+        let _read_guard = self.read_lock.lock().await;
+        // Another task may have read it meanwhile.
+        if gateway.index_freshness().permits(gateway.now()) {
+            return Ok(());
+        }
+        self.read_to_end(gateway).await
+    }
+
+    async fn read_to_end(&self, gateway: &Rc<Gateway>) -> Result<()> {
         loop {
             let read_started = gateway.now();
             let from = self.next_offset.get();
--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -95,6 +95,10 @@
         /// Error of the operating system.
         source: io::Error,
     },
+    /// The sender no longer permitted to send when the connection was there: nothing was
+    /// sent.
+    #[snafu(display("not sent: what is known of the replica no longer permits it"))]
+    Withheld,
     /// The connection ended before the response did: the request may have run.
     #[snafu(display("connection ended before an answer: {source}"))]
     Broken {
@@ -125,7 +129,9 @@
         match self {
             Self::Connect { .. } => true,
             Self::Broken { source } => source.kind() == io::ErrorKind::TimedOut,
-            Self::Malformed { .. } | Self::MismatchedId | Self::Unattributed => false,
+            Self::Malformed { .. } | Self::MismatchedId | Self::Unattributed | Self::Withheld => {
+                false
+            }
         }
     }
 
@@ -137,7 +143,8 @@
             Self::Broken { .. }
             | Self::Malformed { .. }
             | Self::MismatchedId
-            | Self::Unattributed => false,
+            | Self::Unattributed
+            | Self::Withheld => false,
         }
     }
 
@@ -148,7 +155,9 @@
             Self::Connect { source, .. } | Self::Broken { source } => {
                 source.kind() == io::ErrorKind::TimedOut
             }
-            Self::Malformed { .. } | Self::MismatchedId | Self::Unattributed => false,
+            Self::Malformed { .. } | Self::MismatchedId | Self::Unattributed | Self::Withheld => {
+                false
+            }
         }
     }
 
@@ -161,14 +170,15 @@
             Self::Connect { .. }
             | Self::Malformed { .. }
             | Self::MismatchedId
-            | Self::Unattributed => false,
+            | Self::Unattributed
+            | Self::Withheld => false,
         }
     }
 
     /// Returns whether the replica may have run the request.
     #[must_use]
     pub const fn may_have_run(&self) -> bool {
-        !matches!(self, Self::Connect { .. })
+        !matches!(self, Self::Connect { .. } | Self::Withheld)
     }
 }
 
--- a/cicadagate-node/src/connection/http_client/pool.rs
+++ b/cicadagate-node/src/connection/http_client/pool.rs
@@ -148,6 +148,25 @@
         addr: SocketAddr,
         reuse: Reuse,
         req: &ReplicaRequest,
+    ) -> Result<ReplicaResponse> {
+        self.send_if(now, endpoint, addr, reuse, req, || true).await
+    }
+
+    /// Like [`send`](Self::send), but asks `may_send` right before the first byte is written:
+    /// since the decision to send, a connection had to be opened, and the process may have
+    /// stood still.
+    ///
+    /// # Errors
+    ///
+    /// As [`send`](Self::send), and [`ExchangeError::Withheld`] if `may_send` says no.
+    pub async fn send_if(
+        &self,
+        now: Time,
+        endpoint: EndpointId,
+        addr: SocketAddr,
+        reuse: Reuse,
+        req: &ReplicaRequest,
+        may_send: impl FnOnce() -> bool,
     ) -> Result<ReplicaResponse> {
         self.set_now(now);
         let idle_list = Rc::clone(
@@ -179,6 +198,10 @@
             idle_list: Rc::clone(&idle_list),
             now: Rc::clone(&self.now),
         };
+        if !may_send() {
+            handle.put_back(conn, None);
+            return Err(ExchangeError::Withheld);
+        }
         let on_discarded = |head, reason| {
             let mut discarded = self.discarded.borrow_mut();
             if discarded.len() < MAX_DISCARDED_HEADS {
