--- a/cicadagate-gateway/src/process/freshness.rs
+++ b/cicadagate-gateway/src/process/freshness.rs
@@ -27,7 +27,7 @@
     #[must_use]
     pub fn registrations_freshness(&self) -> Freshness {
         let (as_of, _) = self.registration_feed.borrow().known_as_of();
-        Freshness::new(Some(as_of), millis(self.bounds().drain))
+        Freshness::new(as_of, millis(self.bounds().drain))
     }
 
     /// Returns from what the state of the replicas' registrations is known.
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -10,6 +10,7 @@
     crate::{
         process::{
             Gateway, contents, lost_contact,
+            registry::Refreshed,
             slots::{SlotOutcome, acquire},
         },
         request::{event_id_text, is_event_stream, is_hop_by_hop, set_replica_headers},
@@ -447,7 +448,9 @@
     if !gateway.jobs.index.borrow().is_item_open(item) {
         return Some(RunOutcome::Closed);
     }
-    None
+    let refreshed = gateway.refresh_registrations(IDLE_TIMEOUT).await;
+    (refreshed != Refreshed::Recent)
+        .then_some(RunOutcome::Unknown("the registrations can't be read"))
 }
 
 async fn run_once(gateway: &Rc<Gateway>, task: &Task, run: &ItemRun) -> RunOutcome {
@@ -502,7 +505,8 @@
         max_rate = gateway.named_rate(endpoint)
     );
     let may_send = || {
-        gateway.index_freshness().permits(gateway.now())
+        gateway.may_send(endpoint, Refreshed::Recent)
+            && gateway.index_freshness().permits(gateway.now())
             && gateway.jobs.index.borrow().is_item_open(task.item)
     };
     let addr = registration.addr;
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -51,7 +51,7 @@
 mod rates;
 pub mod reachability;
 mod registration_news;
-mod registry;
+pub mod registry;
 pub mod slots;
 mod stop;
 pub mod stream_origins;
@@ -227,6 +227,10 @@
     stale: Cell<freshness::Stale>,
     /// Notified when a message has brought the registrations up to date.
     registrations_current: Notify,
+    /// Notified when a request needs more recent registrations.
+    registrations_wanted: Notify,
+    /// Notified when the registrations were read, or could not be.
+    registrations_checked: Notify,
     /// Software versions that the store lists.
     pub version_record: RefCell<VersionRecord>,
     /// Whether the first attempt to read and complete the listed versions has ended.
@@ -315,6 +319,8 @@
             registration_feed: RefCell::default(),
             stale: Cell::default(),
             registrations_current: Notify::new(),
+            registrations_wanted: Notify::new(),
+            registrations_checked: Notify::new(),
             version_record: RefCell::default(),
             version_record_tried: Cell::default(),
             version_checks: version_check::SharedReads::default(),
--- a/cicadagate-gateway/src/process/peers.rs
+++ b/cicadagate-gateway/src/process/peers.rs
@@ -17,12 +17,14 @@
         ids::{MemberId, Offset},
         process::{
             membership::{Health, Info, Membership, Outgoing},
+            registration_readers::DatedNews,
             reports::{Report, period_ms},
         },
+        time::Time,
     },
     cicadagate_wire::datagram::{DatagramCodec, GatewayDatagram, MAX_DATAGRAM_BYTES},
     serde::{Deserialize, Serialize},
-    std::{cell::Cell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::Cell, collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// Compacted topic of the addresses at which instances receive datagrams.
@@ -37,12 +39,17 @@
 const MIN_OLDER_MS: u64 = 5_000;
 /// Longest wait for a datagram before due work is checked, in milliseconds.
 const MAX_WAIT_MS: u64 = 100;
+/// Most datagrams that are received before other tasks run.
+const MAX_DATAGRAMS_AT_ONCE: usize = 32;
 
 /// The socket for datagrams, their codec, and the schedule and sequence number
 /// of this process's load reports.
 pub struct PeerSocket {
     socket: UdpSocket,
     codec: DatagramCodec,
+    /// When the socket was last known to hold no datagram. One that is received now has
+    /// arrived later.
+    drained_at: Cell<Time>,
     seq: Cell<u64>,
     next_report_ms: Cell<u64>,
 }
@@ -58,6 +65,7 @@
     let peer_socket = gateway.peer_socket.get_or_init(|| PeerSocket {
         socket,
         codec: DatagramCodec::new(&gateway.settings.fleet_key),
+        drained_at: Cell::new(gateway.now()),
         seq: Cell::new(0),
         next_report_ms: Cell::new(0),
     });
@@ -74,10 +82,8 @@
             .min(peer_socket.next_report_ms.get());
         let wait = due.saturating_sub(now.0).min(MAX_WAIT_MS);
         tokio::select! {
-            received = peer_socket.socket.recv_from(&mut buf) => {
-                if let Ok((len, from)) = received {
-                    receive(&gateway, peer_socket, &buf[..len], from);
-                }
+            _ = peer_socket.socket.readable() => {
+                receive_waiting(&gateway, peer_socket, &mut buf);
             }
             () = sleep(Duration::from_millis(wait)) => {}
         }
@@ -140,6 +146,22 @@
     }
 }
 
+/// Receives the datagrams that have arrived, a limited number at once.
+fn receive_waiting(gateway: &Rc<Gateway>, peer_socket: &PeerSocket, buf: &mut [u8]) {
+    for _ in 0..MAX_DATAGRAMS_AT_ONCE {
+        let now = gateway.now();
+        match peer_socket.socket.try_recv_from(buf) {
+            Ok((len, from)) => receive(gateway, peer_socket, &buf[..len], from),
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => {
+                peer_socket.drained_at.set(now);
+                return;
+            }
+            // An error of an earlier send; the socket stays usable.
+            Err(_) => {}
+        }
+    }
+}
+
 fn receive(gateway: &Rc<Gateway>, peer_socket: &PeerSocket, bytes: &[u8], from: SocketAddr) {
     let metrics = &gateway.metrics;
     metrics
@@ -164,7 +186,12 @@
             super::unresolved_jobs::receive(gateway, from, message);
         }
         Ok(GatewayDatagram::Registrations(news)) => {
-            super::registration_news::receive(gateway, news);
+            let arrived_after = peer_socket.drained_at.get();
+            super::registration_news::receive(gateway, arrived_after, None, news);
+        }
+        Ok(GatewayDatagram::DatedRegistrations(DatedNews { news, age_ms })) => {
+            let arrived_after = peer_socket.drained_at.get();
+            super::registration_news::receive(gateway, arrived_after, Some(age_ms), news);
         }
         Err(err) => {
             metrics
--- a/cicadagate-gateway/src/process/registration_news.rs
+++ b/cicadagate-gateway/src/process/registration_news.rs
@@ -8,12 +8,15 @@
 use {
     super::{Gateway, freshness::millis, registry},
     cicadagate_node::event,
-    cicadagate_policy::process::{
-        membership::Health,
-        placement::{PlacementCandidate, data_centre_hash},
-        registration_readers::{
-            ReadLimits, Received, RegistrationNews, Role, readers, serving_readers,
+    cicadagate_policy::{
+        process::{
+            membership::Health,
+            placement::{PlacementCandidate, data_centre_hash},
+            registration_readers::{
+                DatedNews, ReadLimits, Received, RegistrationNews, Role, readers, serving_readers,
+            },
         },
+        time::Time,
     },
     cicadagate_wire::datagram::GatewayDatagram,
     std::{net::SocketAddr, rc::Rc},
@@ -77,9 +80,11 @@
     let served = served_addrs(gateway);
     let mut feed = gateway.registration_feed.borrow_mut();
     let messages = feed.news(served.len(), end);
+    let (as_of, _) = feed.known_as_of();
     drop(feed);
-    for message in messages {
-        let datagram = GatewayDatagram::Registrations(message);
+    for news in messages {
+        let age_ms = gateway.now().since(as_of.unwrap_or_default());
+        let datagram = GatewayDatagram::DatedRegistrations(DatedNews { news, age_ms });
         for to in &served {
             peer_socket.send(gateway, *to, &datagram);
         }
@@ -101,10 +106,17 @@
         .collect()
 }
 
-/// Handles the news of a reader.
-pub(super) fn receive(gateway: &Rc<Gateway>, news: RegistrationNews) {
+/// Handles the news of a reader. They were not sent before `sent_after`, and their age then is
+/// `None` if the reader doesn't say it.
+pub(super) fn receive(
+    gateway: &Rc<Gateway>,
+    sent_after: Time,
+    age_ms: Option<u64>,
+    news: RegistrationNews,
+) {
     let now = gateway.now();
-    let received = gateway.registration_feed.borrow_mut().receive(now, news);
+    let as_of = age_ms.map(|age_ms| Time(sent_after.0.saturating_sub(age_ms)));
+    let received = gateway.registration_feed.borrow_mut().receive(as_of, news);
     let kind = match received {
         Received::Gap => "gap",
         Received::Known => "known",
@@ -120,6 +132,7 @@
             // News of a reader that lags behind don't replace an own read.
             if due > now {
                 gateway.registrations_current.notify_one();
+                gateway.registrations_checked.notify_waiters();
             }
             "news"
         }
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -6,7 +6,8 @@
 wait but are made at fixed intervals, so that their number does not grow with
 the number of replicas. In a large fleet few gateways read for all, see
 [`registration_news`](super::registration_news); then this gateway reads only if it is one of
-them, or if they don't tell it the latest state in time.
+them, or if they don't tell it the latest state in time. A request that finds the registrations
+too old to be sent by them has them read at once, and waits.
 */
 
 use {
@@ -16,7 +17,7 @@
     },
     crate::platform::{KeyedRecord, StoreError},
     actix_http::ResponseHead,
-    actix_rt::time::sleep,
+    actix_rt::time::{sleep, timeout},
     bytes::Bytes,
     cicadagate_node::{connection::http_client::DiscardedResponse, event},
     cicadagate_policy::{
@@ -40,11 +41,9 @@
 /// In a large fleet that starts as a whole these reads take the store seconds, and
 /// immediate retries would make all of them time out again.
 const LATEST_RETRY_PERIODS: u64 = 2;
-/// Longest time for which a stream that goes on at a software version waits for current
-/// registrations, in milliseconds.
-const MAX_CURRENT_WAIT_MS: u64 = 600;
-/// Time between two checks whether the registrations are current.
-const CURRENT_CHECK: Duration = Duration::from_millis(5);
+/// Longest wait for registrations that are recent enough: an operation of the store and one
+/// through another gateway.
+const MAX_REFRESH_WAIT: Duration = Duration::from_secs(2);
 /// Most bytes of one read.
 pub(super) const MAX_READ_BYTES: usize = 1024 * 1024;
 
@@ -54,21 +53,24 @@
     let mut role = Role::default();
     let mut is_missing_news = false;
     let mut latest = LatestRead::default();
+    let mut is_wanted = false;
     loop {
         let started = gateway.now();
         cold::tick(&gateway);
         role = registration_news::next_role(&gateway, role);
         let interval = gateway.bounds().drain / READS_PER_DRAIN;
-        if let Some(wait) = time_until_read(&gateway, role) {
+        let until_read = time_until_read(&gateway, role);
+        if let Some(wait) = until_read.filter(|_| !is_wanted) {
             note_outcome(&gateway, &mut reachability, None);
             // Renewals are not told, but a replica that restarted would have been.
             gateway.replicas.borrow_mut().note_all_renewed();
             if std::mem::take(&mut is_missing_news) {
                 event!(REGISTRATION_NEWS_RESUMED);
             }
-            sleep(wait.min(interval)).await;
+            is_wanted = sleep_until_wanted(&gateway, wait.min(interval)).await;
             continue;
         }
+        is_wanted = false;
         if role == Role::Served && !std::mem::replace(&mut is_missing_news, true) {
             event!(REGISTRATION_NEWS_MISSING);
         }
@@ -84,12 +86,15 @@
             },
         };
         note_outcome(&gateway, &mut reachability, outcome.as_ref().err());
+        gateway.registrations_checked.notify_waiters();
         match outcome {
             Ok(Position::End) if role == Role::Reader => {
                 let elapsed = Duration::from_millis(gateway.now().since(started));
-                sleep(interval.saturating_sub(elapsed)).await;
+                sleep_until_wanted(&gateway, interval.saturating_sub(elapsed)).await;
+            }
+            Ok(Position::End) => {
+                sleep_until_wanted(&gateway, interval).await;
             }
-            Ok(Position::End) => sleep(interval).await,
             Ok(Position::Behind) => {}
             Err(StoreError::Expired { .. }) => gateway.registration_feed.borrow_mut().expire(),
             Err(_) if next.is_none() => sleep(latest_retry_delay(&gateway)).await,
@@ -98,6 +103,22 @@
     }
 }
 
+/// Sleeps until a request needs the registrations, at most for `max`; returns whether one does.
+async fn sleep_until_wanted(gateway: &Gateway, max: Duration) -> bool {
+    let slept = sleep(max);
+    tokio::pin!(slept);
+    loop {
+        tokio::select! {
+            () = &mut slept => return false,
+            () = gateway.registrations_wanted.notified() => {}
+        }
+        // They may have become known since.
+        if !gateway.registrations_freshness().permits(gateway.now()) {
+            return true;
+        }
+    }
+}
+
 /// Returns the delay after a failed read of the latest records: in a large fleet a random
 /// one that grows with the number of members, otherwise [`RETRY_DELAY`].
 fn latest_retry_delay(gateway: &Gateway) -> Duration {
@@ -151,6 +172,17 @@
     Behind,
 }
 
+/// What came of a wait for registrations that are recent enough to send by them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refreshed {
+    /// They are recent enough.
+    Recent,
+    /// The store can't be read. As long as it is away, no replica can register a change.
+    StoreAway,
+    /// They were not read in time.
+    Late,
+}
+
 /// A read of the latest records in pages, which goes on after a failure.
 #[derive(Debug, Default)]
 struct LatestRead {
@@ -159,6 +191,8 @@
     after: Option<String>,
     /// Ends of the topic at the first and at the last page.
     ends: Option<(u64, u64)>,
+    /// When the first page was requested.
+    started: Option<Time>,
 }
 
 /// Reads all registrations, and removes replicas that are not among them.
@@ -166,7 +200,9 @@
     registration_news::count(gateway, "latest");
     let topic = gateway.codec.replica_topic();
     loop {
+        let sent = gateway.now();
         let page = gateway.store.latest(topic, read.after.as_deref()).await?;
+        read.started.get_or_insert(sent);
         // The pages are not one snapshot: records appended after the first page
         // was read are read again from this offset.
         let (first, _) = read.ends.unwrap_or((page.end, page.end));
@@ -180,15 +216,19 @@
             break;
         }
     }
-    let LatestRead { listed, ends, .. } = std::mem::take(read);
+    let LatestRead {
+        listed,
+        ends,
+        started,
+        ..
+    } = std::mem::take(read);
     let known = gateway.replicas.borrow().ids();
     for key in known.into_iter().filter(|id| !listed.contains(id)) {
         apply_record(gateway, &KeyedRecord { key, value: None });
     }
     let (first, last) = ends.unwrap_or_default();
-    let now = gateway.now();
     let mut feed = gateway.registration_feed.borrow_mut();
-    feed.restart(now, first, last);
+    feed.restart(started.unwrap_or_default(), first, last);
     gateway.registrations_loaded.set(true);
     Ok(Position::End)
 }
@@ -332,24 +372,44 @@
 }
 
 impl Gateway {
-    /// Waits, for at most `MAX_CURRENT_WAIT_MS`, until the registrations are those of at
-    /// most the drain time ago. They are older if this process was suspended, and a replica
-    /// may have restarted with other software meanwhile. While the store is known to be away
-    /// there is no wait.
-    pub async fn wait_for_current_registrations(&self) {
-        let limits = registration_news::read_limits(self);
-        let since = self.now();
+    /// Waits until the registrations are recent enough to send by them, and has them read if
+    /// needed.
+    ///
+    /// They are too old if reads are slow or fail, or if this process was suspended.
+    pub async fn refresh_registrations(&self, max_wait: Duration) -> Refreshed {
+        // A process that has just started is not to be waited for.
+        if !self.registrations_loaded.get() {
+            return Refreshed::Late;
+        }
+        let until = self.now().plus(millis(max_wait.min(MAX_REFRESH_WAIT)));
         loop {
+            let checked = self.registrations_checked.notified();
             let now = self.now();
-            let is_current = self.registration_feed.borrow().is_current(now, &limits);
-            let is_in_vain = !self.replicas.borrow().is_store_reachable();
-            if is_current || is_in_vain || now.since(since) >= MAX_CURRENT_WAIT_MS {
-                return;
+            if self.registrations_freshness().permits(now) {
+                return Refreshed::Recent;
             }
-            sleep(CURRENT_CHECK).await;
+            if !self.replicas.borrow().is_store_reachable() {
+                return Refreshed::StoreAway;
+            }
+            if now >= until {
+                return Refreshed::Late;
+            }
+            self.registrations_wanted.notify_one();
+            let left = Duration::from_millis(until.since(now));
+            // What has become known is checked again, in time or not.
+            let _ = timeout(left, checked).await;
         }
     }
 
+    /// Returns whether a request may be sent to a replica now. `refreshed` is what came of the
+    /// wait for recent registrations before it was chosen.
+    #[must_use]
+    pub fn may_send(&self, endpoint: EndpointId, refreshed: Refreshed) -> bool {
+        let is_known =
+            refreshed == Refreshed::StoreAway || self.registrations_freshness().permits(self.now());
+        is_known && self.replicas.borrow().is_usable(endpoint)
+    }
+
     /// Records what the head of a replica's response says of the replica. The
     /// request was sent at `sent_at` or later.
     pub fn note_head(
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -24,7 +24,7 @@
         relay::{self, DisconnectLogger, Relay},
         resumption, through_member,
     },
-    crate::process::{Gateway, RequestGuard, reachability::pick_member},
+    crate::process::{Gateway, RequestGuard, reachability::pick_member, registry::Refreshed},
     actix_http::{
         StatusCode,
         body::{BodyStream, BoxBody, MessageBody as _, SizedStream},
@@ -108,8 +108,10 @@
             if (is_cut_off && self.is_from_member) || self.may_go_through_member(gateway) {
                 return SendOutcome::Failed(self.resolve_error(RequestError::NoReplica));
             }
-            if self.version.is_some() {
-                gateway.wait_for_current_registrations().await;
+            let left = Duration::from_millis(self.deadline.since(now));
+            let refreshed = gateway.refresh_registrations(left).await;
+            if refreshed == Refreshed::Late {
+                return SendOutcome::Failed(self.resolve_error(RequestError::NoReplica));
             }
             let slot_requested_at = gateway.now();
             let Some(target) = self.take_slot(gateway).await else {
@@ -152,12 +154,25 @@
                 after_event = event_id_text(self.last_event)
             );
             self.attempts.mark_sent();
-            let send = gateway
-                .pool
-                .send(now, target.endpoint, addr, reuse, &replica_request);
+            let may_send = || gateway.may_send(target.endpoint, refreshed);
+            let send = gateway.pool.send_if(
+                now,
+                target.endpoint,
+                addr,
+                reuse,
+                &replica_request,
+                may_send,
+            );
             let received = timeout(left, send).await;
             gateway.note_discarded_heads();
             let outcome = match received {
+                Ok(Err(err @ ExchangeError::Withheld)) => {
+                    self.attempts.mark_failed(Progress::NotSent);
+                    // It may be chosen again.
+                    self.tried.pop();
+                    self.log_failure(gateway, &target, &err);
+                    None
+                }
                 Err(_) => return SendOutcome::Failed(self.resolve_error(RequestError::TimedOut)),
                 Ok(Ok(response)) => self.handle_response(gateway, response, target),
                 Ok(Err(err)) => {
--- a/cicadagate-policy/src/process/registration_readers.rs
+++ b/cicadagate-policy/src/process/registration_readers.rs
@@ -213,6 +213,16 @@
     pub ranges: Vec<ChangeRange>,
 }
 
+/// News of a reader, and how old they were when they were sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct DatedNews {
+    /// The news.
+    pub news: RegistrationNews,
+    /// Time since the reader's read was sent, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// What came of a message of a reader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Received {
@@ -239,8 +249,8 @@
     exact_from: u64,
     known: HashMap<EndpointId, Known>,
     known_bytes: u64,
-    /// When the member was last at the end of the topic.
-    at_end: Time,
+    /// Time as of which the member was last at the end of the topic.
+    at_end: Option<Time>,
     known_from: KnownFrom,
     is_shared: bool,
     /// Ranges of the last reads, by read.
@@ -257,18 +267,19 @@
     }
 
     /// Records that the latest records were read: `from` is the end of the topic at the first
-    /// page, `to` at the last.
-    pub fn restart(&mut self, now: Time, from: u64, to: u64) {
+    /// page, which was requested at `as_of`, `to` at the last.
+    pub fn restart(&mut self, as_of: Time, from: u64, to: u64) {
         self.next = Some(from);
         self.exact_from = to.max(from);
-        self.at_end = now;
+        self.at_end = Some(as_of);
         self.known_from = KnownFrom::OwnRead;
         self.clear_sent();
     }
 
-    /// Returns the time as of which all registrations are known, and from what.
+    /// Returns the time as of which all registrations are known, and from what; `None` until
+    /// the latest records were read.
     #[must_use]
-    pub const fn known_as_of(&self) -> (Time, KnownFrom) {
+    pub const fn known_as_of(&self) -> (Option<Time>, KnownFrom) {
         (self.at_end, self.known_from)
     }
 
@@ -353,7 +364,8 @@
         }
         let spread_ms = (limits.drain_ms * FALLBACK_SPREAD_PERCENT / 100).max(1);
         let wait_ms = limits.drain_ms * FALLBACK_PERCENT / 100;
-        self.at_end.plus(wait_ms + own_id.raw() % spread_ms)
+        let at_end = self.at_end.unwrap_or_default();
+        at_end.plus(wait_ms + own_id.raw() % spread_ms)
     }
 
     /// Begins to apply the records of an own read. Returns how many of its first records are
@@ -390,18 +402,12 @@
     }
 
     fn note_at_end(&mut self, as_of: Time, known_from: KnownFrom) {
-        if as_of >= self.at_end {
-            self.at_end = as_of;
+        if self.at_end.is_none_or(|at_end| as_of >= at_end) {
+            self.at_end = Some(as_of);
             self.known_from = known_from;
         }
     }
 
-    /// Returns whether the member was at the end of the topic within the drain time.
-    #[must_use]
-    pub const fn is_current(&self, now: Time, limits: &ReadLimits) -> bool {
-        now.since(self.at_end) < limits.drain_ms
-    }
-
     /// Returns whether the latest records are fewer bytes than the records from the member's
     /// offset to `end`.
     #[must_use]
@@ -447,8 +453,9 @@
         pack(ranges, end)
     }
 
-    /// Takes the news of a reader.
-    pub fn receive(&mut self, now: Time, news: RegistrationNews) -> Received {
+    /// Takes the news of a reader. `as_of` is the latest time that is certainly not after
+    /// its read, `None` if the reader doesn't say how old they are.
+    pub fn receive(&mut self, as_of: Option<Time>, news: RegistrationNews) -> Received {
         let Some(mut next) = self.next else {
             return Received::Gap;
         };
@@ -468,12 +475,12 @@
             next = next.max(range.to);
         }
         self.next = Some(next);
+        if let Some(as_of) = as_of.filter(|_| next >= news.end) {
+            self.note_at_end(as_of, KnownFrom::News);
+        }
         if next > before {
             // What this member would send begins with its own next read.
             self.clear_sent();
-            if next >= news.end {
-                self.note_at_end(now, KnownFrom::News);
-            }
             Received::Records(records)
         } else if is_gap {
             Received::Gap
--- a/cicadagate-policy/tests/registration_readers.rs
+++ b/cicadagate-policy/tests/registration_readers.rs
@@ -244,7 +244,7 @@
                 self.datagrams.push((to, news));
                 continue;
             }
-            if let Received::Records(records) = member.feed.receive(Time(self.now), news) {
+            if let Received::Records(records) = member.feed.receive(Some(Time(self.now)), news) {
                 for record in records {
                     apply(&mut member.feed, &mut member.known, &record);
                 }
@@ -520,10 +520,13 @@
     let news = news_of(&mut reader, &[record(0, 0, 3), record(1, DRAINING, 4)]);
     assert_eq!(news.len(), 1);
     let expected = vec![record(0, 0, 1), record(1, 0, 2), record(1, DRAINING, 4)];
-    let outcome = receiver.receive(Time(5), news[0].clone());
+    let outcome = receiver.receive(Some(Time(5)), news[0].clone());
     assert_eq!(outcome, Received::Records(expected));
     assert_eq!(receiver.next(), Some(4));
-    assert_eq!(receiver.receive(Time(6), news[0].clone()), Received::Known);
+    assert_eq!(
+        receiver.receive(Some(Time(6)), news[0].clone()),
+        Received::Known
+    );
 }
 
 // Guards against changes that a reader takes for repetitions, since its latest records
@@ -566,7 +569,7 @@
         message(CHANGE_RULES - 1, range(10, 20, 11)),
     ];
     for news in ignored {
-        assert_eq!(feed.receive(Time(1), news), Received::Gap);
+        assert_eq!(feed.receive(Some(Time(1)), news), Received::Gap);
     }
     assert_eq!(feed.next(), Some(10));
 }
--- a/cicadagate-wire/src/datagram.rs
+++ b/cicadagate-wire/src/datagram.rs
@@ -20,9 +20,14 @@
         mac::{DecodeError, Result, append_authenticated, verify},
     },
     cicadagate_policy::process::{
-        membership::Message, quarantine::QuarantineMessage, rate_limit::LimitMessage,
-        reachability::CutOffMessage, registration_readers::RegistrationNews, reports::Report,
-        slot_ledger::SlotMessage, stream_origins::StreamOriginMessage,
+        membership::Message,
+        quarantine::QuarantineMessage,
+        rate_limit::LimitMessage,
+        reachability::CutOffMessage,
+        registration_readers::{DatedNews, RegistrationNews},
+        reports::Report,
+        slot_ledger::SlotMessage,
+        stream_origins::StreamOriginMessage,
         unresolved_jobs::UnresolvedJobMessage,
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -49,10 +54,13 @@
     StreamOrigin(StreamOriginMessage),
     /// Services from which the sender is cut off.
     CutOff(CutOffMessage),
-    /// Changes of replicas' registrations, from a member that reads them for others.
+    /// Changes of replicas' registrations, from a member of an older build that reads them
+    /// for others.
     Registrations(RegistrationNews),
     /// A submission of a batch job without an outcome, or a query for it.
     UnresolvedJob(UnresolvedJobMessage),
+    /// Changes of replicas' registrations, from a member that reads them for others.
+    DatedRegistrations(DatedNews),
 }
 
 /// Encodes and decodes datagrams.
