A withheld request doesn't renew an idle connection

Callers saw nothing yet; found by reading. `send_if` put a connection back into the pool when the request was withheld, also one that had been idle: it counted as used just now, lost the keep-alive timeout that the replica had announced, and a request that must not run twice could take it just when the replica closes it.

The new test failed at: 1 connection opened where 2 are needed. An idle connection is closed now when its request is withheld. Cost: one connection for a withheld request.

--- a/cicadagate-node/src/connection/http_client/pool.rs
+++ b/cicadagate-node/src/connection/http_client/pool.rs
@@ -199,7 +199,10 @@
             now: Rc::clone(&self.now),
         };
         if !may_send() {
-            handle.put_back(conn, None);
+            // One that was idle must not count as just used.
+            if !is_reused {
+                handle.put_back(conn, None);
+            }
             return Err(ExchangeError::Withheld);
         }
         let on_discarded = |head, reason| {
--- a/cicadagate-node/tests/http_client.rs
+++ b/cicadagate-node/tests/http_client.rs
@@ -87,6 +87,36 @@
     });
 }
 
+// Guards against an idle connection that counts as just used, since a request that was to be
+// sent on it was withheld: a request that must not run twice would take it.
+#[test]
+fn a_withheld_request_does_not_renew_an_idle_connection() {
+    const LATER: Time = Time(1_500);
+    run(async {
+        let addr = serve(|_, id| echo(id)).await;
+        let pool = Pool::new();
+        send(&pool, addr, "a").await.expect("a response");
+        let send_at = async |reuse, id: &str, may_send: bool| {
+            let req = ReplicaRequest {
+                method: Method::POST,
+                target: format!("/{id}"),
+                headers: HeaderMap::new(),
+                body: Bytes::new(),
+                id: Some((ID, id.to_owned())),
+            };
+            let endpoint = EndpointId::default();
+            let sent = pool.send_if(LATER, endpoint, addr, reuse, &req, || may_send);
+            sent.await.map(drop)
+        };
+        let withheld = send_at(Reuse::Any, "b", false).await;
+        assert!(matches!(withheld, Err(ExchangeError::Withheld)));
+        let opened = pool.counts().0;
+        let sent = send_at(Reuse::RecentOrGuaranteed, "c", true).await;
+        sent.expect("a response");
+        assert_eq!(pool.counts().0, opened + 1, "on a connection of its own");
+    });
+}
+
 // Guards against ids that are forgotten, and against memory that grows with them.
 #[test]
 fn a_connection_is_closed_before_it_forgets_an_id() {
