Items that wait for the index don't read it while reads fail

What callers saw: nothing yet. Since each item that waits to start read the index itself, one after the other and every 200 ms, also if the store had just refused a read. All calls of all processes count against the store's limit, also refused ones, so that a store which refuses some reads for their number gets more of them.

After a read that failed, only the periodic reads try again; items wait until one succeeds, at most 150 ms longer.

--- a/cicadagate-gateway/src/process/jobs.rs
+++ b/cicadagate-gateway/src/process/jobs.rs
@@ -52,6 +52,8 @@
     pub index: RefCell<JobIndex>,
     next_offset: Cell<u64>,
     synced_at: Cell<Option<Time>>,
+    /// Whether the last read failed.
+    has_failed: Cell<bool>,
     read_lock: Mutex<()>,
     changed: Notify,
     append_queue: RefCell<Vec<PendingAppend>>,
@@ -114,10 +116,12 @@
         if self.synced_at.get().is_some_and(|synced| synced > since) {
             return Ok(());
         }
-        self.read_to_end(gateway).await
+        self.read(gateway).await
     }
 
     /// Waits until the index is recent enough to start items by it, and reads it if needed.
+    /// After a read that failed, only [`follow`] reads it until that succeeds: many items
+    /// may wait.
     ///
     /// # Errors
     ///
@@ -131,7 +135,19 @@
         if gateway.index_freshness().permits(gateway.now()) {
             return Ok(());
         }
-        self.read_to_end(gateway).await
+        if self.has_failed.get() {
+            return Err(StoreError::NotDone {
+                reason: "the last read failed".to_owned(),
+            });
+        }
+        self.read(gateway).await
+    }
+
+    /// Reads the index to its end. The lock is held.
+    async fn read(&self, gateway: &Rc<Gateway>) -> Result<()> {
+        let outcome = self.read_to_end(gateway).await;
+        self.has_failed.set(outcome.is_err());
+        outcome
     }
 
     async fn read_to_end(&self, gateway: &Rc<Gateway>) -> Result<()> {
