--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -9,7 +9,7 @@
     },
     crate::{
         process::{
-            Gateway, contents, lost_contact,
+            Gateway, InFlightGuard, contents, lost_contact,
             registry::Refreshed,
             slots::{SlotOutcome, acquire},
         },
@@ -453,6 +453,27 @@
         .then_some(RunOutcome::Unknown("the registrations can't be read"))
 }
 
+/// Requests a slot of a replica; returns the replica's load if it grants none.
+async fn take_slot(
+    gateway: &Rc<Gateway>,
+    endpoint: EndpointId,
+    now: Time,
+) -> Result<InFlightGuard, InFlight> {
+    let reserve = gateway.item_runner.reserve(now);
+    match acquire(gateway, endpoint, Purpose::Batch { reserve }, 0).await {
+        SlotOutcome::Granted(guard) | SlotOutcome::OwnerTimedOut(guard) => Ok(guard),
+        SlotOutcome::Full(load) => {
+            gateway.replicas.borrow_mut().note_full(now, endpoint);
+            Err(load)
+        }
+        SlotOutcome::Leaving => Err(gateway.fleet_load(endpoint)),
+        SlotOutcome::Limited(wait_ms) => {
+            gateway.note_limited(endpoint, wait_ms);
+            Err(gateway.fleet_load(endpoint))
+        }
+    }
+}
+
 async fn run_once(gateway: &Rc<Gateway>, task: &Task, run: &ItemRun) -> RunOutcome {
     if let Some(outcome) = refresh(gateway, task.item).await {
         return outcome;
@@ -461,18 +482,9 @@
     let Some((endpoint, registration)) = choose_replica(gateway, task, now) else {
         return RunOutcome::Interrupted("no replica available".to_owned());
     };
-    let reserve = gateway.item_runner.reserve(now);
-    let _slot = match acquire(gateway, endpoint, Purpose::Batch { reserve }, 0).await {
-        SlotOutcome::Granted(guard) | SlotOutcome::OwnerTimedOut(guard) => guard,
-        SlotOutcome::Full(load) => {
-            gateway.replicas.borrow_mut().note_full(now, endpoint);
-            return RunOutcome::NoSlot(load);
-        }
-        SlotOutcome::Leaving => return RunOutcome::NoSlot(gateway.fleet_load(endpoint)),
-        SlotOutcome::Limited(wait_ms) => {
-            gateway.note_limited(endpoint, wait_ms);
-            return RunOutcome::NoSlot(gateway.fleet_load(endpoint));
-        }
+    let _slot = match take_slot(gateway, endpoint, now).await {
+        Ok(guard) => guard,
+        Err(load) => return RunOutcome::NoSlot(load),
     };
     if !gateway.replicas.borrow().is_usable(endpoint) {
         return RunOutcome::Interrupted("replica is leaving".to_owned());
