Failed reads of one instance are no outage of the store for all

Cause: one failed read of this instance made refresh_registrations answer that the store is away, so requests went out by registrations of any age. And for the same reason a removal counted as a lapse: two reads that time out in a row last longer than MIN_OUTAGE_HEARTBEATS, so the replica was kept until LAPSED_RETENTION_MS after the first success.

Fix: the store counts as away only if no other instance reports that it reaches it, and such reports count, less half the shortest outage as they lag behind, as the store being reached. Otherwise requests wait, or are refused if nothing recent becomes known in 2 s.

--- a/cicadagate-gateway/src/process/fleet_store.rs
+++ b/cicadagate-gateway/src/process/fleet_store.rs
@@ -151,6 +151,12 @@
         log_reachability("direct", outcome.filter(|_| !is_reachable));
     }
 
+    /// Returns whether another gateway says that it reaches the store.
+    #[must_use]
+    pub fn is_reached_elsewhere(gateway: &Gateway) -> bool {
+        Self::pick_peer(gateway).is_some()
+    }
+
     /// Returns the address of a random gateway that reaches the store.
     fn pick_peer(gateway: &Gateway) -> Option<SocketAddr> {
         let now = gateway.now();
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -12,8 +12,10 @@
 
 use {
     super::{
-        Gateway, cold, fleet_store::StoreReachability, freshness::millis, rates, registration_news,
-        slots,
+        Gateway, cold,
+        fleet_store::{FleetStore, StoreReachability},
+        freshness::millis,
+        rates, registration_news, slots,
     },
     crate::platform::{KeyedRecord, StoreError},
     actix_http::ResponseHead,
@@ -142,6 +144,15 @@
     (wait_ms > 0).then(|| Duration::from_millis(wait_ms))
 }
 
+/// Records whether other gateways reach the store, so that entries don't lapse. To be called
+/// before records are applied.
+pub(super) fn note_reached_elsewhere(gateway: &Gateway) {
+    if FleetStore::is_reached_elsewhere(gateway) {
+        let mut replicas = gateway.replicas.borrow_mut();
+        replicas.note_store_reached_elsewhere(gateway.now());
+    }
+}
+
 fn note_outcome(
     gateway: &Gateway,
     reachability: &mut StoreReachability,
@@ -149,6 +160,7 @@
 ) {
     let now = gateway.now();
     let is_reachable = reachability.note(failure);
+    note_reached_elsewhere(gateway);
     let mut replicas = gateway.replicas.borrow_mut();
     replicas.set_heartbeat(millis(gateway.bounds().heartbeat));
     replicas.set_store_reachable(now, is_reachable);
@@ -177,7 +189,8 @@
 pub enum Refreshed {
     /// They are recent enough.
     Recent,
-    /// The store can't be read. As long as it is away, no replica can register a change.
+    /// The store can't be read, and no other gateway says that it reaches it. As long as it is
+    /// away, no replica can register a change.
     StoreAway,
     /// They were not read in time.
     Late,
@@ -222,6 +235,7 @@
         started,
         ..
     } = std::mem::take(read);
+    note_reached_elsewhere(gateway);
     let known = gateway.replicas.borrow().ids();
     for key in known.into_iter().filter(|id| !listed.contains(id)) {
         apply_record(gateway, &KeyedRecord { key, value: None });
@@ -246,6 +260,7 @@
         .store
         .read(topic, 0, from, MAX_READ_BYTES, Duration::ZERO);
     let page = read.await?;
+    note_reached_elsewhere(gateway);
     // News may have arrived during the read.
     let known = gateway.registration_feed.borrow().known_records(page.from);
     for record in page.records.iter().skip(known.unwrap_or(usize::MAX)) {
@@ -388,7 +403,8 @@
             if self.registrations_freshness().permits(now) {
                 return Refreshed::Recent;
             }
-            if !self.replicas.borrow().is_store_reachable() {
+            let is_read = self.replicas.borrow().is_store_reachable();
+            if !is_read && !FleetStore::is_reached_elsewhere(self) {
                 return Refreshed::StoreAway;
             }
             if now >= until {
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -18,7 +18,8 @@
 store is unreachable or has been so within [`LAPSED_RETENTION_MS`]: its replica
 is kept until that time is over, since live replicas register again within it. An
 outage counts only from [`MIN_OUTAGE_HEARTBEATS`] on: entries lapse after a longer
-silence of their replicas, and a single read that failed here says nothing of them.
+silence of their replicas, and reads that fail here say nothing of them while other members
+reach the store.
 
 A member that was told so tells the owner of the replica's slots, and the owner each member
 that asks for a slot there. The word of a member only ranks the replica last, and for a
@@ -323,6 +324,15 @@
         }
     }
 
+    /// Records that other members report to reach the store, although this one may not. Their
+    /// entries are renewed, so removals are no lapses.
+    pub fn note_store_reached_elsewhere(&mut self, now: Time) {
+        // The reports lag behind an outage.
+        let lag_ms = self.min_outage_ms / 2;
+        let reached_at = Time(now.0.saturating_sub(lag_ms));
+        self.store_reached_at = self.store_reached_at.max(reached_at);
+    }
+
     /// Returns whether the store is unreachable, and may have been for so long that entries
     /// have lapsed.
     fn is_long_outage(&self, now: Time) -> bool {
--- a/cicadagate-policy/tests/replicas.rs
+++ b/cicadagate-policy/tests/replicas.rs
@@ -83,6 +83,104 @@
     assert_eq!(set.ids(), ["i1"]);
 }
 
+/// Time between two renewals of a registration, in milliseconds.
+const HEARTBEAT_MS: u64 = 1_200;
+
+// Guards against a removal that counts as a lapse since a read failed here right before it.
+#[test]
+fn an_entry_that_is_removed_after_a_failed_read_is_not_kept() {
+    let mut set = set(2);
+    set.set_heartbeat(HEARTBEAT_MS);
+    set.set_store_reachable(NOW, true);
+    set.set_store_reachable(NOW.plus(800), false);
+    assert!(!set.is_store_reachable());
+    // The records of a read are applied before its outcome is noted.
+    assert_eq!(set.remove(NOW.plus(900), "i0"), ReplicaChange::Removed);
+    assert!(!set.is_usable(EndpointId::of("i0")));
+    set.set_store_reachable(NOW.plus(900), true);
+    assert_eq!(set.remove(NOW.plus(1_700), "i1"), ReplicaChange::Removed);
+    assert!(!set.is_usable(EndpointId::of("i1")));
+}
+
+// Guards against removals that are kept without bound, since each failed read began the time
+// of keeping anew.
+#[test]
+fn entries_that_are_removed_while_reads_fail_now_and_then_are_not_kept() {
+    let mut set = set(20);
+    set.set_heartbeat(HEARTBEAT_MS);
+    let mut now = NOW;
+    set.set_store_reachable(now, true);
+    for index in 0..20 {
+        let id = format!("i{index}");
+        now = now.plus(800);
+        set.set_store_reachable(now, false);
+        now = now.plus(100);
+        assert_eq!(set.remove(now, &id), ReplicaChange::Removed, "{id}");
+        assert!(!set.is_usable(EndpointId::of(&id)));
+        set.set_store_reachable(now, true);
+    }
+}
+
+// Guards against a removal that counts as a lapse since reads failed here for long, although
+// other members reached the store.
+#[test]
+fn an_entry_that_is_removed_while_others_reach_the_store_is_not_kept() {
+    let mut set = set(2);
+    set.set_heartbeat(HEARTBEAT_MS);
+    set.set_store_reachable(NOW, true);
+    let mut now = NOW;
+    for _ in 0..5 {
+        now = now.plus(900);
+        set.note_store_reached_elsewhere(now);
+        set.set_store_reachable(now, false);
+    }
+    now = now.plus(1_100);
+    set.note_store_reached_elsewhere(now);
+    assert_eq!(set.remove(now, "i0"), ReplicaChange::Removed);
+    set.set_store_reachable(now, true);
+    assert_eq!(set.remove(now.plus(100), "i1"), ReplicaChange::Removed);
+}
+
+// Guards against live replicas that are dropped since others reported, late, that they reached
+// the store at the beginning of a long outage.
+#[test]
+fn late_reports_of_others_dont_shorten_a_long_outage() {
+    let mut set = set(1);
+    set.set_heartbeat(HEARTBEAT_MS);
+    set.set_store_reachable(NOW, true);
+    set.note_store_reached_elsewhere(NOW.plus(HEARTBEAT_MS));
+    set.set_store_reachable(NOW.plus(900), false);
+    let back = NOW.plus(2 * HEARTBEAT_MS);
+    assert_eq!(set.remove(back, "i0"), ReplicaChange::Lapsed);
+}
+
+// Guards against live replicas that are dropped since their entries lapsed in a long outage:
+// in both orders of the records and the outcome of the first read that succeeds.
+#[test]
+fn entries_that_lapse_in_a_long_outage_are_kept_in_each_order_of_calls() {
+    for is_noted_first in [false, true] {
+        let mut set = set(2);
+        set.set_heartbeat(HEARTBEAT_MS);
+        set.set_store_reachable(NOW, true);
+        let mut now = NOW;
+        for _ in 0..5 {
+            now = now.plus(900);
+            set.set_store_reachable(now, false);
+        }
+        let back = now.plus(100);
+        if is_noted_first {
+            set.set_store_reachable(back, true);
+        }
+        assert_eq!(set.remove(back, "i0"), ReplicaChange::Lapsed);
+        set.set_store_reachable(back, true);
+        let last = back.plus(LAPSED_RETENTION_MS - 1);
+        assert!(set.remove_lapsed(last).is_empty());
+        assert!(set.is_usable(EndpointId::of("i0")));
+        assert_eq!(set.remove_lapsed(last.plus(1)).len(), 1);
+        assert!(!set.is_usable(EndpointId::of("i0")));
+    }
+}
+
 #[test]
 fn a_failing_replica_is_avoided_for_a_time_or_until_a_success() {
     let mut set = set(2);
