--- a/cicadagate-policy/tests/registration_readers.rs
+++ b/cicadagate-policy/tests/registration_readers.rs
@@ -639,3 +639,20 @@
     let distinct: HashSet<u64> = warm.chain([fingerprint(&base, true)]).collect();
     assert_eq!(distinct.len(), 9);
 }
+
+// Guards against members that trust readers of older builds, which don't say how old their
+// news are: they apply the records, and read themselves in time.
+#[test]
+fn news_without_an_age_are_applied_and_delay_no_read() {
+    let mut reader = RegistrationFeed::default();
+    reader.restart(Time(100), 0, 0);
+    let mut receiver = reader.clone();
+    let due = receiver.read_due(MemberId::of("other"), &LIMITS);
+    let news = news_of(&mut reader, &[record(0, DRAINING, 1)]);
+    let outcome = receiver.receive(None, news[0].clone());
+    assert_eq!(outcome, Received::Records(vec![record(0, DRAINING, 1)]));
+    assert_eq!(receiver.next(), Some(1));
+    assert_eq!(receiver.known_as_of().0, Some(Time(100)));
+    assert_eq!(receiver.read_due(MemberId::of("other"), &LIMITS), due);
+    assert!(due < Time(100).plus(DRAIN_MS));
+}
