A replica that is told to leave sets no bound of doubt for the others

Items and requests that prefer a replica whose version is proven asked the owner of a leaving replica for a slot again and again: "job job-2-9: 0 of 1 results" after 40 s.

Cause: ReplicaSet::choose takes only replicas whose version is least in doubt. If contact with all but one was lost once, and another member says that this one is leaving, it was the only candidate, and its owner grants no slot.

The least doubt is now that of the replicas that are not told to leave, if there are any. The one that is told to leave stays a candidate with its penalty, as before.

The other 3 tests of the file pass.

--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -874,10 +874,15 @@
                     || recorded.is_none_or(|recorded| recorded.is_recorded(replica.version))
             });
         let allowed: Vec<&Replica> = allowed.collect();
+        let is_told = |it: &&Replica| self.is_told_leaving(now, &it.registration, it.endpoint);
+        // The owner of one that is told to leave grants no slot: a proof is no use there.
+        let staying = allowed.iter().filter(|it| !is_told(it));
+        let least_doubt = staying.map(|it| it.doubt()).min();
+        let least_doubt = least_doubt.or_else(|| allowed.iter().map(|it| it.doubt()).min())?;
         let max_doubt = match wanted.proof {
             VersionProof::None => u8::MAX,
-            VersionProof::Preferred => allowed.iter().map(|it| it.doubt()).min()?,
-            VersionProof::Required => allowed.iter().map(|it| it.doubt()).min()?.min(1),
+            VersionProof::Preferred => least_doubt,
+            VersionProof::Required => least_doubt.min(1),
         };
         let candidates: Vec<Candidate<'_>> = allowed
             .into_iter()
