--- a/cicadagate-node/src/connection/http_client/pool.rs
+++ b/cicadagate-node/src/connection/http_client/pool.rs
@@ -75,19 +75,27 @@
 
 impl PoolHandle {
     pub(super) fn put_back(&self, conn: Connection, keep_alive_timeout: Option<Duration>) {
+        self.keep(self.idle(conn, keep_alive_timeout));
+    }
+
+    /// Returns a connection as idle from now on.
+    fn idle(&self, conn: Connection, keep_alive_timeout: Option<Duration>) -> IdleConnection {
         let keep_alive = keep_alive_timeout.map_or(DEFAULT_KEEP_ALIVE, |keep_alive| {
             keep_alive.saturating_sub(KEEP_ALIVE_MARGIN)
         });
         let now = self.now.get();
+        IdleConnection {
+            conn,
+            idle_since: now,
+            expires: now.plus(u64::try_from(keep_alive.as_millis()).unwrap_or(u64::MAX)),
+            is_announced: keep_alive_timeout.is_some(),
+        }
+    }
+
+    fn keep(&self, idle: IdleConnection) {
         let mut idle_list = self.idle_list.borrow_mut();
-        if idle_list.len() < MAX_IDLE_PER_REPLICA && !keep_alive.is_zero() {
-            let expires = now.plus(u64::try_from(keep_alive.as_millis()).unwrap_or(u64::MAX));
-            idle_list.push(IdleConnection {
-                conn,
-                idle_since: now,
-                expires,
-                is_announced: keep_alive_timeout.is_some(),
-            });
+        if idle_list.len() < MAX_IDLE_PER_REPLICA && idle.idle_since < idle.expires {
+            idle_list.push(idle);
         }
     }
 }
@@ -187,24 +195,23 @@
             )
         });
         let is_reused = reused.is_some();
-        let conn = if let Some(conn) = reused {
-            self.reused.set(self.reused.get() + 1);
-            conn
-        } else {
-            self.opened.set(self.opened.get() + 1);
-            Connection::open(addr).await?
-        };
         let handle = PoolHandle {
             idle_list: Rc::clone(&idle_list),
             now: Rc::clone(&self.now),
         };
+        let idle = if let Some(idle) = reused {
+            self.reused.set(self.reused.get() + 1);
+            idle
+        } else {
+            self.opened.set(self.opened.get() + 1);
+            handle.idle(Connection::open(addr).await?, None)
+        };
         if !may_send() {
-            // One that was idle must not count as just used.
-            if !is_reused {
-                handle.put_back(conn, None);
-            }
+            // It has not been in use since it was idle.
+            handle.keep(idle);
             return Err(ExchangeError::Withheld);
         }
+        let conn = idle.conn;
         let on_discarded = |head, reason| {
             let mut discarded = self.discarded.borrow_mut();
             if discarded.len() < MAX_DISCARDED_HEADS {
@@ -305,7 +312,7 @@
     reuse: Reuse,
     trusts_announced: bool,
     id: &str,
-) -> Option<Connection> {
+) -> Option<IdleConnection> {
     let recent_ms = u64::try_from(RECENT_USE.as_millis()).unwrap_or(u64::MAX);
     for at in (0..idle_list.len()).rev() {
         let idle = &idle_list[at];
@@ -320,7 +327,7 @@
         }
         let idle = idle_list.remove(at);
         if now < idle.expires && idle.conn.is_open_and_empty() {
-            return Some(idle.conn);
+            return Some(idle);
         }
     }
     None
--- a/cicadagate-node/tests/http_client.rs
+++ b/cicadagate-node/tests/http_client.rs
@@ -5,17 +5,21 @@
         Method,
         header::{HeaderMap, HeaderName},
     },
-    actix_rt::net::TcpListener,
+    actix_rt::{net::TcpListener, time::sleep},
     bytes::Bytes,
     cicadagate_node::connection::http_client::{
         DiscardReason, ExchangeError, Pool, ReplicaRequest, Result, Reuse,
     },
     cicadagate_policy::{ids::EndpointId, time::Time},
-    std::{future::Future, net::SocketAddr},
+    std::{cell::RefCell, future::Future, net::SocketAddr, rc::Rc, time::Duration},
     tokio::io::{AsyncReadExt, AsyncWriteExt},
 };
 
 const ID: HeaderName = HeaderName::from_static("x-id");
+/// Time in which bytes that were written arrive.
+const SETTLE_TIME: Duration = Duration::from_millis(100);
+/// Idle time after which a connection is neither recent nor expired, in milliseconds.
+const IDLE_MS: u64 = 3_000;
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
 
 fn run<F: Future>(test: F) -> F::Output {
@@ -297,3 +301,94 @@
         }
     });
 }
+
+/// Sends a request with an id if `may_send` permits it.
+async fn send_if(pool: &Pool, addr: SocketAddr, id: &str, may_send: bool) -> Result<()> {
+    let req = ReplicaRequest {
+        method: Method::GET,
+        target: format!("/{id}"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        id: Some((ID, id.to_owned())),
+    };
+    let endpoint = EndpointId::default();
+    let sent = pool.send_if(Time(1), endpoint, addr, Reuse::Any, &req, || may_send);
+    sent.await.map(drop)
+}
+
+// Guards against a request that is sent although its replica began to leave while the
+// connection was opened, and against "may have run" for one that was not sent.
+#[test]
+fn a_withheld_request_writes_nothing_and_has_not_run() {
+    run(async {
+        let received = Rc::new(RefCell::new(Vec::new()));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        let shared = Rc::clone(&received);
+        actix_rt::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let shared = Rc::clone(&shared);
+                actix_rt::spawn(async move {
+                    let mut buf = Vec::new();
+                    while stream.read_buf(&mut buf).await.unwrap_or(0) > 0 {
+                        shared.borrow_mut().append(&mut buf);
+                    }
+                });
+            }
+        });
+        let pool = Pool::new();
+        for id in ["a", "b"] {
+            let err = send_if(&pool, addr, id, false).await.expect_err("withheld");
+            assert!(matches!(err, ExchangeError::Withheld), "{err}");
+            assert!(!err.may_have_run());
+            assert!(!err.is_unreachable() && !err.is_refused() && !err.is_timeout());
+            assert!(!err.is_closed_by_peer());
+        }
+        sleep(SETTLE_TIME).await;
+        assert_eq!(received.borrow().as_slice(), b"");
+    });
+}
+
+// Guards against connections that are lost, and against ids that count as carried although
+// their requests were not sent.
+#[test]
+fn the_connection_of_a_withheld_request_carries_the_next_one() {
+    run(async {
+        let addr = serve(|_, id| echo(id)).await;
+        let pool = Pool::new();
+        // Once on a new connection, once on a reused one.
+        for (id, counts) in [("a", (1, 1)), ("b", (1, 3))] {
+            let withheld = send_if(&pool, addr, id, false).await;
+            assert!(matches!(withheld, Err(ExchangeError::Withheld)));
+            send_if(&pool, addr, id, true).await.expect("a response");
+            assert_eq!(pool.counts(), counts, "{id}");
+        }
+    });
+}
+
+// Guards against an idle connection that seems to have been in use since a request was
+// withheld from it: the replica may close it at any moment.
+#[test]
+fn a_withheld_request_does_not_make_its_connection_recent() {
+    run(async {
+        let addr = serve(|_, id| echo(id)).await;
+        let pool = Pool::new();
+        send(&pool, addr, "a").await.expect("a response");
+        let endpoint = EndpointId::default();
+        let req = ReplicaRequest {
+            method: Method::POST,
+            target: "/b".to_owned(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            id: Some((ID, "b".to_owned())),
+        };
+        let idle = Time(1).plus(IDLE_MS);
+        let withheld = pool.send_if(idle, endpoint, addr, Reuse::Any, &req, || false);
+        assert!(matches!(withheld.await, Err(ExchangeError::Withheld)));
+        let reuse = Reuse::RecentOrGuaranteed;
+        let sent = pool.send(idle.plus(1), endpoint, addr, reuse, &req).await;
+        sent.map(drop).expect("a response");
+        let (opened, _) = pool.counts();
+        assert_eq!(opened, 2, "on a connection that was idle for {IDLE_MS} ms");
+    });
+}
