A process that stood still asks again whether the store is away

A request reached a replica later than drainMs after it had registered that it drains: the process found the store away, chose the replica by what it knew, stood still, and went on after the store had come back. Refreshed::StoreAway let it be sent at any later time.

Now the store counts as away for 2 s after a read that failed. Reads go on every 1.9 s at most (800 ms, 1 s through another gateway, 100 ms until the next), so a process that runs never waits for this. One that stood still waits for the next read before it chooses a replica, and sends nothing chosen before.

--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -517,7 +517,8 @@
         max_rate = gateway.named_rate(endpoint)
     );
     let may_send = || {
-        gateway.may_send(endpoint, Refreshed::Recent)
+        gateway.may_send(endpoint)
+            && gateway.registrations_freshness().permits(gateway.now())
             && gateway.index_freshness().permits(gateway.now())
             && gateway.jobs.index.borrow().is_item_open(task.item)
     };
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -231,6 +231,8 @@
     registrations_wanted: Notify,
     /// Notified when the registrations were read, or could not be.
     registrations_checked: Notify,
+    /// When the last read of the registrations ended, failed or not.
+    registrations_checked_at: Cell<Time>,
     /// Software versions that the store lists.
     pub version_record: RefCell<VersionRecord>,
     /// Whether the first attempt to read and complete the listed versions has ended.
@@ -321,6 +323,7 @@
             registrations_current: Notify::new(),
             registrations_wanted: Notify::new(),
             registrations_checked: Notify::new(),
+            registrations_checked_at: Cell::default(),
             version_record: RefCell::default(),
             version_record_tried: Cell::default(),
             version_checks: version_check::SharedReads::default(),
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -46,6 +46,9 @@
 /// Longest wait for registrations that are recent enough: an operation of the store and one
 /// through another gateway.
 const MAX_REFRESH_WAIT: Duration = Duration::from_secs(2);
+/// Time after a failed read until which the store counts as still away: the next read has
+/// ended by then, unless the process stood still.
+const MAX_CHECK_AGE_MS: u64 = 2_000;
 /// Most bytes of one read.
 pub(super) const MAX_READ_BYTES: usize = 1024 * 1024;
 
@@ -88,6 +91,7 @@
             },
         };
         note_outcome(&gateway, &mut reachability, outcome.as_ref().err());
+        gateway.registrations_checked_at.set(gateway.now());
         gateway.registrations_checked.notify_waiters();
         match outcome {
             Ok(Position::End) if role == Role::Reader => {
@@ -403,8 +407,7 @@
             if self.registrations_freshness().permits(now) {
                 return Refreshed::Recent;
             }
-            let is_read = self.replicas.borrow().is_store_reachable();
-            if !is_read && !FleetStore::is_reached_elsewhere(self) {
+            if self.is_store_away(now) {
                 return Refreshed::StoreAway;
             }
             if now >= until {
@@ -417,12 +420,19 @@
         }
     }
 
-    /// Returns whether a request may be sent to a replica now. `refreshed` is what came of the
-    /// wait for recent registrations before it was chosen.
+    /// Returns whether the store is away for all, as far as known: the last read failed, not
+    /// long ago, and no other gateway says that it reaches the store.
+    fn is_store_away(&self, now: Time) -> bool {
+        !self.replicas.borrow().is_store_reachable()
+            && now.since(self.registrations_checked_at.get()) < MAX_CHECK_AGE_MS
+            && !FleetStore::is_reached_elsewhere(self)
+    }
+
+    /// Returns whether a request may be sent to a replica now.
     #[must_use]
-    pub fn may_send(&self, endpoint: EndpointId, refreshed: Refreshed) -> bool {
-        let is_known =
-            refreshed == Refreshed::StoreAway || self.registrations_freshness().permits(self.now());
+    pub fn may_send(&self, endpoint: EndpointId) -> bool {
+        let now = self.now();
+        let is_known = self.registrations_freshness().permits(now) || self.is_store_away(now);
         is_known && self.replicas.borrow().is_usable(endpoint)
     }
 
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -154,7 +154,7 @@
                 after_event = event_id_text(self.last_event)
             );
             self.attempts.mark_sent();
-            let may_send = || gateway.may_send(target.endpoint, refreshed);
+            let may_send = || gateway.may_send(target.endpoint);
             let send = gateway.pool.send_if(
                 now,
                 target.endpoint,
