Heads and the framing of chunks have a bound

What callers saw: a replica that sends the size line of a chunk, an extension or trailers without end kept its requests until their deadline, at the full speed of the network; then they ended with 502, with no attempt at another replica.

Cause: the decoder takes these bytes, holds none and yields nothing, so only the deadline ended the read. Heads had a bound, but one of the library and for each head: with 8 interim and 4 discarded ones 4.5 MiB for an exchange.

Why it works: MAX_CHUNK_FRAMING_BYTES (16 KiB) since the last chunk, MAX_HEAD_BYTES (64 KiB) for all heads of an exchange. Beyond, the response is malformed, which counts as a failure of the replica and may be retried.

--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -83,6 +83,12 @@
 /// get to the next response.
 const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
 
+/// Most bytes of the heads of a request's responses, interim and discarded ones included.
+pub const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Most bytes between two chunks of a body or after the last one: sizes, extensions and
+/// trailers.
+pub const MAX_CHUNK_FRAMING_BYTES: usize = 16 * 1024;
+
 /// Why an exchange failed.
 #[derive(Debug)]
 #[derive(Snafu)]
@@ -343,6 +349,8 @@
     conn: Option<Connection>,
     framing: BodyFraming,
     remainder: Remainder,
+    /// Bytes since the last chunk that are no part of the body.
+    framing_bytes: usize,
     unsent: BytesMut,
     /// Where the connection goes after the response, if it may be reused.
     pool_handle: Option<PoolHandle>,
@@ -434,8 +442,9 @@
     let earlier_requests = u32::try_from(conn.carried.len()).unwrap_or(u32::MAX);
     let id = req.id.as_ref().map_or("", |(_, id)| id.as_str());
     conn.carried.push(hash_id(id));
+    let mut head_bytes = 0;
     for _ in 0..MAX_RESPONSES_READ {
-        let head = read_final_head(&mut conn, &mut codec, &mut unsent).await?;
+        let head = read_final_head(&mut conn, &mut codec, &mut unsent, &mut head_bytes).await?;
         let echo = echo(&head.headers, req);
         let is_attributed = echo == Echo::Own || attribution == Attribution::ByOrder;
         if echo == Echo::Missing && !is_attributed && earlier_requests > 0 {
@@ -456,6 +465,7 @@
             conn: Some(conn),
             framing,
             remainder: remainder(codec, framing),
+            framing_bytes: 0,
             unsent,
             pool_handle: pool_handle.clone(),
             keep_alive_timeout,
@@ -536,9 +546,10 @@
     conn: &mut Connection,
     codec: &mut ClientCodec,
     unsent: &mut BytesMut,
+    head_bytes: &mut usize,
 ) -> Result<ResponseHead> {
     for _ in 0..=MAX_INTERIM_RESPONSES {
-        let head = read_head(conn, codec, unsent).await?;
+        let head = read_head(conn, codec, unsent, head_bytes).await?;
         if !head.status.is_informational() {
             return Ok(head);
         }
@@ -557,9 +568,20 @@
     conn: &mut Connection,
     codec: &mut ClientCodec,
     unsent: &mut BytesMut,
+    head_bytes: &mut usize,
 ) -> Result<ResponseHead> {
     loop {
+        let received = conn.buf.len();
         let head = codec.decode(&mut conn.buf);
+        let is_complete = matches!(head, Ok(Some(_)));
+        let decoded = received - conn.buf.len();
+        let partial = if is_complete { 0 } else { conn.buf.len() };
+        *head_bytes += decoded;
+        if *head_bytes + partial > MAX_HEAD_BYTES {
+            return Err(ExchangeError::Malformed {
+                reason: "heads exceed the maximum size".to_owned(),
+            });
+        }
         match head {
             Ok(Some(head)) => return Ok(head),
             Ok(None) => {}
@@ -640,18 +662,30 @@
                     return Some(Ok(conn.buf.split().freeze()));
                 }
                 Remainder::UntilClose => {}
-                Remainder::Delimited(codec) => match codec.decode(&mut conn.buf) {
-                    Ok(Some(Some(chunk))) => return Some(Ok(chunk)),
-                    Ok(Some(None)) => {
-                        self.remainder = Remainder::Ended;
-                        return None;
+                Remainder::Delimited(codec) => {
+                    let received = conn.buf.len();
+                    let decoded = codec.decode(&mut conn.buf);
+                    let taken = received.saturating_sub(conn.buf.len());
+                    match decoded {
+                        Ok(Some(Some(chunk))) => {
+                            self.framing_bytes = 0;
+                            return Some(Ok(chunk));
+                        }
+                        Ok(Some(None)) => {
+                            self.remainder = Remainder::Ended;
+                            return None;
+                        }
+                        Ok(None) => self.framing_bytes += taken,
+                        Err(err) => {
+                            let reason = err.to_string();
+                            return Some(Err(ExchangeError::Malformed { reason }));
+                        }
                     }
-                    Ok(None) => {}
-                    Err(err) => {
-                        let reason = err.to_string();
+                    if self.framing_bytes > MAX_CHUNK_FRAMING_BYTES {
+                        let reason = "framing of chunks exceeds the maximum size".to_owned();
                         return Some(Err(ExchangeError::Malformed { reason }));
                     }
-                },
+                }
             }
             match transfer(conn, &mut self.unsent).await {
                 Ok(0) if matches!(self.remainder, Remainder::UntilClose) => {
