What is held of responses counts in the account of memory

What callers saw: nothing until the process was killed, and then all requests of a process ended, also those of other services.

Cause: each stream may hold an event of 1 MiB that is not complete, and as much again for a caller that reads slowly. Neither counted in the account, so 160 streams held more than an instance of 160 MB has. A complete event also kept its memory after it was passed on, since the rest of the parser's buffer shared it.

Why it works: the account has a share for responses (30 % of its bound). Beyond it only those below an equal part grow; the largest are refused, end as a failed attempt, and their replica is avoided. All together never hold more than twice the share, so bodies of requests still fit. Bytes are passed on in pieces of 16 KiB, so that what a slow caller has not read stays in the account rather than in the server. A large event has its memory to itself. Buffered responses count as well, and are streamed if they don't fit.

--- a/cicadagate-gateway/src/request/buffer.rs
+++ b/cicadagate-gateway/src/request/buffer.rs
@@ -4,16 +4,16 @@
 */
 
 use {
-    crate::process::Gateway,
+    crate::process::{Gateway, memory::HeldResponse},
     actix_rt::time::timeout,
     bytes::{Bytes, BytesMut},
     cicadagate_node::connection::http_client::Body,
     cicadagate_policy::time::Time,
-    std::time::Duration,
+    std::{rc::Rc, time::Duration},
 };
 
 /// Longest response that is buffered until it is complete. Longer ones are
-/// streamed.
+/// streamed, as are those for which memory is short.
 pub(super) const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
 /// A response body, or what was read of it.
@@ -28,7 +28,13 @@
 }
 
 /// Reads a response body up to [`MAX_BUFFERED_BYTES`], until the deadline.
-pub(super) async fn read(gateway: &Gateway, deadline: Time, mut body: Body) -> BufferedBody {
+pub(super) async fn read(
+    gateway: &Rc<Gateway>,
+    request: &str,
+    deadline: Time,
+    mut body: Body,
+) -> BufferedBody {
+    let mut held = HeldResponse::new(gateway);
     let read = async {
         let mut buffer = BytesMut::new();
         while let Some(chunk) = body.chunk().await {
@@ -41,7 +47,7 @@
                     };
                 }
             }
-            if buffer.len() > MAX_BUFFERED_BYTES {
+            if buffer.len() > MAX_BUFFERED_BYTES || !held.resize(request, buffer.len()) {
                 return BufferedBody::TooLong(buffer.freeze(), Box::new(body));
             }
         }
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -426,7 +426,7 @@
             };
         }
         let framing = response.body.framing();
-        match buffer::read(gateway, request.deadline, response.body).await {
+        match buffer::read(gateway, &request.id, request.deadline, response.body).await {
             BufferedBody::Complete(body) => {
                 let done = relay::CompletedResponse {
                     status: head.status().as_u16(),
--- a/cicadagate-gateway/src/request/relay.rs
+++ b/cicadagate-gateway/src/request/relay.rs
@@ -17,7 +17,7 @@
         event_id_text, forward::SendOutcome, headers::is_event_stream, pending::PendingRequest,
         placement::AttemptTarget, quarantine::PartList,
     },
-    crate::process::{Gateway, RequestGuard},
+    crate::process::{Gateway, RequestGuard, memory::HeldResponse},
     actix_rt::time::timeout,
     bytes::{Bytes, BytesMut},
     cicadagate_node::{
@@ -49,6 +49,10 @@
 /// Time after the deadline for which what has already arrived of a body is passed on.
 const LATE_BODY_TIME: Duration = Duration::from_millis(50);
 
+/// Most bytes that are passed on at once. The server holds what it is given until the caller
+/// has read it, which is not in the account of memory.
+const MAX_PASSED_ON_BYTES: usize = 16 * 1024;
+
 /// Returns whether a body that is still not at its end is cut short: one that always has
 /// more bytes never waits for any, so that no timeout ends it.
 pub(super) fn is_body_late(now: Time, deadline: Time) -> bool {
@@ -71,8 +75,11 @@
     body: Option<Body>,
     framing: BodyFraming,
     target: AttemptTarget,
-    prefix: Option<Bytes>,
+    /// Bytes that are passed on next.
+    ready: Bytes,
     events: Option<StreamEvents>,
+    /// Bytes of the response that are held: those ready, and an event that is not complete.
+    held: HeldResponse,
     /// Why the current replica's stream can't be used any further.
     failure: Option<&'static str>,
     sent_bytes: usize,
@@ -95,8 +102,9 @@
             framing: body.framing(),
             body: Some(body),
             target,
-            prefix: None,
+            ready: Bytes::new(),
             events: None,
+            held: HeldResponse::new(gateway),
             failure: None,
             sent_bytes: 0,
             first_ms: 0,
@@ -119,7 +127,7 @@
 
     /// Adds bytes that have already been read, to be passed on first.
     pub(super) fn with_prefix(mut self, prefix: Bytes) -> Self {
-        self.prefix = Some(prefix);
+        self.ready = prefix;
         self
     }
 
@@ -134,10 +142,16 @@
         if self.is_ended {
             return None;
         }
-        if let Some(prefix) = self.prefix.take() {
-            return Some(Ok(self.record_sent(prefix)));
-        }
         loop {
+            if !self.ready.is_empty() {
+                let len = self.ready.len().min(MAX_PASSED_ON_BYTES);
+                let piece = self.ready.split_to(len);
+                // Until then, the pieces share their memory.
+                if self.ready.is_empty() {
+                    self.held.release_to(self.partial_event_bytes());
+                }
+                return Some(Ok(self.record_sent(piece)));
+            }
             if let Some(reason) = self.failure.take()
                 && let Err(err) = self.resume(reason).await
             {
@@ -169,10 +183,7 @@
             };
             match chunk {
                 Some(Ok(chunk)) => {
-                    let bytes = self.filter_chunk(chunk);
-                    if !bytes.is_empty() {
-                        return Some(Ok(self.record_sent(bytes)));
-                    }
+                    self.receive(chunk);
                 }
                 None => {
                     match self.end_events() {
@@ -219,6 +230,24 @@
         bytes
     }
 
+    /// Adds what may be passed on of a chunk, unless it may not be held: the stream then fails,
+    /// and goes on before the chunk if it is resumed.
+    fn receive(&mut self, chunk: Bytes) {
+        let before = self.events.as_ref().and_then(|events| events.sequencer);
+        self.ready = self.filter_chunk(chunk);
+        let bytes = self.ready.len() + self.partial_event_bytes();
+        if self.held.resize(&self.request.id, bytes) {
+            return;
+        }
+        self.ready = Bytes::new();
+        self.body = None;
+        if let Some(events) = &mut self.events {
+            events.parser = EventParser::default();
+            events.sequencer = before;
+        }
+        self.failure = Some("response exceeds its part of the memory");
+    }
+
     fn is_resumable(&self) -> bool {
         self.events
             .as_ref()
@@ -274,6 +303,7 @@
     /// Resumes the stream at another replica after the last event passed on.
     async fn resume(&mut self, reason: &str) -> Result<(), ResponseCutShort> {
         self.body = None;
+        self.held.release_to(0);
         let now = self.gateway.now();
         self.gateway
             .replicas
@@ -331,6 +361,7 @@
     fn cut_short(&mut self, reason: &str) -> ResponseCutShort {
         self.is_ended = true;
         self.body = None;
+        self.held.release_to(0);
         event!(
             REQUEST_BROKEN,
             request = self.request.id.as_str(),
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -94,6 +94,7 @@
     QUARANTINED = 529, Info, "A request has a quarantined part, or is quarantined as a whole, and is refused.";
     MEMORY_SHORT = 570, Warn, "The bytes held for callers are near their bound; customers that hold most of them are refused.";
     MEMORY_RELIEVED = 571, Info, "The bytes held for callers are well below their bound again.";
+    RESPONSE_EXCEEDS_MEMORY = 572, Warn, "What is held of a replica's response would exceed its part of the memory; the response ends.";
     OVERLOADED = 528, Info, "A request would wait too long for a slot and is refused.";
     REQUEST_RESUMED = 527, Info, "A stream continues at another replica.";
     SERVICE_CUT_OFF = 535, Warn, "Most replicas of a service can't be reached from here; requests go through other instances.";
--- a/cicadagate-policy/src/process/memory_account.rs
+++ b/cicadagate-policy/src/process/memory_account.rs
@@ -16,6 +16,12 @@
 memory is short, a customer that would hold more than an equal part of the bound is refused.
 So the largest holders are refused first, and the others go on.
 
+Replicas decide how long a response is. The part of it that is held, such as an event that is
+not complete, may grow freely up to [`RESPONSES_PERCENT`] of the bound for all responses
+together; beyond that only responses that hold less than an equal part grow. The largest
+are refused and end, and all together never hold more than twice that share, so that they
+leave room for bodies of requests.
+
 # Cost
 
 One map entry for each customer that holds bytes. The equal part is coarse: it depends on
@@ -42,6 +48,10 @@
 /// Share of the bound down to which memory counts as short once it was, in percent.
 pub const LOW_PERCENT: usize = 60;
 
+/// Share of the bound up to which responses may hold bytes without further conditions, in
+/// percent.
+pub const RESPONSES_PERCENT: usize = 30;
+
 /// Bytes can't be held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Snafu)]
@@ -68,6 +78,10 @@
 pub struct MemoryAccount {
     bound: usize,
     held: usize,
+    /// The part of `held` that belongs to responses.
+    held_by_responses: usize,
+    /// Responses that hold bytes.
+    responses: usize,
     is_short: bool,
     by_customer: HashMap<Option<CustomerId>, usize>,
 }
@@ -79,6 +93,8 @@
         Self {
             bound: memory_limit / 100 * BOUND_PERCENT,
             held: 0,
+            held_by_responses: 0,
+            responses: 0,
             is_short: false,
             by_customer: HashMap::new(),
         }
@@ -121,6 +137,33 @@
         self.update_pressure()
     }
 
+    /// Changes the bytes that a response holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it would hold more, and all together would exceed the bound or this
+    /// one an equal part of what responses may hold. It holds as much as before then.
+    pub fn resize_response(&mut self, old: usize, new: usize) -> Result<Pressure> {
+        let held = (self.held - old.min(self.held)).saturating_add(new);
+        let by_responses =
+            (self.held_by_responses - old.min(self.held_by_responses)).saturating_add(new);
+        let responses = self.responses - usize::from(old > 0) + usize::from(new > 0);
+        let share = self.bound / 100 * RESPONSES_PERCENT;
+        let is_fair = by_responses <= share || new <= share / responses.max(1);
+        let fits = held <= self.bound && is_fair;
+        if new > old && !fits && !is_injected(Fault::IgnoreMemoryBound) {
+            return Err(MemoryShort {
+                wanted: new - old,
+                held: self.held,
+                bound: self.bound,
+            });
+        }
+        self.held = held;
+        self.held_by_responses = by_responses;
+        self.responses = responses;
+        Ok(self.update_pressure())
+    }
+
     /// Returns the bytes that are held.
     #[must_use]
     pub const fn held(&self) -> usize {
--- a/cicadagate-policy/src/request/sse.rs
+++ b/cicadagate-policy/src/request/sse.rs
@@ -28,6 +28,10 @@
 /// exceeds it is treated as failed.
 pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Length from which an event does not share its memory with what follows it, which would keep
+/// all of it. In bytes.
+const LARGE_EVENT_BYTES: usize = 16 * 1024;
+
 /// A complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -126,6 +130,9 @@
         self.scanned_len = 0;
         self.has_returned_event = true;
         let raw = self.buf.split_to(end).freeze();
+        if raw.len() >= LARGE_EVENT_BYTES && self.buf.len() < raw.len() {
+            self.buf = BytesMut::from(&self.buf[..]);
+        }
         let id = lines(&raw)
             .filter_map(|line| field(line, b"id"))
             .next_back()
--- a/cicadagate-policy/tests/memory_account.rs
+++ b/cicadagate-policy/tests/memory_account.rs
@@ -3,7 +3,9 @@
 use cicadagate_policy::{
     fault_injection::{Fault, inject},
     ids::CustomerId,
-    process::memory_account::{BOUND_PERCENT, HIGH_PERCENT, MemoryAccount, Pressure},
+    process::memory_account::{
+        BOUND_PERCENT, HIGH_PERCENT, MemoryAccount, Pressure, RESPONSES_PERCENT,
+    },
 };
 
 const MEMORY_LIMIT: usize = 120 << 20;
@@ -84,3 +86,41 @@
     assert!(relieved_at > 5, "{short_at} {relieved_at}");
     assert_eq!(account.held(), 0);
 }
+
+/// Guards against responses that together exceed the memory: the largest are refused, small ones
+/// go on, and bodies of requests still fit.
+#[test]
+fn responses_leave_room_for_requests_and_the_largest_end_first() {
+    const RESPONSES: usize = 100;
+    const STEP: usize = 16 * 1024;
+    let mut account = MemoryAccount::new(MEMORY_LIMIT);
+    let mut held = [0; RESPONSES];
+    for _ in 0..100 {
+        for held in &mut held {
+            if account.resize_response(*held, *held + STEP).is_ok() {
+                *held += STEP;
+            }
+        }
+    }
+    assert_eq!(account.held(), held.iter().sum::<usize>());
+    assert!(account.held() <= BOUND / 100 * 2 * RESPONSES_PERCENT);
+    assert!(account.resize_response(0, STEP).is_ok());
+    assert!(account.reserve(Some(customer(1)), LARGE_BODY).is_ok());
+    account.release(Some(customer(1)), LARGE_BODY);
+    account.resize_response(STEP, 0).expect("less always fits");
+    for held in held {
+        account.resize_response(held, 0).expect("less always fits");
+    }
+    assert_eq!(account.held(), 0);
+}
+
+/// Guards against a response that alone holds more than all may, and so keeps others out.
+#[test]
+fn a_single_response_has_a_bound() {
+    let mut account = MemoryAccount::new(MEMORY_LIMIT);
+    let share = BOUND / 100 * RESPONSES_PERCENT;
+    assert!(account.resize_response(0, share).is_ok());
+    assert!(account.resize_response(share, share + 100).is_err());
+    assert_eq!(account.held(), share);
+    assert!(account.resize_response(0, LARGE_BODY).is_ok());
+}
