Outputs of items count in the account of memory

What callers saw: as for streams, a process that is killed for its memory.

Cause: an output of up to 4 MiB a run was held for each item while it ran or was paused, and grew on with each resumption; no account knew of it.

Why it works: an output and its partial event count as a response. One that is above its part when the share is used up is dropped, its replica is avoided, and the item goes on a second later from what was saved. An output has the bound of a run, also over several.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -16,7 +16,7 @@
 mod run;
 
 use {
-    super::{Gateway, reachability::pick_member},
+    super::{Gateway, memory::HeldResponse, reachability::pick_member},
     actix_rt::time::{sleep, timeout},
     bytes::Bytes,
     cicadagate_node::{clock::unix_time_ms, event},
@@ -98,9 +98,10 @@
 }
 
 /// Partial output of an item.
-#[derive(Clone, Debug)]
 struct PartialOutput {
     data: Vec<u8>,
+    /// The memory reserved for the output.
+    held: HeldResponse,
     sequencer: EventSequencer,
     /// Version of the replicas' software that wrote it, once there is an event.
     version: Option<SoftwareVersion>,
@@ -113,10 +114,11 @@
     is_whole: bool,
 }
 
-impl Default for PartialOutput {
-    fn default() -> Self {
+impl PartialOutput {
+    fn new(gateway: &Rc<Gateway>) -> Self {
         Self {
             data: Vec::new(),
+            held: HeldResponse::new(gateway),
             sequencer: EventSequencer::default(),
             version: None,
             events: 0,
@@ -125,6 +127,12 @@
             is_whole: true,
         }
     }
+
+    /// Updates the account of memory for the output and `partial` bytes of an event; returns
+    /// whether they may be held.
+    fn resize_held(&mut self, id: &str, partial: usize) -> bool {
+        self.held.resize(id, self.data.len() + partial)
+    }
 }
 
 struct ItemRun {
--- a/cicadagate-gateway/src/process/item_runner/results.rs
+++ b/cicadagate-gateway/src/process/item_runner/results.rs
@@ -32,15 +32,13 @@
 
 pub(super) async fn finish(gateway: &Rc<Gateway>, task: &Task) {
     let item = task.item;
-    let output = gateway
-        .item_runner
-        .outputs
-        .borrow()
-        .get(&item)
-        .cloned()
-        .unwrap_or_default();
-    let events = output.events;
-    let data = Bytes::from(output.data);
+    let (events, data) = {
+        let outputs = gateway.item_runner.outputs.borrow();
+        let output = outputs.get(&item);
+        output.map_or((0, Bytes::new()), |output| {
+            (output.events, Bytes::copy_from_slice(&output.data))
+        })
+    };
     let location = store_output(gateway, item, &data).await;
     append_result(gateway, item, Outcome::Done(location)).await;
     gateway.metrics.items.with_label_values(&["done"]).inc();
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -54,7 +54,11 @@
 /// maybe at another replica. An engine sends several events a second.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Most bytes of a run: many times the longest output.
+/// Delay after a run whose output exceeded its part of the memory: others must end first.
+const OVER_MEMORY_DELAY: Duration = Duration::from_secs(1);
+
+/// Most bytes of a run, and of an output that several runs wrote: many times the longest
+/// output.
 const MAX_RUN_BYTES: usize = 4 * 1024 * 1024;
 
 /// Everything needed to run an item.
@@ -110,6 +114,9 @@
     Closed,
     /// The run was interrupted or refused, which is no failure of the item.
     Interrupted(String),
+    /// What is held of the output exceeds its part of the memory, and was dropped. The item
+    /// goes on later, after what was saved of it.
+    OverMemory,
 }
 
 /// A response with which a replica fails or rejects an item.
@@ -229,6 +236,17 @@
                 }
             }
             RunOutcome::Closed => return,
+            RunOutcome::OverMemory => {
+                event!(
+                    ITEM_RETRIED,
+                    item: = ItemName(item),
+                    id = task.id.as_str(),
+                    run: = run.id.get(),
+                    reason = "output exceeds its part of the memory"
+                );
+                sleep(OVER_MEMORY_DELAY).await;
+                return;
+            }
             RunOutcome::Interrupted(reason) => {
                 event!(
                     ITEM_RETRIED,
@@ -344,15 +362,18 @@
         let data = contents::read(gateway, progress.output)
             .await
             .map_err(|err| err.to_string())?;
-        let output = PartialOutput {
+        let mut output = PartialOutput {
             data: data.to_vec(),
             sequencer: EventSequencer::resume_after(Some(progress.last_event)),
             version: progress.version,
             events: progress.last_event + 1,
             saved_events: progress.last_event + 1,
-            ran_ms: 0,
             is_whole: false,
+            ..PartialOutput::new(gateway)
         };
+        if !output.resize_held(&entry.id, 0) {
+            return Err("saved output exceeds its part of the memory".to_owned());
+        }
         gateway
             .item_runner
             .outputs
@@ -562,12 +583,16 @@
         since: run.since.get(),
     };
     let version = registration.version();
-    let outcome = read_events(gateway, task.item, version, response).await;
+    let outcome = read_events(gateway, task, version, response).await;
     drop(run_time);
     if matches!(outcome, RunOutcome::Done) {
         gateway.note_completed(&task.prompt_parts(gateway, &registration.service));
         note_run_rate(gateway, task, &registration.service);
     }
+    if matches!(outcome, RunOutcome::OverMemory) {
+        let now = gateway.now();
+        gateway.replicas.borrow_mut().note_failure(now, endpoint);
+    }
     if matches!(outcome, RunOutcome::Interrupted(_)) {
         let now = gateway.now();
         gateway.replicas.borrow_mut().note_failure(now, endpoint);
@@ -670,10 +695,11 @@
 /// Reads the events of a run and appends them to the item's output.
 async fn read_events(
     gateway: &Rc<Gateway>,
-    item: ItemRef,
+    task: &Task,
     version: SoftwareVersion,
     response: ReplicaResponse,
 ) -> RunOutcome {
+    let item = task.item;
     let mut body = response.body;
     let mut parser = EventParser::default();
     let mut received = 0;
@@ -712,7 +738,8 @@
             return RunOutcome::Interrupted("event exceeds the maximum size".to_owned());
         }
         let mut outputs = gateway.item_runner.outputs.borrow_mut();
-        let output = outputs.entry(item).or_default();
+        let new_output = || PartialOutput::new(gateway);
+        let output = outputs.entry(item).or_insert_with(new_output);
         while let Some(event) = parser.next_event() {
             if !event.is_event() {
                 return RunOutcome::Interrupted("bytes that are no event".to_owned());
@@ -733,5 +760,11 @@
                 output.events += 1;
             }
         }
+        let is_too_long = output.data.len() > MAX_RUN_BYTES;
+        if is_too_long || !output.resize_held(&task.id, parser.partial_len()) {
+            gateway.count_body_end("failed");
+            outputs.remove(&item);
+            return RunOutcome::OverMemory;
+        }
     }
 }
