Responses that aren't read in time are held within a bound

Entries, dispatch and batch processes grew without bound if an endpoint answered without end or faster than a caller read.

Cause: the messages of an attempt waited in an unbounded channel; messages to a peer in a queue of 65,536 of any length, all encoded before one write; completions that are sent as one body, outputs of items, and responses recorded for idempotency keys were gathered without limit.

Fix: all responses that a process has received and not passed on hold at most 64 MiB. If a message doesn't fit, the response that holds the most is given up, cancelled at its owner and released. The owner of an endpoint reads on only while less than an equal part of 32 MiB is queued to the peer. A gathered body has at most 4 MiB, a recorded response too.

Cost: a caller that reads a long response slowly loses it if the process has no memory left.

--- a/cicadagate-batch/src/request/run.rs
+++ b/cicadagate-batch/src/request/run.rs
@@ -8,7 +8,7 @@
     bytes::Bytes,
     cicadagate_node::{
         event,
-        request::{Failure, FailureKind, RequestRun, RequestSpec, ResponseEvent},
+        request::{CollectedBody, Failure, FailureKind, RequestRun, RequestSpec, ResponseEvent},
         trace::TraceContext,
     },
     cicadagate_policy::{
@@ -168,23 +168,24 @@
     let is_model = spec.target == EndpointKind::Engine;
     let id = spec.id;
     let mut run = RequestRun::new(Rc::clone(&batch.router), spec);
-    let (mut out, mut tokens) = (Vec::new(), 0);
+    let mut out = CollectedBody::new(&run);
     loop {
         match run.next().await? {
             ResponseEvent::Head(..) => {}
             ResponseEvent::Piece(piece) => {
-                out.extend_from_slice(&piece);
-                tokens += 1;
+                out.push(&mut run, &piece)?;
             }
             ResponseEvent::End {
                 finish,
                 prompt_tokens,
             } if is_model => {
+                let tokens = out.pieces();
+                let out = out.into_bytes();
                 let text = String::from_utf8_lossy(&out);
                 let body = completion_body(job, id, &text, &finish, prompt_tokens, tokens);
                 return Ok(body.to_string().into_bytes());
             }
-            ResponseEvent::End { .. } => return Ok(out),
+            ResponseEvent::End { .. } => return Ok(out.into_bytes()),
         }
     }
 }
--- a/cicadagate-dispatch/src/process/mod.rs
+++ b/cicadagate-dispatch/src/process/mod.rs
@@ -20,9 +20,13 @@
         request::{Attempt, StopReason},
     },
     actix_rt::time::sleep,
+    bytes::Bytes,
     cicadagate_node::{
         clock::unix_time_ms,
-        connection::peer_server::{PeerHandler, PeerSender},
+        connection::{
+            peer_server::{PeerHandler, PeerSender},
+            response_queue::HeldBytes,
+        },
         event,
         platform::instance_list::Endpoint,
         process::{Node, RunningGuard},
@@ -50,6 +54,8 @@
 /// How long an endpoint that responded that it is draining is treated as
 /// draining, in milliseconds.
 const DRAINING_RESPONSE_MS: u64 = 5_000;
+/// Longest response that is recorded for retries, in bytes.
+const MAX_RECORDED_BYTES: usize = 4 * 1024 * 1024;
 /// Lower limit of the time within which a batch request must start, in
 /// milliseconds: a shorter `start_within_ms` is raised to it.
 const MIN_BATCH_START_WITHIN_MS: u64 = 600_000;
@@ -68,11 +74,33 @@
     /// Response so far; its pieces are recorded only if the request has an
     /// idempotency key.
     pub recorded: RefCell<RecordedResponse>,
+    /// Memory of the recorded pieces.
+    recorded_bytes: HeldBytes,
     /// Time of queueing, in milliseconds since the Unix epoch.
     pub queued_at_ms: u64,
     _guard: RunningGuard,
 }
 
+impl PendingRequest {
+    /// Records a piece of the response. If there is no memory to hold it, the response is
+    /// not recorded at all.
+    pub fn record(&self, piece: &Bytes) {
+        let mut recorded = self.recorded.borrow_mut();
+        if recorded.is_incomplete {
+            return;
+        }
+        let bytes = piece.len() + size_of::<Bytes>();
+        let all = self.recorded_bytes.bytes() + bytes;
+        if all <= MAX_RECORDED_BYTES && self.recorded_bytes.reserve(bytes) {
+            recorded.pieces.push(piece.clone());
+            return;
+        }
+        recorded.is_incomplete = true;
+        recorded.pieces = Vec::new();
+        self.recorded_bytes.release_all();
+    }
+}
+
 struct Replica {
     queue: ReplicaQueue,
     /// When the endpoint last responded that it is draining.
@@ -193,6 +221,7 @@
                     stop_reason: Cell::new(None),
                     stopped: Notify::new(),
                     recorded: RefCell::default(),
+                    recorded_bytes: self.node.peers.hold(),
                     queued_at_ms: unix_time_ms(),
                     _guard: self.node.track_running(),
                     submit,
@@ -367,6 +396,9 @@
             return;
         }
         let mut recorded = pending.recorded.take();
+        if recorded.is_incomplete {
+            return;
+        }
         recorded.finish.clone_from(finish);
         recorded.prompt_tokens = *prompt_tokens;
         self.response_cache
--- a/cicadagate-dispatch/src/process/response_cache.rs
+++ b/cicadagate-dispatch/src/process/response_cache.rs
@@ -27,6 +27,8 @@
     pub pieces: Vec<Bytes>,
     pub finish: String,
     pub prompt_tokens: u64,
+    /// Whether pieces were left out since there was no memory to hold them.
+    pub is_incomplete: bool,
 }
 
 impl RecordedResponse {
--- a/cicadagate-dispatch/src/request/engine.rs
+++ b/cicadagate-dispatch/src/request/engine.rs
@@ -138,7 +138,7 @@
                     let text = choice.delta.and_then(|delta| delta.content).or(choice.text);
                     if let Some(text) = text.filter(|text| !text.is_empty()) {
                         self.observe_step(&mut last);
-                        self.send_piece(Bytes::from(text));
+                        self.send_piece(Bytes::from(text)).await;
                     }
                 }
             }
--- a/cicadagate-dispatch/src/request/mod.rs
+++ b/cicadagate-dispatch/src/request/mod.rs
@@ -170,12 +170,14 @@
         }
     }
 
-    /// Sends a piece of the response to the process that sent the attempt.
-    fn send_piece(&self, body: bytes::Bytes) {
+    /// Sends a piece of the response to the process that sent the attempt, once that
+    /// process reads fast enough.
+    async fn send_piece(&self, body: bytes::Bytes) {
+        self.pending.sender.ready().await;
         let submit = &self.pending.submit;
         let index = self.pending.pieces.get();
         if submit.keyed {
-            self.pending.recorded.borrow_mut().pieces.push(body.clone());
+            self.pending.record(&body);
         }
         self.pending.pieces.set(index + 1);
         let piece = FromServer::Piece {
--- a/cicadagate-dispatch/src/request/service.rs
+++ b/cicadagate-dispatch/src/request/service.rs
@@ -65,7 +65,7 @@
             let Ok(chunk) = chunk else {
                 return failed_maybe_run("service broke off its answer");
             };
-            self.send_piece(chunk);
+            self.send_piece(chunk).await;
             next_chunk = body.chunk().await;
         }
         self.end(String::new(), 0)
--- a/cicadagate-entry/src/request/completion.rs
+++ b/cicadagate-entry/src/request/completion.rs
@@ -17,7 +17,7 @@
     cicadagate_node::{
         clock::unix_time_secs,
         connection::http::respond_json,
-        request::{Failure, RequestRun, RequestSpec, ResponseEvent},
+        request::{CollectedBody, Failure, RequestRun, RequestSpec, ResponseEvent},
     },
     cicadagate_policy::{
         ids::{CustomerId, hash64},
@@ -95,7 +95,7 @@
 
 /// Waits for the complete response and returns it as one body.
 async fn collect(mut run: RequestRun, encoder: &CompletionEncoder) -> Result<Response<BoxBody>> {
-    let (mut text, mut tokens) = (String::new(), 0);
+    let mut body = CollectedBody::new(&run);
     loop {
         match run
             .next()
@@ -104,13 +104,16 @@
         {
             ResponseEvent::Head(..) => {}
             ResponseEvent::Piece(piece) => {
-                text.push_str(&String::from_utf8_lossy(&piece));
-                tokens += 1;
+                body.push(&mut run, &piece)
+                    .map_err(|failure| ApiError::from_failure(&failure))?;
             }
             ResponseEvent::End {
                 finish,
                 prompt_tokens,
             } => {
+                let tokens = body.pieces();
+                let text = body.into_bytes();
+                let text = String::from_utf8_lossy(&text);
                 let body = encoder.complete(&text, &finish, prompt_tokens, tokens);
                 return Ok(respond_json(200, &body));
             }
--- a/cicadagate-node/src/connection/mod.rs
+++ b/cicadagate-node/src/connection/mod.rs
@@ -7,3 +7,4 @@
 pub mod http_client;
 pub mod peer_client;
 pub mod peer_server;
+pub mod response_queue;
--- a/cicadagate-node/src/connection/peer_client.rs
+++ b/cicadagate-node/src/connection/peer_client.rs
@@ -5,10 +5,16 @@
 requests. When a connection ends, or membership declares its peer dead, every
 attempt on it immediately receives [`AttemptEvent::Lost`]; the code that runs
 the request decides what follows from the state of the attempt.
+
+What has arrived and is not consumed yet is held in a
+[`response_queue`](super::response_queue).
 */
 
 use {
-    super::peer_server::read_hello,
+    super::{
+        peer_server::read_hello,
+        response_queue::{AttemptEvent, HeldBytes, HeldResponses, ResponseQueue},
+    },
     crate::{metrics::Metrics, process::Identity},
     actix_rt::net::TcpStream,
     bytes::BytesMut,
@@ -36,6 +42,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Most messages that may be queued to a peer.
 const MAX_QUEUED_MESSAGES: usize = 65_536;
+/// Most bytes that are encoded before they are written.
+const MAX_WRITE_BYTES: usize = 256 * 1024;
 /// Initial capacity of the read buffer.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -51,21 +59,12 @@
     NoResponse,
 }
 
-/// An event of a running attempt.
-#[derive(Clone, Debug)]
-pub enum AttemptEvent {
-    /// The peer sent a message about the attempt.
-    Message(FromServer),
-    /// The connection ended; the attempt may have run.
-    Lost,
-}
-
 type AttemptKey = (RequestId, u32);
 
 /// State shared by a [`Connection`] and the task that runs its connection.
 #[derive(Default)]
 struct ConnectionState {
-    attempts: RefCell<HashMap<AttemptKey, mpsc::UnboundedSender<AttemptEvent>>>,
+    attempts: RefCell<HashMap<AttemptKey, Rc<ResponseQueue>>>,
     calls: RefCell<HashMap<u64, oneshot::Sender<FromServer>>>,
     is_closed: Cell<bool>,
     close: Notify,
@@ -76,13 +75,14 @@
         self.is_closed.set(true);
         self.close.notify_one();
         self.calls.borrow_mut().clear();
-        for (_, tx) in self.attempts.borrow_mut().drain() {
-            // The receiver may have been dropped.
-            let _ = tx.send(AttemptEvent::Lost);
+        for (_, queue) in self.attempts.borrow_mut().drain() {
+            queue.push_lost();
         }
     }
 
-    fn deliver(&self, message: FromServer) {
+    /// Delivers a message. Returns the cancellation of its attempt if the response is
+    /// given up.
+    fn deliver(&self, message: FromServer) -> Option<ToServer> {
         match &message {
             FromServer::Drawn { seq, .. }
             | FromServer::Confirmed { seq, .. }
@@ -99,11 +99,17 @@
             | FromServer::Refused { id, attempt, .. }
             | FromServer::Failed { id, attempt, .. } => {
                 // Messages of attempts that have been dropped are ignored.
-                if let Some(tx) = self.attempts.borrow().get(&(*id, *attempt)) {
-                    let _ = tx.send(AttemptEvent::Message(message));
+                let key = (*id, *attempt);
+                let mut attempts = self.attempts.borrow_mut();
+                if attempts.get(&key)?.push(message) {
+                    return None;
                 }
+                attempts.remove(&key);
+                let (id, attempt) = key;
+                return Some(ToServer::Cancel { id, attempt });
             }
         }
+        None
     }
 }
 
@@ -117,13 +123,13 @@
 pub struct AttemptHandle {
     key: AttemptKey,
     connection: Rc<Connection>,
-    rx: mpsc::UnboundedReceiver<AttemptEvent>,
+    queue: Rc<ResponseQueue>,
 }
 
 impl AttemptHandle {
     /// Waits for the next event.
-    pub async fn next(&mut self) -> AttemptEvent {
-        self.rx.recv().await.unwrap_or(AttemptEvent::Lost)
+    pub async fn next(&self) -> AttemptEvent {
+        self.queue.next().await
     }
 }
 
@@ -156,6 +162,7 @@
     metrics: Rc<Metrics>,
     slots: RefCell<HashMap<SocketAddr, ConnectionSlot>>,
     next_seq: Cell<u64>,
+    responses: Rc<HeldResponses>,
 }
 
 impl PeerClient {
@@ -167,9 +174,16 @@
             metrics,
             slots: RefCell::default(),
             next_seq: Cell::new(1),
+            responses: Rc::default(),
         }
     }
 
+    /// Returns an empty reservation of bytes, which count as those of responses.
+    #[must_use]
+    pub fn hold(&self) -> HeldBytes {
+        self.responses.hold()
+    }
+
     /// Sends an attempt to the peer at `addr`.
     ///
     /// # Errors
@@ -179,8 +193,12 @@
     pub async fn submit(&self, addr: SocketAddr, submit: Submit) -> Result<AttemptHandle> {
         let connection = self.connection(addr).await?;
         let key = (submit.id, submit.attempt);
-        let (tx, rx) = mpsc::unbounded_channel();
-        connection.shared.attempts.borrow_mut().insert(key, tx);
+        let queue = self.responses.queue();
+        connection
+            .shared
+            .attempts
+            .borrow_mut()
+            .insert(key, Rc::clone(&queue));
         let queued = connection
             .tx
             .try_send(ToServer::Submit(Box::new(submit)))
@@ -192,7 +210,7 @@
         Ok(AttemptHandle {
             key,
             connection,
-            rx,
+            queue,
         })
     }
 
@@ -306,14 +324,23 @@
                 }
                 let bytes = buf.split();
                 codec.feed(&bytes);
-                if !deliver_received(&mut codec, &shared) {
+                let Some(cancels) = deliver_received(&mut codec, &shared) else {
                     break;
+                };
+                for cancel in &cancels {
+                    codec.encode(cancel, &mut out);
                 }
+                if writer.write_all(&out).await.is_err() {
+                    break;
+                }
+                out.clear();
             }
             message = rx.recv() => {
                 let Some(message) = message else { break };
                 codec.encode(&message, &mut out);
-                while let Ok(message) = rx.try_recv() {
+                while out.len() < MAX_WRITE_BYTES
+                    && let Ok(message) = rx.try_recv()
+                {
                     codec.encode(&message, &mut out);
                 }
                 metrics.peer_bytes.with_label_values(&["sent"]).inc_by(out.len() as u64);
@@ -327,14 +354,15 @@
     shared.close();
 }
 
-/// Delivers the received messages; returns `false` if one is invalid and the
-/// connection must be closed.
-fn deliver_received(codec: &mut PeerCodec<FromServer>, shared: &ConnectionState) -> bool {
-    loop {
-        match codec.next_message() {
-            Ok(Some(message)) => shared.deliver(message),
-            Ok(None) => return true,
-            Err(_) => return false,
-        }
+/// Delivers the received messages and returns the cancellations to send; `None` if a
+/// message is invalid and the connection must be closed.
+fn deliver_received(
+    codec: &mut PeerCodec<FromServer>,
+    shared: &ConnectionState,
+) -> Option<Vec<ToServer>> {
+    let mut cancels = Vec::new();
+    while let Some(message) = codec.next_message().ok()? {
+        cancels.extend(shared.deliver(message));
     }
+    Some(cancels)
 }
--- a/cicadagate-node/src/connection/peer_server.rs
+++ b/cicadagate-node/src/connection/peer_server.rs
@@ -6,6 +6,10 @@
 Messages beyond it are dropped. The peer detects a missing piece and treats the
 attempt as failed; if the response to a call or the end of an attempt is
 missing, the peer's call or request times out.
+
+The sender of pieces waits for [`PeerSender::ready`], so that a peer that doesn't
+read stops the endpoints that answer it. The connections share a bound on queued
+bytes equally.
 */
 
 use {
@@ -16,7 +20,7 @@
     std::{cell::Cell, io, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        sync::mpsc,
+        sync::{Notify, mpsc},
     },
 };
 
@@ -24,20 +28,60 @@
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 /// Most messages that may be queued on a connection.
 const MAX_QUEUED_MESSAGES: usize = 65_536;
+/// Bytes queued on all connections together from which senders of pieces wait.
+const MAX_QUEUED_BYTES: usize = 32 * 1024 * 1024;
+/// Most bytes that are encoded before they are written.
+const MAX_WRITE_BYTES: usize = 256 * 1024;
 /// Initial capacity of the read buffer.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
+/// The bytes that are queued on one connection.
+#[derive(Debug)]
+struct QueuedBytes {
+    bytes: Cell<usize>,
+    /// Notified when messages were taken from the queue or the connection ended.
+    taken: Notify,
+    open_connections: Rc<Cell<usize>>,
+}
+
+impl QueuedBytes {
+    fn is_full(&self) -> bool {
+        self.bytes.get() >= MAX_QUEUED_BYTES / self.open_connections.get().max(1)
+    }
+
+    fn take(&self, message: &FromServer) {
+        let bytes = self.bytes.get().saturating_sub(message.held_bytes());
+        self.bytes.set(bytes);
+        self.taken.notify_waiters();
+    }
+}
+
 /// The sending half of one peer's connection.
 #[derive(Clone, Debug)]
 pub struct PeerSender {
     tx: mpsc::Sender<FromServer>,
+    queued: Rc<QueuedBytes>,
 }
 
 impl PeerSender {
     /// Queues a message, or drops it if the queue is full or the connection has
     /// ended. The peer detects a dropped piece as missing.
     pub fn send(&self, message: FromServer) {
-        let _ = self.tx.try_send(message);
+        let bytes = message.held_bytes();
+        if self.tx.try_send(message).is_ok() {
+            self.queued.bytes.set(self.queued.bytes.get() + bytes);
+        }
+    }
+
+    /// Waits until the queue has room for a piece, or the connection has ended.
+    pub async fn ready(&self) {
+        loop {
+            let taken = self.queued.taken.notified();
+            if !self.queued.is_full() || self.is_closed() {
+                return;
+            }
+            taken.await;
+        }
     }
 
     /// Returns whether the connection has ended.
@@ -75,7 +119,7 @@
         open.set(open.get() + 1);
         let (node, handler, open) = (Rc::clone(&node), Rc::clone(&handler), Rc::clone(&open));
         actix_rt::spawn(async move {
-            if let Err(err) = serve_peer(&node, stream, &*handler).await {
+            if let Err(err) = serve_peer(&node, stream, &*handler, &open).await {
                 node.metrics
                     .refused_messages
                     .with_label_values(&["frame"])
@@ -91,6 +135,7 @@
     node: &Rc<Node>,
     mut stream: TcpStream,
     handler: &dyn PeerHandler,
+    open_connections: &Rc<Cell<usize>>,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let hello = actix_rt::time::timeout(HELLO_TIMEOUT, handshake(node, &mut stream));
@@ -98,7 +143,15 @@
         .await
         .map_err(|_| io::Error::other("no hello within the timeout"))??;
     let (tx, mut rx) = mpsc::channel(MAX_QUEUED_MESSAGES);
-    let sender = PeerSender { tx };
+    let queued = Rc::new(QueuedBytes {
+        bytes: Cell::new(0),
+        taken: Notify::new(),
+        open_connections: Rc::clone(open_connections),
+    });
+    let sender = PeerSender {
+        tx,
+        queued: Rc::clone(&queued),
+    };
     let (mut reader, mut writer) = stream.into_split();
     let mut buf = BytesMut::with_capacity(READ_BUFFER_BYTES);
     let mut out = Vec::new();
@@ -116,8 +169,12 @@
             },
             message = rx.recv() => {
                 let Some(message) = message else { break Ok(()) };
+                queued.take(&message);
                 codec.encode(&message, &mut out);
-                while let Ok(message) = rx.try_recv() {
+                while out.len() < MAX_WRITE_BYTES
+                    && let Ok(message) = rx.try_recv()
+                {
+                    queued.take(&message);
                     codec.encode(&message, &mut out);
                 }
                 node.metrics.peer_bytes.with_label_values(&["sent"]).inc_by(out.len() as u64);
@@ -129,6 +186,7 @@
         }
     };
     rx.close();
+    queued.taken.notify_waiters();
     handler.closed(&sender);
     result
 }
--- a/cicadagate-node/src/request/answer.rs
+++ b/cicadagate-node/src/request/answer.rs
@@ -8,7 +8,10 @@
 use {
     super::router::Router,
     crate::{
-        connection::peer_client::{AttemptEvent, AttemptHandle},
+        connection::{
+            peer_client::AttemptHandle,
+            response_queue::{AttemptEvent, HeldBytes},
+        },
         event,
         trace::{Span, TraceContext},
     },
@@ -34,6 +37,8 @@
 /// Time within which a stream that has already sent pieces to the caller must
 /// resume, in milliseconds. Failing the stream costs more than a late piece.
 const RESUME_WITHIN_MS: u64 = 10_000;
+/// Longest body that [`CollectedBody`] takes, in bytes.
+const MAX_COLLECTED_BYTES: usize = 4 * 1024 * 1024;
 /// Retry-after if no replica gave an expected wait, in milliseconds.
 const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
 
@@ -133,6 +138,56 @@
     pub detail: String,
 }
 
+/// The pieces of a response that is passed on as a whole, as one body.
+pub struct CollectedBody {
+    bytes: Vec<u8>,
+    pieces: u64,
+    held: HeldBytes,
+}
+
+impl CollectedBody {
+    /// Creates an empty body for the response to `run`.
+    #[must_use]
+    pub fn new(run: &RequestRun) -> Self {
+        Self {
+            bytes: Vec::new(),
+            pieces: 0,
+            held: run.router.node().peers.hold(),
+        }
+    }
+
+    /// Appends a piece of the response to `run`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure of the request if the body would be longer than
+    /// [`MAX_COLLECTED_BYTES`] or there is no memory to hold it.
+    pub fn push(&mut self, run: &mut RequestRun, piece: &Bytes) -> Result<(), Failure> {
+        if self.bytes.len() + piece.len() > MAX_COLLECTED_BYTES {
+            run.attempts.mark_failed_by_endpoint(Progress::MaybeRun);
+            return Err(run.fail(FailureKind::Failed, "the response is too long"));
+        }
+        if !self.held.reserve(piece.len()) {
+            return Err(run.fail_without_memory());
+        }
+        self.bytes.extend_from_slice(piece);
+        self.pieces += 1;
+        Ok(())
+    }
+
+    /// Returns the number of pieces.
+    #[must_use]
+    pub const fn pieces(&self) -> u64 {
+        self.pieces
+    }
+
+    /// Returns the body.
+    #[must_use]
+    pub fn into_bytes(self) -> Vec<u8> {
+        self.bytes
+    }
+}
+
 struct RunningAttempt {
     handle: AttemptHandle,
     endpoint: EndpointId,
@@ -210,7 +265,7 @@
                 continue;
             }
             let left = Duration::from_millis(self.deadline.since(now));
-            let Some(current) = &mut self.current else {
+            let Some(current) = &self.current else {
                 continue;
             };
             let event = actix_rt::time::timeout(left, current.handle.next()).await;
@@ -327,6 +382,7 @@
             AttemptEvent::Lost => {
                 return self.end_attempt(Progress::MaybeRun, "connection to the home ended");
             }
+            AttemptEvent::Overflow => return Err(self.fail_without_memory()),
         };
         match message {
             FromServer::Head {
@@ -516,6 +572,15 @@
         Err(self.fail(kind, &detail))
     }
 
+    /// Fails the request without a retry, which would need the memory again.
+    fn fail_without_memory(&mut self) -> Failure {
+        self.attempts.mark_failed(Progress::MaybeRun);
+        self.fail(
+            FailureKind::Failed,
+            "there is no memory to hold the response",
+        )
+    }
+
     fn fail(&mut self, kind: FailureKind, detail: &str) -> Failure {
         self.end_span(detail);
         self.current = None;
--- a/cicadagate-node/src/request/mod.rs
+++ b/cicadagate-node/src/request/mod.rs
@@ -11,7 +11,7 @@
 mod router;
 
 pub use {
-    answer::{Failure, FailureKind, RequestRun, RequestSpec, ResponseEvent},
+    answer::{CollectedBody, Failure, FailureKind, RequestRun, RequestSpec, ResponseEvent},
     batch::{CallOutcome, call_batch},
     router::Router,
 };
--- a/cicadagate-wire/src/peer.rs
+++ b/cicadagate-wire/src/peer.rs
@@ -410,6 +410,27 @@
     },
 }
 
+/// Bytes that a message takes beside its content.
+const MESSAGE_OVERHEAD_BYTES: usize = 256;
+
+impl FromServer {
+    /// Returns roughly how many bytes a message of an attempt takes while it is held.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        let content = match self {
+            Self::Piece { body, .. } => body.len(),
+            Self::Head { headers, .. } => headers
+                .iter()
+                .map(|(name, value)| name.len() + value.len() + MESSAGE_OVERHEAD_BYTES)
+                .sum(),
+            Self::Failed { detail, .. } => detail.len(),
+            Self::End { finish, .. } => finish.len(),
+            _ => 0,
+        };
+        content + MESSAGE_OVERHEAD_BYTES
+    }
+}
+
 /// Encodes and decodes the frames of one side of a connection. `In` is the type
 /// of the messages that this side receives.
 #[derive(Debug)]
