--- a/cicadagate-lab/src/fleet/mod.rs
+++ b/cicadagate-lab/src/fleet/mod.rs
@@ -76,6 +76,8 @@
     dir: PathBuf,
     platform: SocketAddr,
     processes: BTreeMap<String, Process>,
+    /// Where processes reach the log, if not at the platform itself.
+    logs: BTreeMap<String, SocketAddr>,
     spawn_count: u32,
 }
 
@@ -95,6 +97,7 @@
         let mut fleet = Self {
             platform: SocketAddr::from(([127, 0, 0, 1], 0)),
             processes: BTreeMap::new(),
+            logs: BTreeMap::new(),
             spawn_count: 0,
             dir,
             spec,
@@ -172,6 +175,11 @@
         self.put_node_instance(instance).await
     }
 
+    /// Sets the address at which a process reaches the log from its next start on.
+    pub fn set_log(&mut self, name: &str, addr: SocketAddr) {
+        self.logs.insert(name.to_owned(), addr);
+    }
+
     /// Starts one process of an instance again.
     ///
     /// # Errors
@@ -190,7 +198,7 @@
             "listen": "127.0.0.1:0",
             "gossip": "127.0.0.1:0",
             "operations": "127.0.0.1:0",
-            "log": self.platform,
+            "log": self.logs.get(&name).unwrap_or(&self.platform),
             "instances": self.platform,
             "fleet_key": FLEET_KEY,
             "keep_address_ms": self.spec.keep_address_ms,
--- a/cicadagate-lab/tests/jobs.rs
+++ b/cicadagate-lab/tests/jobs.rs
@@ -7,7 +7,16 @@
     cicadagate_lab::load::caller::{check_output, job_lines},
     futures_util::future::join,
     serde_json::{Value, json},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
     support::{
         LIMIT, MODEL, Setup, engine_stat, id_of, prompts, run, small_spec, start, wait_for_job,
     },
@@ -255,6 +264,103 @@
     });
 }
 
+/// A path to the log that can be cut.
+struct LogPath {
+    addr: SocketAddr,
+    is_cut: Arc<AtomicBool>,
+}
+
+impl LogPath {
+    fn start(log: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+        let addr = listener.local_addr().expect("an address");
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let cut = Arc::clone(&is_cut);
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                if cut.load(Ordering::Relaxed) {
+                    continue;
+                }
+                let far = TcpStream::connect(log).expect("connected");
+                let pairs = [
+                    (
+                        near.try_clone().expect("cloned"),
+                        far.try_clone().expect("cloned"),
+                    ),
+                    (far, near),
+                ];
+                for (from, to) in pairs {
+                    let cut = Arc::clone(&cut);
+                    thread::spawn(move || copy_unless_cut(from, to, &cut));
+                }
+            }
+        });
+        Self { addr, is_cut }
+    }
+
+    fn cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::Relaxed);
+    }
+}
+
+fn copy_unless_cut(mut from: TcpStream, mut to: TcpStream, is_cut: &AtomicBool) {
+    let mut buf = [0; 16 * 1024];
+    while let Ok(read @ 1..) = from.read(&mut buf) {
+        if is_cut.load(Ordering::Relaxed) || to.write_all(&buf[..read]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(std::net::Shutdown::Both);
+}
+
+// Guards against items that start without bound after their job was cancelled, at a process
+// that is cut off from the log and keeps contact through the witnesses.
+#[test]
+fn a_claimant_without_the_log_starts_no_items_of_a_cancelled_job() {
+    run(async {
+        let mut setup = start(small_spec("cut-off")).await;
+        let log = setup.fleet.address("platform", "listen").expect("a log");
+        let path = LogPath::start(log);
+        setup.fleet.set_log("i1-batch", path.addr);
+        for instance in ["i1", "i2", "i3"] {
+            let name = format!("{instance}-batch");
+            setup.fleet.kill(&name).expect("killed");
+        }
+        let restarted = setup.fleet.restart("i1", "batch").await;
+        restarted.expect("restarted");
+        let entry = setup.fleet.entries()[0];
+        let lines = job_lines(MODEL, &prompts(4_000), TOKENS);
+        let is_served = async || setup.caller.upload(entry, &lines).await.is_ok();
+        let served = setup.fleet.wait("jobs are served", LIMIT, is_served).await;
+        served.expect("served");
+        let id = submit_job(&setup, entry, &prompts(4_000)).await;
+        wait_for_work(&setup, 100).await;
+        assert_eq!(claimant(&setup), "i1");
+        for instance in ["i2", "i3"] {
+            let restarted = setup.fleet.restart(instance, "batch").await;
+            restarted.expect("restarted");
+        }
+        actix_rt::time::sleep(Duration::from_secs(3)).await;
+        path.cut(true);
+        let start = Instant::now();
+        while setup.caller.cancel_job(entry, &id).await.is_err() {
+            assert!(start.elapsed() < LIMIT, "the job is cancelled");
+            actix_rt::time::sleep(Duration::from_millis(100)).await;
+        }
+        println!("cancelled after {:?}", start.elapsed());
+        // Within the bound, and the time for items that were started in it.
+        actix_rt::time::sleep(Duration::from_secs(6)).await;
+        let tokens = engine_stat(&setup.fleet, 3, "batch_tokens").await;
+        actix_rt::time::sleep(Duration::from_secs(3)).await;
+        let later = engine_stat(&setup.fleet, 3, "batch_tokens").await;
+        println!("{} tokens in 3 s", later - tokens);
+        assert_eq!(later, tokens, "items start");
+        path.cut(false);
+        let job = wait_for_job(&setup.caller, entry, &id).await;
+        assert_eq!(job["status"], "cancelled");
+    });
+}
+
 /// Non-idempotent items run at most once, although the claimant is killed.
 #[test]
 fn items_that_cannot_be_repeated_run_once() {
