A batch process without the log starts no items of a cancelled job

Callers saw items of a job run without bound after its cancellation was acknowledged, if the process that had claimed the job was cut off from the log.

Cause: items started while contact was fresh. Without the log, contact is renewed by the witnesses, who confirm the configuration and know nothing of jobs. The time of the last read of the jobs stream wasn't kept.

Fix: items, and further tries of items, start only while the jobs are known as of less than 80 % of 4,000 ms ago (Freshness). It is checked again after an intent was written.

Cost: in an outage of the log no items start; before, they did until 8 MiB of results were unwritten. A process can't tell an outage from being cut off. Tries that are already queued at an endpoint's owner aren't withdrawn, and may still start.

--- a/cicadagate-batch/src/process/mod.rs
+++ b/cicadagate-batch/src/process/mod.rs
@@ -78,6 +78,11 @@
         DataStream::of(&self.node.log, file, self.settings.data_streams)
     }
 
+    /// Returns `true` if the jobs were read recently enough to start items.
+    pub fn jobs_are_recent(&self) -> bool {
+        self.jobs.freshness().permits(self.node.now())
+    }
+
     /// Appends a record to the jobs stream.
     ///
     /// # Errors
--- a/cicadagate-batch/src/process/worker.rs
+++ b/cicadagate-batch/src/process/worker.rs
@@ -3,17 +3,18 @@
 
 A worker first reads what earlier claimants have written, then runs the items
 without a result, packs results into records and closes the job. It stops at
-once when the job is cancelled or claimed by another process. While its contact
-(the lease on the configuration in force) has expired it starts no items, since
-it may then learn of neither.
+once when the job is cancelled or claimed by another process. While the jobs were
+not read recently it starts no items, since it may then learn of neither. Contact
+(the lease on the configuration in force) is required too, but doesn't suffice:
+the witnesses that renew it without the log know nothing of jobs.
 
 An item that can't be repeated runs only after an intent, a record that names
 it, was read back from the log. If the worker is lost before the item has a
 result, the next claimant doesn't run the item again and records its outcome as
 unknown.
 
-During an outage of the log, results stay in a bounded buffer. No items are
-started while it is full.
+During an outage of the log no items are started, and the results of those that
+run stay in a bounded buffer.
 */
 
 use {
@@ -139,7 +140,7 @@
     /// claim is lost.
     async fn catch_up(&mut self) -> Option<()> {
         loop {
-            if !holds_claim(&self.batch, self.job.job.id, self.fence) {
+            if !self.holds_claim() {
                 return None;
             }
             if self.read_to_end().await {
@@ -171,7 +172,7 @@
     async fn work(&mut self) -> StopReason {
         let mut running = FuturesUnordered::new();
         loop {
-            if !holds_claim(&self.batch, self.job.job.id, self.fence) {
+            if !self.holds_claim() {
                 // Dropping the running items cancels them at their owners.
                 return StopReason::ClaimLost;
             }
@@ -179,6 +180,11 @@
                 let Some(index) = self.next_item().await else {
                     break;
                 };
+                // An intent may have taken long to be written.
+                if !self.may_start_items() || !self.holds_claim() {
+                    self.pending.push_front(index);
+                    break;
+                }
                 let (batch, job) = (Rc::clone(&self.batch), self.job.job.clone());
                 let Some(line) = self.lines.get(index as usize).cloned() else {
                     self.buffer_result(index, Outcome::Failed("the line is missing".to_owned()));
@@ -260,11 +266,15 @@
         Duration::from_millis(self.batch.settings.flush_ms.max(min_ms))
     }
 
+    fn holds_claim(&self) -> bool {
+        holds_claim(&self.batch, self.job.job.id, self.fence)
+    }
+
     /// Returns `true` if the worker may start items now.
     fn may_start_items(&self) -> bool {
         let node = &self.batch.node;
         let is_serving = node.has_contact() && node.phase().is_advertised();
-        is_serving && self.unwritten_bytes < MAX_UNWRITTEN_BYTES
+        is_serving && self.batch.jobs_are_recent() && self.unwritten_bytes < MAX_UNWRITTEN_BYTES
     }
 
     /// Returns the next item to run; `None` if there is none or an intent could
--- a/cicadagate-batch/src/request/run.rs
+++ b/cicadagate-batch/src/request/run.rs
@@ -35,6 +35,8 @@
 /// Output tokens that the cost estimate assumes if an item sets no
 /// `max_tokens`.
 const DEFAULT_MAX_TOKENS: u64 = 16;
+/// Interval between two checks whether the jobs were read recently.
+const RECENT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum delay between two tries, in milliseconds.
 const MAX_RETRY_DELAY_MS: u64 = 5_000;
 
@@ -53,6 +55,10 @@
     };
     let mut tries = ItemTries::new(batch.settings.max_tries);
     loop {
+        // The worker stops this run if the job turns out to be cancelled.
+        while !batch.jobs_are_recent() {
+            actix_rt::time::sleep(RECENT_POLL_INTERVAL).await;
+        }
         let id = request_id(job.id, fence, index, tries.ended());
         let spec = request_spec(job, id, line, &route)?;
         let is_idempotent = spec.idempotent;
--- a/cicadagate-batch/src/version/jobs.rs
+++ b/cicadagate-batch/src/version/jobs.rs
@@ -6,6 +6,7 @@
     cicadagate_node::{event, process::StreamConsumer},
     cicadagate_policy::{
         ids::Offset,
+        process::freshness::Freshness,
         time::Time,
         version::jobs::{Record, State},
     },
@@ -16,10 +17,15 @@
 /// Name of the stream.
 pub(crate) const JOBS_STREAM: &str = "jobs";
 
+/// Time after the acknowledgement of a job's cancellation within which its items may still
+/// start, in milliseconds.
+const CANCEL_WITHIN_MS: u64 = 4_000;
+
 /// This process's copy of the jobs' state, replayed from the jobs stream.
 pub(crate) struct ReplicatedJobs {
     pub state: RefCell<State>,
-    has_caught_up: Cell<bool>,
+    /// When the last read that reached the end of the stream was sent.
+    read_to_end: Cell<Option<Time>>,
     version_sender: watch::Sender<Offset>,
 }
 
@@ -27,7 +33,7 @@
     pub fn new() -> Self {
         Self {
             state: RefCell::default(),
-            has_caught_up: Cell::new(false),
+            read_to_end: Cell::new(None),
             version_sender: watch::channel(Offset::NONE).0,
         }
     }
@@ -35,7 +41,13 @@
     /// Returns `true` if the stream was read to its end since the process
     /// started.
     pub fn has_caught_up(&self) -> bool {
-        self.has_caught_up.get()
+        self.read_to_end.get().is_some()
+    }
+
+    /// Returns as of when the jobs are known. It permits items to start: a job may have been
+    /// cancelled or claimed by another process since.
+    pub fn freshness(&self) -> Freshness {
+        Freshness::new(self.read_to_end.get(), CANCEL_WITHIN_MS)
     }
 
     /// Returns a receiver that is notified of each new version.
@@ -72,7 +84,7 @@
         self.state.borrow().version()
     }
 
-    fn on_caught_up(&self, _sent: Time) {
-        self.has_caught_up.set(true);
+    fn on_caught_up(&self, sent: Time) {
+        self.read_to_end.set(self.read_to_end.get().max(Some(sent)));
     }
 }
