--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -514,12 +514,7 @@
     run.id.set(id);
     run.endpoint.set(Some(endpoint));
     run.since.set(gateway.now());
-    let after = gateway
-        .item_runner
-        .outputs
-        .borrow()
-        .get(&task.item)
-        .and_then(|output| output.sequencer.last());
+    let after = last_event(gateway, task.item);
     let request = build_request(gateway, task, &registration, after);
     let sent_at = gateway.now();
     event!(
@@ -585,22 +580,40 @@
     let version = registration.version();
     let outcome = read_events(gateway, task, version, response).await;
     drop(run_time);
-    if matches!(outcome, RunOutcome::Done) {
-        gateway.note_completed(&task.prompt_parts(gateway, &registration.service));
-        note_run_rate(gateway, task, &registration.service);
-    }
-    if matches!(outcome, RunOutcome::OverMemory) {
-        let now = gateway.now();
-        gateway.replicas.borrow_mut().note_failure(now, endpoint);
-    }
-    if matches!(outcome, RunOutcome::Interrupted(_)) {
-        let now = gateway.now();
-        gateway.replicas.borrow_mut().note_failure(now, endpoint);
-        lost_contact::note(gateway, endpoint, false);
-    }
+    note_outcome(gateway, task, endpoint, &registration.service, &outcome);
     outcome
 }
 
+/// Records what the end of a run's stream says of its replica.
+fn note_outcome(
+    gateway: &Rc<Gateway>,
+    task: &Task,
+    endpoint: EndpointId,
+    service: &str,
+    outcome: &RunOutcome,
+) {
+    match outcome {
+        RunOutcome::Done => {
+            gateway.note_completed(&task.prompt_parts(gateway, service));
+            note_run_rate(gateway, task, service);
+        }
+        RunOutcome::OverMemory | RunOutcome::Interrupted(_) => {
+            let now = gateway.now();
+            gateway.replicas.borrow_mut().note_failure(now, endpoint);
+            if matches!(outcome, RunOutcome::Interrupted(_)) {
+                lost_contact::note(gateway, endpoint, false);
+            }
+        }
+        _ => {}
+    }
+}
+
+/// Returns the last event of an item's output.
+fn last_event(gateway: &Gateway, item: ItemRef) -> Option<u64> {
+    let outputs = gateway.item_runner.outputs.borrow();
+    outputs.get(&item)?.sequencer.last()
+}
+
 /// Adds the time of a run to the item's output when it is dropped, also if the
 /// run is stopped.
 struct RunTime<'a> {
