A request's body is not copied to be sent

What callers saw: nothing until the process exceeded its memory and ended with all requests. Bodies count once in the memory account, but each exchange held a second copy until it was written.

The head is encoded and the body follows it without a copy.

--- a/cicadagate-node/src/connection/http_client/exchange.rs
+++ b/cicadagate-node/src/connection/http_client/exchange.rs
@@ -44,7 +44,7 @@
         header::{self, HeaderMap, HeaderName},
     },
     actix_rt::net::TcpStream,
-    bytes::{Bytes, BytesMut},
+    bytes::{Buf, Bytes, BytesMut, buf::Chain},
     snafu::Snafu,
     std::{
         hash::{DefaultHasher, Hash, Hasher},
@@ -215,6 +215,9 @@
     ByOrder,
 }
 
+/// The rest of a request: its head, and its body, which is not copied.
+type Unsent = Chain<BytesMut, Bytes>;
+
 /// A connection to a replica.
 #[derive(Debug)]
 pub(super) struct Connection {
@@ -351,7 +354,7 @@
     remainder: Remainder,
     /// Bytes since the last chunk that are no part of the body.
     framing_bytes: usize,
-    unsent: BytesMut,
+    unsent: Unsent,
     /// Where the connection goes after the response, if it may be reused.
     pool_handle: Option<PoolHandle>,
     keep_alive_timeout: Option<Duration>,
@@ -498,7 +501,7 @@
             return Err(ExchangeError::MismatchedId);
         };
         conn = reusable;
-        unsent = std::mem::take(&mut body.unsent);
+        unsent = std::mem::replace(&mut body.unsent, BytesMut::new().chain(Bytes::new()));
         codec = ClientCodec::default();
     }
     Err(ExchangeError::MismatchedId)
@@ -517,7 +520,7 @@
     }
 }
 
-fn encode(codec: &mut ClientCodec, req: &ReplicaRequest) -> Result<BytesMut> {
+fn encode(codec: &mut ClientCodec, req: &ReplicaRequest) -> Result<Unsent> {
     let malformed = |err: &dyn std::fmt::Display| ExchangeError::Malformed {
         reason: format!("request can't be encoded: {err}"),
     };
@@ -537,15 +540,14 @@
     codec
         .encode(Frame::Item((head, size)), &mut out)
         .map_err(|err| malformed(&err))?;
-    out.extend_from_slice(&req.body);
-    Ok(out)
+    Ok(out.chain(req.body.clone()))
 }
 
 /// Reads the head of the response, after interim responses.
 async fn read_final_head(
     conn: &mut Connection,
     codec: &mut ClientCodec,
-    unsent: &mut BytesMut,
+    unsent: &mut Unsent,
     head_bytes: &mut usize,
 ) -> Result<ResponseHead> {
     for _ in 0..=MAX_INTERIM_RESPONSES {
@@ -567,7 +569,7 @@
 async fn read_head(
     conn: &mut Connection,
     codec: &mut ClientCodec,
-    unsent: &mut BytesMut,
+    unsent: &mut Unsent,
     head_bytes: &mut usize,
 ) -> Result<ResponseHead> {
     loop {
@@ -603,9 +605,9 @@
 
 /// Reads, while writing the rest of the request; returns the number of bytes
 /// read.
-async fn transfer(conn: &mut Connection, unsent: &mut BytesMut) -> io::Result<usize> {
+async fn transfer(conn: &mut Connection, unsent: &mut Unsent) -> io::Result<usize> {
     conn.buf.reserve(READ_BUFFER_BYTES);
-    if unsent.is_empty() {
+    if !unsent.has_remaining() {
         return conn.stream.read_buf(&mut conn.buf).await;
     }
     let (mut reader, mut writer) = conn.stream.split();
@@ -613,7 +615,7 @@
         tokio::select! {
             biased;
             read = reader.read_buf(&mut conn.buf) => return read,
-            written = writer.write_buf(unsent), if !unsent.is_empty() => {
+            written = writer.write_buf(unsent), if unsent.has_remaining() => {
                 written?;
             }
         }
@@ -709,7 +711,7 @@
         let Some(conn) = self.conn.take() else {
             return;
         };
-        let is_reusable = self.is_kept && conn.buf.is_empty() && self.unsent.is_empty();
+        let is_reusable = self.is_kept && conn.buf.is_empty() && !self.unsent.has_remaining();
         if let Some(pool_handle) = self.pool_handle.as_ref().filter(|_| is_reusable) {
             pool_handle.put_back(conn, self.keep_alive_timeout);
         }
