A process says that it reaches the store only once it has

Each process that started during an outage of the store claimed in its reports, for up to a period, that it reached the store, so that the others waited for registrations and refused requests instead of serving by what they knew. Found in the review, by reading; no test of its own.

--- a/cicadagate-gateway/src/process/fleet_store.rs
+++ b/cicadagate-gateway/src/process/fleet_store.rs
@@ -117,6 +117,8 @@
     /// responses, with sequence number 1.
     key: [u8; 32],
     is_reachable: Cell<bool>,
+    /// Whether the store has ever responded to this process directly.
+    has_responded: Cell<bool>,
     hedge_wins: Cell<u32>,
     last_probe: Cell<Time>,
 }
@@ -129,21 +131,23 @@
             client: awc::Client::builder().disable_redirects().finish(),
             key: key.derive_subkey("store calls v1"),
             is_reachable: Cell::new(true),
+            has_responded: Cell::new(false),
             hedge_wins: Cell::new(0),
             last_probe: Cell::default(),
         }
     }
 
-    /// Returns whether the store responds to this process directly.
+    /// Returns whether the store responds to this process directly: not before it has.
     #[must_use]
     pub fn is_reachable(&self) -> bool {
-        self.is_reachable.get()
+        self.is_reachable.get() && self.has_responded.get()
     }
 
     fn record_outcome(&self, outcome: Option<&StoreError>) {
         let is_reachable = !outcome.is_some_and(StoreError::is_unavailable);
         if is_reachable {
             self.hedge_wins.set(0);
+            self.has_responded.set(true);
         }
         if self.is_reachable.replace(is_reachable) == is_reachable {
             return;
