Bodies of requests leave responses their share of the memory

Bodies of one customer's requests could fill the whole bound; then every stream that had to hold a byte ended, and its replica counted as faulty.

--- a/cicadagate-policy/src/process/memory_account.rs
+++ b/cicadagate-policy/src/process/memory_account.rs
@@ -20,7 +20,8 @@
 not complete, may grow freely up to [`RESPONSES_PERCENT`] of the bound for all responses
 together; beyond that only responses that hold less than an equal part grow. The largest
 are refused and end, and all together never hold more than twice that share, so that they
-leave room for bodies of requests.
+leave room for bodies of requests. The share itself is theirs, also while bodies fill the bound:
+both together hold at most the bound and that share.
 
 # Cost
 
@@ -149,8 +150,10 @@
             (self.held_by_responses - old.min(self.held_by_responses)).saturating_add(new);
         let responses = self.responses - usize::from(old > 0) + usize::from(new > 0);
         let share = self.bound / 100 * RESPONSES_PERCENT;
-        let is_fair = by_responses <= share || new <= share / responses.max(1);
-        let fits = held <= self.bound && is_fair;
+        // Bodies of requests leave responses their share.
+        let is_free = by_responses <= share;
+        let is_fair = new <= share / responses.max(1);
+        let fits = is_free || (held <= self.bound && is_fair);
         if new > old && !fits && !is_injected(Fault::IgnoreMemoryBound) {
             return Err(MemoryShort {
                 wanted: new - old,
--- a/cicadagate-policy/tests/memory_account.rs
+++ b/cicadagate-policy/tests/memory_account.rs
@@ -124,3 +124,16 @@
     assert_eq!(account.held(), share);
     assert!(account.resize_response(0, LARGE_BODY).is_ok());
 }
+
+/// Guards against bodies of one customer's requests that end the streams of all others.
+#[test]
+fn responses_keep_their_share_while_bodies_fill_the_bound() {
+    let mut account = MemoryAccount::new(MEMORY_LIMIT);
+    let customer = Some(customer(1));
+    assert!(account.reserve(customer, BOUND).is_ok());
+    let share = BOUND / 100 * RESPONSES_PERCENT;
+    assert!(account.resize_response(0, share / 2).is_ok());
+    assert!(account.resize_response(0, share / 2).is_ok());
+    assert!(account.resize_response(0, share).is_err());
+    assert!(account.reserve(customer, 1).is_err());
+}
