The operators' records are not dated later than they were read

A read without a wait that took longer than the wait of a long one was dated by that wait, up to a second too late, and a read that didn't reach the end of the topic was dated as if it had. Found in the review, by reading; no test of its own.

--- a/cicadagate-gateway/src/process/config.rs
+++ b/cicadagate-gateway/src/process/config.rs
@@ -103,16 +103,17 @@
 
 async fn read_next(gateway: &Rc<Gateway>, topic: &str, from: u64) -> Result<u64, StoreError> {
     let bounds = gateway.bounds();
-    let wait = bounds.config_in_force.min(bounds.evacuation) / WAIT_DIVISOR;
+    let mut wait = bounds.config_in_force.min(bounds.evacuation) / WAIT_DIVISOR;
     let mut sent = gateway.now();
     let read = gateway.store.read(topic, 0, from, MAX_READ_BYTES, wait);
     let page = tokio::select! {
         page = read => page?,
         () = gateway.newer_operator_record.notified() => {
             sent = gateway.now();
+            wait = Duration::ZERO;
             let read = gateway
                 .store
-                .read(topic, 0, from, MAX_READ_BYTES, Duration::ZERO);
+                .read(topic, 0, from, MAX_READ_BYTES, wait);
             read.await?
         }
     };
@@ -137,13 +138,17 @@
     } else {
         sent
     };
-    gateway.config_as_of.set(Some(as_of));
-    Ok(page.from + page.records.len() as u64)
+    let next = page.from + page.records.len() as u64;
+    if next >= page.end {
+        gateway.config_as_of.set(Some(as_of));
+    }
+    Ok(next)
 }
 
 impl Gateway {
     /// Waits until the operators' records are recent enough to judge a request by them, and
-    /// has them read if needed. While they can't be read there is no wait.
+    /// has them read if needed. While they can't be read, directly or through another gateway,
+    /// there is no wait.
     pub async fn refresh_config(&self) {
         let until = self.now().plus(millis(MAX_REFRESH_WAIT));
         while self.config_as_of.get().is_some() && !self.is_config_unread.get() {
