An item starts by the route that is in force

An item that waits for a slot kept the route of when it was loaded, so that it could run at a service that its route no longer had. Its target is looked up again before each run, after waiting for recent operators' records if these are too old. Found in the review, by reading; no test of its own.

--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -110,7 +110,7 @@
     NoSlot(InFlight),
     /// What is known is too old to start the item by it, for this reason.
     Unknown(&'static str),
-    /// The item has a result, or its job was cancelled.
+    /// The item has a result, its job was cancelled, or its route has changed.
     Closed,
     /// The run was interrupted or refused, which is no failure of the item.
     Interrupted(String),
@@ -461,8 +461,20 @@
     Some((replica.endpoint, Rc::clone(&replica.registration)))
 }
 
+/// Returns whether the configuration still sends an item to the service of its task.
+fn is_target_current(gateway: &Gateway, task: &Task) -> bool {
+    let target = |route: &Route| route.target(&task.id).map(|target| target.service.clone());
+    let current = route_of(gateway, &task.route.name);
+    current.is_some_and(|route| target(&route) == target(&task.route))
+}
+
 /// Waits until what is known permits to start an item; returns why it does not.
-async fn refresh(gateway: &Rc<Gateway>, item: ItemRef) -> Option<RunOutcome> {
+async fn refresh(gateway: &Rc<Gateway>, task: &Task) -> Option<RunOutcome> {
+    gateway.refresh_config().await;
+    if !is_target_current(gateway, task) {
+        return Some(RunOutcome::Closed);
+    }
+    let item = task.item;
     if gateway.jobs.refresh(gateway).await.is_err() {
         return Some(RunOutcome::Unknown("the index of jobs can't be read"));
     }
@@ -496,7 +508,7 @@
 }
 
 async fn run_once(gateway: &Rc<Gateway>, task: &Task, run: &ItemRun) -> RunOutcome {
-    if let Some(outcome) = refresh(gateway, task.item).await {
+    if let Some(outcome) = refresh(gateway, task).await {
         return outcome;
     }
     let now = gateway.now();
