--- a/cicadagate-policy/src/process/registration_readers.rs
+++ b/cicadagate-policy/src/process/registration_readers.rs
@@ -453,8 +453,8 @@
         pack(ranges, end)
     }
 
-    /// Takes the news of a reader. `as_of` is the latest time that is certainly not after
-    /// its read, `None` if the reader doesn't say how old they are.
+    /// Takes the news of a reader. `as_of` is when its read was sent, or a time before that;
+    /// `None` if the reader doesn't say how old they are.
     pub fn receive(&mut self, as_of: Option<Time>, news: RegistrationNews) -> Received {
         let Some(mut next) = self.next else {
             return Received::Gap;
