--- a/cicadagate-gateway/src/process/jobs.rs
+++ b/cicadagate-gateway/src/process/jobs.rs
@@ -129,7 +129,7 @@
     }
 
     /// Waits until the index is recent enough to start items by it, and reads it if needed.
-    /// After a read that failed, only [`follow`] reads it until that succeeds: many items
+    /// After a read that failed, only the periodic reads read it until that succeeds: many items
     /// may wait.
     ///
     /// # Errors
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -5,7 +5,7 @@
 records would complete a read that waits for new records. Reads therefore do not
 wait but are made at fixed intervals, so that their number does not grow with
 the number of replicas. In a large fleet few gateways read for all, see
-[`registration_news`](super::registration_news); then this gateway reads only if it is one of
+`registration_news`; then this gateway reads only if it is one of
 them, or if they don't tell it the latest state in time. A request that finds the registrations
 too old to be sent by them has them read at once, and waits.
 */
--- a/cicadagate-node/src/request/answer.rs
+++ b/cicadagate-node/src/request/answer.rs
@@ -161,7 +161,7 @@
     /// # Errors
     ///
     /// Returns the failure of the request if the body would be longer than
-    /// [`MAX_COLLECTED_BYTES`] or there is no memory to hold it.
+    /// `MAX_COLLECTED_BYTES` or there is no memory to hold it.
     pub fn push(&mut self, run: &mut RequestRun, piece: &Bytes) -> Result<(), Failure> {
         if self.bytes.len() + piece.len() > MAX_COLLECTED_BYTES {
             run.attempts.mark_failed_by_endpoint(Progress::MaybeRun);
