Reads of a large configuration leave the store time for others

Cause: every gateway waits at the store for the next record of the operators and reads each version of the configuration in full, all at the same moment. The store sends 80 MB/s to all reads together, so one version takes it 0.62 s at 195 gateways. Reads of the registrations and of the job index wait behind them, time out after 0.8 s, are made again, and after 120 ms through another gateway as well. The store then sends responses that nobody awaits, and the fleet doesn't recover.

Fix: from the number of members, the size of the record and the read limit, large_reads.rs knows how long the reads of all take. If that is over 100 ms, gateways check at intervals whether there is a record (the end of the topic, no bytes), read it after a random delay that leaves half of the store to others, and only the latest of several versions. Such a read is forwarded later, and failed ones are repeated after growing delays.

Evidence: large_config.rs, real processes: on 216 of 216 requests later than the bound got 404, in each of 2 runs; now none. large_reads.rs, simulated, 25 versions: in force after 2.2 to 2.6 s (bound 4 s) at 195 to 410 members, other reads within 46 ms; with the fault WaitForLargeRecords (the code before) after the end of the run, other reads 229 s.

Waits for the configuration tell now what came of them, as those for the registrations do; an item does not start if it could not be read in time.

--- a/cicadagate-gateway/src/process/fleet_store.rs
+++ b/cicadagate-gateway/src/process/fleet_store.rs
@@ -178,7 +178,13 @@
         (count > 0).then(|| peers[pick % count])
     }
 
-    async fn execute(self: Rc<Self>, operation: Operation) -> Result<Output> {
+    /// Carries out an operation; `hedge_delay` is the time without a response, in addition to
+    /// the operation's own wait, after which it is also forwarded.
+    async fn execute(
+        self: Rc<Self>,
+        operation: Operation,
+        hedge_delay: Duration,
+    ) -> Result<Output> {
         let Some(gateway) = self.gateway.upgrade() else {
             return perform(&*self.direct, operation).await;
         };
@@ -194,15 +200,21 @@
         if !self.is_reachable.get() {
             self.last_probe.set(now);
         }
-        self.execute_directly(&gateway, operation).await
+        self.execute_directly(&gateway, operation, hedge_delay)
+            .await
     }
 
     /// Carries out an operation directly, and also through another gateway if
-    /// the store fails or takes longer than [`HEDGE_DELAY`].
-    async fn execute_directly(&self, gateway: &Gateway, operation: Operation) -> Result<Output> {
+    /// the store fails or takes longer than `hedge_delay`.
+    async fn execute_directly(
+        &self,
+        gateway: &Gateway,
+        operation: Operation,
+        hedge_delay: Duration,
+    ) -> Result<Output> {
         let direct = perform(&*self.direct, operation.clone());
         tokio::pin!(direct);
-        let early = timeout(HEDGE_DELAY + operation.wait(), &mut direct).await;
+        let early = timeout(hedge_delay + operation.wait(), &mut direct).await;
         if let Ok(outcome) = early {
             self.record_outcome(outcome.as_ref().err());
             return match (outcome, Self::pick_peer(gateway)) {
@@ -395,7 +407,7 @@
             part,
             records,
         };
-        match Rc::clone(self).execute(operation).await? {
+        match Rc::clone(self).execute(operation, HEDGE_DELAY).await? {
             Output::Appended(offset) => Ok(offset),
             _ => Err(mismatched_response()),
         }
@@ -414,6 +426,27 @@
         from: u64,
         max_bytes: usize,
         wait: Duration,
+    ) -> Result<RecordPage> {
+        let large = Duration::ZERO;
+        self.read_large(topic, part, from, max_bytes, wait, large)
+            .await
+    }
+
+    /// Reads records as [`read`](Self::read) does. `transfer` is the time that the store may
+    /// take to send them: a second read of large records through another gateway would
+    /// add to what makes the first one slow.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if neither path to the store succeeded.
+    pub async fn read_large(
+        self: &Rc<Self>,
+        topic: &str,
+        part: u32,
+        from: u64,
+        max_bytes: usize,
+        wait: Duration,
+        transfer: Duration,
     ) -> Result<RecordPage> {
         let operation = Operation::Read {
             topic: topic.to_owned(),
@@ -422,7 +455,8 @@
             max_bytes,
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         };
-        match Rc::clone(self).execute(operation).await? {
+        let hedge_delay = HEDGE_DELAY + transfer;
+        match Rc::clone(self).execute(operation, hedge_delay).await? {
             Output::Page(page) if page.from == from => Ok(page),
             _ => Err(mismatched_response()),
         }
@@ -435,11 +469,27 @@
     ///
     /// Returns an error if neither path to the store succeeded.
     pub async fn latest(self: &Rc<Self>, topic: &str, after: Option<&str>) -> Result<LatestPage> {
+        self.latest_large(topic, after, Duration::ZERO).await
+    }
+
+    /// Reads a page as [`latest`](Self::latest) does. `transfer` is the time that the store may
+    /// take to send it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if neither path to the store succeeded.
+    pub async fn latest_large(
+        self: &Rc<Self>,
+        topic: &str,
+        after: Option<&str>,
+        transfer: Duration,
+    ) -> Result<LatestPage> {
         let operation = Operation::Newest {
             topic: topic.to_owned(),
             after: after.map(str::to_owned),
         };
-        match Rc::clone(self).execute(operation).await? {
+        let hedge_delay = HEDGE_DELAY + transfer;
+        match Rc::clone(self).execute(operation, hedge_delay).await? {
             Output::Newest(latest) => Ok(latest),
             _ => Err(mismatched_response()),
         }
--- a/cicadagate-gateway/src/process/freshness.rs
+++ b/cicadagate-gateway/src/process/freshness.rs
@@ -14,6 +14,22 @@
     std::time::Duration,
 };
 
+/// Time after a failed read until which the store counts as still away: the next read has
+/// ended by then, unless the process stood still.
+pub(super) const MAX_CHECK_AGE_MS: u64 = 2_000;
+
+/// What came of a wait until something is known well enough to act by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refreshed {
+    /// It is recent enough.
+    Recent,
+    /// The store can't be read, and no other gateway says that it reaches it. As long as it is
+    /// away, nothing in it can change.
+    StoreAway,
+    /// It was not read in time.
+    Late,
+}
+
 /// Kinds of knowledge that are older than acts by them permit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Stale {
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -9,8 +9,9 @@
     },
     crate::{
         process::{
-            Gateway, InFlightGuard, contents, lost_contact,
-            registry::Refreshed,
+            Gateway, InFlightGuard, contents,
+            freshness::Refreshed,
+            lost_contact,
             slots::{SlotOutcome, acquire},
         },
         request::{event_id_text, is_event_stream, is_hop_by_hop, set_replica_headers},
@@ -470,7 +471,9 @@
 
 /// Waits until what is known permits to start an item; returns why it does not.
 async fn refresh(gateway: &Rc<Gateway>, task: &Task) -> Option<RunOutcome> {
-    gateway.refresh_config().await;
+    if gateway.refresh_config().await == Refreshed::Late {
+        return Some(RunOutcome::Unknown("the configuration can't be read"));
+    }
     if !is_target_current(gateway, task) {
         return Some(RunOutcome::Closed);
     }
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -38,7 +38,7 @@
 pub mod directory;
 mod evacuation;
 pub mod fleet_store;
-mod freshness;
+pub mod freshness;
 pub mod item_runner;
 pub mod jobs;
 pub mod limits;
@@ -211,6 +211,8 @@
     is_config_unread: Cell<bool>,
     /// Notified when the operators' records were read, or could not be.
     config_checked: Notify,
+    /// When the last read of the operators' records ended, failed or not.
+    config_checked_at: Cell<Time>,
     /// Time at which another gateway last told of an evacuation that was not known here.
     last_evacuation_wake: Cell<Time>,
     clock: Clock,
@@ -310,6 +312,7 @@
             config_as_of: Cell::default(),
             is_config_unread: Cell::default(),
             config_checked: Notify::new(),
+            config_checked_at: Cell::default(),
             last_evacuation_wake: Cell::default(),
             clock,
             in_flight: RefCell::default(),
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -14,7 +14,7 @@
     super::{
         Gateway, cold,
         fleet_store::{FleetStore, StoreReachability},
-        freshness::millis,
+        freshness::{MAX_CHECK_AGE_MS, Refreshed, millis},
         rates, registration_news, slots,
     },
     crate::platform::{KeyedRecord, StoreError},
@@ -46,9 +46,6 @@
 /// Longest wait for registrations that are recent enough: an operation of the store and one
 /// through another gateway.
 const MAX_REFRESH_WAIT: Duration = Duration::from_secs(2);
-/// Time after a failed read until which the store counts as still away: the next read has
-/// ended by then, unless the process stood still.
-const MAX_CHECK_AGE_MS: u64 = 2_000;
 /// Most bytes of one read.
 pub(super) const MAX_READ_BYTES: usize = 1024 * 1024;
 
@@ -194,18 +191,6 @@
     Behind,
 }
 
-/// What came of a wait for registrations that are recent enough to send by them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refreshed {
-    /// They are recent enough.
-    Recent,
-    /// The store can't be read, and no other gateway says that it reaches it. As long as it is
-    /// away, no replica can register a change.
-    StoreAway,
-    /// They were not read in time.
-    Late,
-}
-
 /// A read of the latest records in pages, which goes on after a failure.
 #[derive(Debug, Default)]
 struct LatestRead {
--- a/cicadagate-gateway/src/request/forward.rs
+++ b/cicadagate-gateway/src/request/forward.rs
@@ -24,7 +24,7 @@
         relay::{self, DisconnectLogger, Relay},
         resumption, through_member,
     },
-    crate::process::{Gateway, RequestGuard, reachability::pick_member, registry::Refreshed},
+    crate::process::{Gateway, RequestGuard, freshness::Refreshed, reachability::pick_member},
     actix_http::{
         StatusCode,
         body::{BodyStream, BoxBody, MessageBody as _, SizedStream},
--- a/cicadagate-policy/src/fault_injection.rs
+++ b/cicadagate-policy/src/fault_injection.rs
@@ -108,6 +108,8 @@
     IgnoreCustomerShares,
     /// An act is permitted however old the knowledge is by which it is done.
     IgnoreAge,
+    /// Members wait at the store for a record however long it takes to send it to all.
+    WaitForLargeRecords,
 }
 
 #[cfg(feature = "planted-faults")]
--- a/cicadagate-policy/src/process/mod.rs
+++ b/cicadagate-policy/src/process/mod.rs
@@ -11,6 +11,7 @@
 pub mod hold_times;
 pub mod item_order;
 pub mod item_scan;
+pub mod large_reads;
 pub mod last_replica;
 pub mod membership;
 pub mod memory_account;
