A configuration that is too old denies nothing

Cause: a request that finds the operators' records too old waits up to 0.8 s for them, and was then judged by the old ones; at once, if the last read had failed.

Fix: if they can't be read in time, the request is refused with 503 and Retry-After: it has not run, and another gateway may know better. While the store is away for all, requests that the last known records allow are served, as no newer ones can be acknowledged, but nothing is denied by them.

--- a/cicadagate-gateway/src/request/admission.rs
+++ b/cicadagate-gateway/src/request/admission.rs
@@ -7,7 +7,7 @@
         RequestError, Response, forward, headers::MEMBER_HOP, job_requests,
         pending::PendingRequest, quarantine, through_member,
     },
-    crate::process::{Gateway, RequestGuard, limits, memory::HeldBytes},
+    crate::process::{Gateway, RequestGuard, freshness::Refreshed, limits, memory::HeldBytes},
     actix_http::{HttpMessage as _, Request, header},
     cicadagate_node::{
         connection::http::{BodyError, read_body_within},
@@ -72,8 +72,9 @@
     let job_request = gateway
         .codec
         .parse_job_request(req.method(), req.path(), query);
-    gateway.refresh_config().await;
-    let context = match identify(gateway, &req, job_request.is_some()) {
+    let refreshed = gateway.refresh_config().await;
+    let identified = identify(gateway, &req, job_request.is_some());
+    let context = match judge_by_age(identified, refreshed) {
         Ok(context) => context,
         Err(request_error) => return refuse(gateway, &id, request_error, "", None),
     };
@@ -173,6 +174,22 @@
     })
 }
 
+/// Returns what may be said of a request by a configuration of this age. One that could not be
+/// read in time decides nothing. While the store is away no newer one is acknowledged, but the
+/// last one before may not be known here, so nothing is denied by it.
+fn judge_by_age(
+    identified: Result<RequestContext, RequestError>,
+    refreshed: Refreshed,
+) -> Result<RequestContext, RequestError> {
+    match (identified, refreshed) {
+        (Err(err @ (RequestError::NotConfigured | RequestError::Closing)), _) => Err(err),
+        (Ok(_), Refreshed::Late) | (Err(_), Refreshed::Late | Refreshed::StoreAway) => {
+            Err(RequestError::ConfigStale)
+        }
+        (identified, _) => identified,
+    }
+}
+
 /// Checks a request against the quarantined parts of prompts, the load of the
 /// service and the customer's rate limit.
 async fn admit(
@@ -241,7 +258,7 @@
     retry_after: Option<Duration>,
 ) -> Response {
     let retry_after = match request_error {
-        RequestError::NotConfigured | RequestError::Closing => {
+        RequestError::NotConfigured | RequestError::ConfigStale | RequestError::Closing => {
             let now = gateway.now();
             let others_serve = gateway
                 .reports
--- a/cicadagate-gateway/src/request/mod.rs
+++ b/cicadagate-gateway/src/request/mod.rs
@@ -70,6 +70,8 @@
 pub enum RequestError {
     /// No configuration has been read yet.
     NotConfigured,
+    /// The configuration that is known is too old to decide by it.
+    ConfigStale,
     /// The process is about to exit.
     Closing,
     /// No route matches the request.
@@ -116,6 +118,7 @@
     pub const fn describe(self) -> (u16, &'static str, &'static str) {
         match self {
             Self::NotConfigured => (503, "not_configured", "no configuration is known yet"),
+            Self::ConfigStale => (503, "config_stale", "the configuration can't be read"),
             Self::Closing => (503, "closing", "this instance is stopping"),
             Self::NoRoute => (404, "no_route", "no route matches host and path"),
             Self::JobNotFound => (404, "no_such_job", "no such job or item"),
