A job index that no item needs is not reported as stale

At 195 members the index is read every 2,438 ms, and acts by it are permitted for 2,400 ms; items that start later read it themselves. The line is now logged if the index is both too old and not read in time; the metric is as before.

--- a/cicadagate-gateway/src/process/freshness.rs
+++ b/cicadagate-gateway/src/process/freshness.rs
@@ -8,7 +8,10 @@
     super::Gateway,
     cicadagate_node::event,
     cicadagate_policy::{
-        process::{freshness::Freshness, registration_readers::KnownFrom},
+        process::{
+            freshness::{Freshness, is_index_read_late},
+            registration_readers::KnownFrom,
+        },
         time::Time,
     },
     std::time::Duration,
@@ -75,7 +78,9 @@
     set_ages(gateway, now);
     let is_stale = Stale {
         registrations: gateway.registrations_loaded.get() && !registrations.permits(now),
-        index: gateway.jobs.synced_at().is_some() && !index.permits(now),
+        index: gateway.jobs.synced_at().is_some()
+            && !index.permits(now)
+            && is_index_read_late(index.age_ms(now), gateway.member_count()),
         config: gateway.config_as_of.get().is_some() && !config.permits(now),
     };
     let was_stale = gateway.stale.replace(is_stale);
--- a/cicadagate-policy/src/process/freshness.rs
+++ b/cicadagate-policy/src/process/freshness.rs
@@ -45,6 +45,17 @@
     interval_ms.max(MIN_INDEX_READ_INTERVAL_MS)
 }
 
+/// Time that a periodic read of the job index may take, in milliseconds, before the index counts
+/// as not read in time.
+const INDEX_READ_TIME_MS: u64 = 500;
+
+/// Returns whether the job index is older than the periodic reads of a member leave it. In a
+/// large fleet these are rarer than acts require, which read the index themselves.
+#[must_use]
+pub fn is_index_read_late(age_ms: u64, members: usize) -> bool {
+    age_ms > index_read_interval_ms(members) + INDEX_READ_TIME_MS
+}
+
 /// As of when something is known, and how long that permits acts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Freshness {
