A store that answers other reads is not away

Cause: requests go out by old registrations while the store is away for all, since no replica can register a change then. The store counted as away if the last read of the registrations failed and no gateway reported that it reaches the store. If only these reads are late, as while the store sends large records, the reports of all gateways change with the outcome of each operation, and now and then say so.

Fix: the store is not away if it has answered any operation of this process within the time for which the registrations permit acts; the same for the configuration. If the store rejected the read, as a partition that is down does, the reports of the others still decide.

Evidence: nothing_is_sent_by_old_registrations_while_the_store_answers_other_reads failed before: 28 requests after the bound of 2 s, the last 3.16 s after the replica had registered that it leaves. Requests are still served while the store answers nobody (requests_are_served_while_the_store_answers_no_process).

--- a/cicadagate-gateway/src/process/config.rs
+++ b/cicadagate-gateway/src/process/config.rs
@@ -35,7 +35,10 @@
     cicadagate_node::event,
     cicadagate_policy::{
         ids::Offset,
-        process::large_reads::{FleetReads, LargeReads},
+        process::{
+            freshness::ACT_PERCENT,
+            large_reads::{FleetReads, LargeReads},
+        },
         time::Time,
         version::serving::ServingConfig,
     },
@@ -79,6 +82,8 @@
         };
         reachability.note(outcome.as_ref().err());
         gateway.is_config_unread.set(outcome.is_err());
+        let is_rejected = outcome.as_ref().is_err_and(StoreError::is_not_done);
+        gateway.is_config_rejected.set(is_rejected);
         gateway.config_checked_at.set(gateway.now());
         gateway.config_checked.notify_waiters();
         match outcome {
@@ -323,11 +328,14 @@
 
     /// Returns whether the store is away for all, as far as known: the last read of the
     /// operators' records failed, not long ago, and no other gateway says that it reaches the
-    /// store.
+    /// store. A store that answers other reads may be slow or busy rather than away.
     fn is_config_away(&self, now: Time) -> bool {
+        let bounds = self.bounds();
+        let act_ms = millis(bounds.config_in_force.min(bounds.evacuation)) * ACT_PERCENT / 100;
         self.is_config_unread.get()
             && now.since(self.config_checked_at.get()) < MAX_CHECK_AGE_MS
             && !FleetStore::is_reached_elsewhere(self)
+            && (self.is_config_rejected.get() || !self.store.has_answered_within(now, act_ms))
     }
 }
 
--- a/cicadagate-gateway/src/process/fleet_store.rs
+++ b/cicadagate-gateway/src/process/fleet_store.rs
@@ -121,6 +121,8 @@
     has_responded: Cell<bool>,
     hedge_wins: Cell<u32>,
     last_probe: Cell<Time>,
+    /// Time of the last response of the store, on any path.
+    answered_at: Cell<Time>,
 }
 
 impl FleetStore {
@@ -134,6 +136,7 @@
             has_responded: Cell::new(false),
             hedge_wins: Cell::new(0),
             last_probe: Cell::default(),
+            answered_at: Cell::default(),
         }
     }
 
@@ -178,6 +181,13 @@
         (count > 0).then(|| peers[pick % count])
     }
 
+    /// Returns whether the store has carried out an operation of this process in the last
+    /// `time_ms` milliseconds.
+    #[must_use]
+    pub fn has_answered_within(&self, now: Time, time_ms: u64) -> bool {
+        now.since(self.answered_at.get()) < time_ms
+    }
+
     /// Carries out an operation; `hedge_delay` is the time without a response, in addition to
     /// the operation's own wait, after which it is also forwarded.
     async fn execute(
@@ -195,13 +205,23 @@
             && !is_probe
             && let Some(peer) = peer
         {
-            return self.forward(peer, &operation).await;
+            let outcome = self.forward(peer, &operation).await;
+            self.note_answer(&gateway, outcome.as_ref().err());
+            return outcome;
         }
         if !self.is_reachable.get() {
             self.last_probe.set(now);
         }
-        self.execute_directly(&gateway, operation, hedge_delay)
-            .await
+        let outcome = self.execute_directly(&gateway, operation, hedge_delay);
+        let outcome = outcome.await;
+        self.note_answer(&gateway, outcome.as_ref().err());
+        outcome
+    }
+
+    fn note_answer(&self, gateway: &Gateway, failure: Option<&StoreError>) {
+        if failure.is_none_or(|err| !err.is_unavailable()) {
+            self.answered_at.set(gateway.now());
+        }
     }
 
     /// Carries out an operation directly, and also through another gateway if
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -213,6 +213,8 @@
     config_checked: Notify,
     /// When the last read of the operators' records ended, failed or not.
     config_checked_at: Cell<Time>,
+    /// Whether the store rejected the last read of the operators' records.
+    is_config_rejected: Cell<bool>,
     /// Time at which another gateway last told of an evacuation that was not known here.
     last_evacuation_wake: Cell<Time>,
     clock: Clock,
@@ -235,6 +237,8 @@
     registrations_checked: Notify,
     /// When the last read of the registrations ended, failed or not.
     registrations_checked_at: Cell<Time>,
+    /// Whether the store rejected the last read of the registrations.
+    are_registrations_rejected: Cell<bool>,
     /// Software versions that the store lists.
     pub version_record: RefCell<VersionRecord>,
     /// Whether the first attempt to read and complete the listed versions has ended.
@@ -313,6 +317,7 @@
             is_config_unread: Cell::default(),
             config_checked: Notify::new(),
             config_checked_at: Cell::default(),
+            is_config_rejected: Cell::default(),
             last_evacuation_wake: Cell::default(),
             clock,
             in_flight: RefCell::default(),
@@ -327,6 +332,7 @@
             registrations_wanted: Notify::new(),
             registrations_checked: Notify::new(),
             registrations_checked_at: Cell::default(),
+            are_registrations_rejected: Cell::default(),
             version_record: RefCell::default(),
             version_record_tried: Cell::default(),
             version_checks: version_check::SharedReads::default(),
--- a/cicadagate-gateway/src/process/registry.rs
+++ b/cicadagate-gateway/src/process/registry.rs
@@ -25,6 +25,7 @@
     cicadagate_policy::{
         ids::EndpointId,
         process::{
+            freshness::ACT_PERCENT,
             registration_readers::Role,
             replicas::{LeavingReplica, LeavingSource, Registration, ReplicaChange},
             reports::{MIN_PERIOD_MS, period_ms},
@@ -88,6 +89,8 @@
             },
         };
         note_outcome(&gateway, &mut reachability, outcome.as_ref().err());
+        let is_rejected = outcome.as_ref().is_err_and(StoreError::is_not_done);
+        gateway.are_registrations_rejected.set(is_rejected);
         gateway.registrations_checked_at.set(gateway.now());
         gateway.registrations_checked.notify_waiters();
         match outcome {
@@ -411,11 +414,15 @@
     }
 
     /// Returns whether the store is away for all, as far as known: the last read failed, not
-    /// long ago, and no other gateway says that it reaches the store.
+    /// long ago, and no other gateway says that it reaches the store. A store that answers other
+    /// reads, but not this one, may be slow or busy rather than away.
     fn is_store_away(&self, now: Time) -> bool {
+        let act_ms = millis(self.bounds().drain) * ACT_PERCENT / 100;
         !self.replicas.borrow().is_store_reachable()
             && now.since(self.registrations_checked_at.get()) < MAX_CHECK_AGE_MS
             && !FleetStore::is_reached_elsewhere(self)
+            && (self.are_registrations_rejected.get()
+                || !self.store.has_answered_within(now, act_ms))
     }
 
     /// Returns whether a request may be sent to a replica now.
