--- a/cicadagate-gateway/src/process/config.rs
+++ b/cicadagate-gateway/src/process/config.rs
@@ -69,15 +69,18 @@
     let mut position: Option<Position> = None;
     let mut reads = LargeReads::default();
     let mut reachability = StoreReachability::new("config");
+    let mut waited = true;
     loop {
+        let waits = reads.may_wait_at_store(fleet_reads(&gateway));
+        if std::mem::replace(&mut waited, waits) != waits {
+            log_reads_changed(&gateway, &reads, waits);
+        }
         let outcome = match &mut position {
             None => {
                 let read = read_latest(&gateway, topic, &mut reads).await;
                 read.map(|latest| position = Some(latest))
             }
-            Some(position) if reads.may_wait_at_store(fleet_reads(&gateway)) => {
-                wait_for_next(&gateway, topic, position, &mut reads).await
-            }
+            Some(position) if waits => wait_for_next(&gateway, topic, position, &mut reads).await,
             Some(position) => check(&gateway, topic, position, &mut reads).await,
         };
         reachability.note(outcome.as_ref().err());
@@ -97,6 +100,17 @@
     }
 }
 
+fn log_reads_changed(gateway: &Gateway, reads: &LargeReads, waits: bool) {
+    let (fleet, bytes) = (fleet_reads(gateway), reads.expected_bytes());
+    event!(
+        CONFIG_READS_CHANGED,
+        waits,
+        bytes,
+        members = fleet.members,
+        transfer_ms = fleet.transfer_ms(bytes)
+    );
+}
+
 fn fleet_reads(gateway: &Gateway) -> FleetReads {
     let bounds = gateway.bounds();
     FleetReads {
--- a/cicadagate-node/src/events.rs
+++ b/cicadagate-node/src/events.rs
@@ -60,6 +60,7 @@
     CONFIG_OLDER_IGNORED = 213, Info, "A configuration older than the one in force was read and ignored.";
     CONFIG_STALE = 214, Warn, "The operators' records are older than permits to decide by them.";
     CONFIG_FRESH = 215, Info, "The operators' records are recent enough again.";
+    CONFIG_READS_CHANGED = 216, Info, "New records of the operators are found by waiting at the store from now on, or by checks at intervals.";
     LIST_UNREACHABLE = 210, Warn, "The platform's instance list can't be read; the last one is used.";
     CONTACT_LOST = 300, Error, "Neither the log nor a majority of witnesses responds: requests are refused.";
     CONTACT_BACK = 301, Info, "The log or a majority of witnesses responds again.";
