An evacuation does not hide the size of the configuration

A read that returned only the record of an evacuation made the configuration count as that small, so that its next version would have been read by all at the same time. Delays after failed reads also start anew after a check that succeeded, not only after a record.

--- a/cicadagate-gateway/src/process/config.rs
+++ b/cicadagate-gateway/src/process/config.rs
@@ -90,7 +90,7 @@
         gateway.config_checked_at.set(gateway.now());
         gateway.config_checked.notify_waiters();
         match outcome {
-            Ok(()) => {}
+            Ok(()) => reads.note_success(),
             Err(StoreError::Expired { .. }) => position = None,
             Err(_) => {
                 let delay_ms = reads.next_backoff_ms(gateway.next_random());
@@ -150,7 +150,9 @@
             break;
         }
     }
-    note_read(gateway, reads, started, items.iter());
+    let (total, largest) = sizes(&items);
+    reads.note_size(largest);
+    reads.note_read(started, total, fleet_reads(gateway));
     let (mut config, mut evacuated) = (None, BTreeSet::new());
     for record in items.iter().filter_map(|item| decode(gateway, item)) {
         match record {
@@ -273,7 +275,10 @@
         };
         items.push(item);
     }
-    note_read(gateway, reads, as_of, items.iter());
+    let (total, largest) = sizes(&items);
+    // An evacuation says nothing about the size of the configuration.
+    reads.note_size(largest.max(reads.size()));
+    reads.note_read(as_of, total, fleet_reads(gateway));
     for item in &items {
         match decode(gateway, item) {
             Some(OperatorRecord::Config(config)) => put_in_force(gateway, *config),
@@ -293,23 +298,11 @@
     }
 }
 
-/// Records a read that began at `started`.
-fn note_read<'a>(
-    gateway: &Gateway,
-    reads: &mut LargeReads,
-    started: Time,
-    items: impl Iterator<Item = &'a KeyedRecord>,
-) {
-    let (mut total, mut largest) = (0, 0);
-    for item in items {
-        let bytes = item.value.as_ref().map_or(0, |value| value.len() as u64);
-        total += bytes;
-        largest = largest.max(bytes);
-    }
-    if total > 0 {
-        reads.note_size(largest);
-    }
-    reads.note_read(started, total, fleet_reads(gateway));
+/// Returns the size of all records and that of the largest one, in bytes.
+fn sizes(items: &[KeyedRecord]) -> (u64, u64) {
+    let sizes = items.iter().filter_map(|item| item.value.as_ref());
+    let sizes = sizes.map(|value| value.len() as u64);
+    (sizes.clone().sum(), sizes.max().unwrap_or_default())
 }
 
 impl Gateway {
--- a/cicadagate-policy/src/process/large_reads.rs
+++ b/cicadagate-policy/src/process/large_reads.rs
@@ -106,6 +106,12 @@
         transfer_ms <= MAX_BURST_MS || is_injected(Fault::WaitForLargeRecords)
     }
 
+    /// Returns the size of the latest record, in bytes; 0 if none was read.
+    #[must_use]
+    pub const fn size(&self) -> u64 {
+        self.bytes
+    }
+
     /// Returns the size that is expected of the next record, in bytes.
     #[must_use]
     pub fn expected_bytes(&self) -> u64 {
@@ -119,7 +125,6 @@
 
     /// Records that a read that began at `started` returned `bytes`.
     pub fn note_read(&mut self, started: Time, bytes: u64, fleet: FleetReads) {
-        self.failures = 0;
         if bytes > 0 {
             self.planned = None;
             self.earliest = started.plus(fleet.spread_ms(bytes));
@@ -137,6 +142,11 @@
         planned
     }
 
+    /// Records that a read or a check succeeded.
+    pub const fn note_success(&mut self) {
+        self.failures = 0;
+    }
+
     /// Returns the delay after a failed read, in milliseconds. It grows with the number of
     /// consecutive failures, as a store that is busy with the reads of all members gets busier
     /// by their repetitions.
--- a/cicadagate-policy/tests/large_reads.rs
+++ b/cicadagate-policy/tests/large_reads.rs
@@ -135,6 +135,7 @@
                 }
                 Event::Received(member, version, started) => {
                     self.reads[member].note_read(Time(started), CONFIG_BYTES, self.shared);
+                    self.reads[member].note_success();
                     let newer = self.versions[member] + 1..=version;
                     for version in newer {
                         let version = usize::try_from(version).unwrap();
@@ -237,11 +238,6 @@
         longest.push(reads.next_backoff_ms(u64::MAX));
     }
     assert!(longest.iter().all(|delay| (100..=1_700).contains(delay)));
-    let fleet = FleetReads {
-        members: 1,
-        bytes_per_s: None,
-        in_force_ms: IN_FORCE_MS,
-    };
-    reads.note_read(Time(0), 1, fleet);
+    reads.note_success();
     assert!(reads.next_backoff_ms(99) <= 200);
 }
