An old configuration still serves what it allows

Cause: since a request whose configuration could not be read within 0.8 s was refused as a whole unless the store counted as away. The read itself times out after 0.8 s as well, so which came first was a matter of chance.

--- a/cicadagate-gateway/src/process/config.rs
+++ b/cicadagate-gateway/src/process/config.rs
@@ -16,8 +16,8 @@
 if there are several.
 
 A request that finds the records too old to be judged by them has them read at once, and
-waits. If they can't be read in time, it is refused, unless the store is away for all: then
-nothing can change, and requests that the last known records allow are served.
+waits. If they can't be read in time, it is judged by the last known ones, which deny nothing:
+a request that they don't allow is refused until it can be known.
 
 The latest records are applied together once all of them are read, evacuations
 first. A process serves only with a configuration, so one that starts serves
--- a/cicadagate-gateway/src/request/admission.rs
+++ b/cicadagate-gateway/src/request/admission.rs
@@ -174,19 +174,17 @@
     })
 }
 
-/// Returns what may be said of a request by a configuration of this age. One that could not be
-/// read in time decides nothing. While the store is away no newer one is acknowledged, but the
-/// last one before may not be known here, so nothing is denied by it.
+/// Returns what may be said of a request by a configuration of this age. One that is too old
+/// denies nothing: the route or key may have been added since.
 fn judge_by_age(
     identified: Result<RequestContext, RequestError>,
     refreshed: Refreshed,
 ) -> Result<RequestContext, RequestError> {
-    match (identified, refreshed) {
-        (Err(err @ (RequestError::NotConfigured | RequestError::Closing)), _) => Err(err),
-        (Ok(_), Refreshed::Late) | (Err(_), Refreshed::Late | Refreshed::StoreAway) => {
+    match identified {
+        Err(RequestError::NoRoute | RequestError::UnknownKey) if refreshed != Refreshed::Recent => {
             Err(RequestError::ConfigStale)
         }
-        (identified, _) => identified,
+        identified => identified,
     }
 }
 
