Requests wait for the configuration once, not in each outage cycle

While the store answered nobody, each request waited up to 0.8 s again when the last read had failed more than 2 s before, as reads wait longer than that.

--- a/cicadagate-gateway/src/process/config.rs
+++ b/cicadagate-gateway/src/process/config.rs
@@ -28,7 +28,7 @@
     super::{
         Gateway, evacuation,
         fleet_store::{FleetStore, StoreReachability},
-        freshness::{MAX_CHECK_AGE_MS, Refreshed, millis},
+        freshness::{Refreshed, millis},
     },
     crate::platform::{KeyedRecord, OperatorRecord, RecordPage, StoreError},
     actix_rt::time::{sleep, timeout},
@@ -87,7 +87,6 @@
         gateway.is_config_unread.set(outcome.is_err());
         let is_rejected = outcome.as_ref().is_err_and(StoreError::is_not_done);
         gateway.is_config_rejected.set(is_rejected);
-        gateway.config_checked_at.set(gateway.now());
         gateway.config_checked.notify_waiters();
         match outcome {
             Ok(()) => reads.note_success(),
@@ -334,13 +333,12 @@
     }
 
     /// Returns whether the store is away for all, as far as known: the last read of the
-    /// operators' records failed, not long ago, and no other gateway says that it reaches the
-    /// store. A store that answers other reads may be slow or busy rather than away.
+    /// operators' records failed, and no other gateway says that it reaches the store. A store
+    /// that answers other reads may be slow or busy rather than away.
     fn is_config_away(&self, now: Time) -> bool {
         let bounds = self.bounds();
         let act_ms = millis(bounds.config_in_force.min(bounds.evacuation)) * ACT_PERCENT / 100;
         self.is_config_unread.get()
-            && now.since(self.config_checked_at.get()) < MAX_CHECK_AGE_MS
             && !FleetStore::is_reached_elsewhere(self)
             && (self.is_config_rejected.get() || !self.store.has_answered_within(now, act_ms))
     }
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -211,8 +211,6 @@
     is_config_unread: Cell<bool>,
     /// Notified when the operators' records were read, or could not be.
     config_checked: Notify,
-    /// When the last read of the operators' records ended, failed or not.
-    config_checked_at: Cell<Time>,
     /// Whether the store rejected the last read of the operators' records.
     is_config_rejected: Cell<bool>,
     /// Time at which another gateway last told of an evacuation that was not known here.
@@ -316,7 +314,6 @@
             config_as_of: Cell::default(),
             is_config_unread: Cell::default(),
             config_checked: Notify::new(),
-            config_checked_at: Cell::default(),
             is_config_rejected: Cell::default(),
             last_evacuation_wake: Cell::default(),
             clock,
