--- a/cicadagate-gateway/src/process/config.rs
+++ b/cicadagate-gateway/src/process/config.rs
@@ -27,7 +27,7 @@
 use {
     super::{
         Gateway, evacuation,
-        fleet_store::{FleetStore, StoreReachability},
+        fleet_store::StoreReachability,
         freshness::{Refreshed, millis},
     },
     crate::platform::{KeyedRecord, OperatorRecord, RecordPage, StoreError},
@@ -35,10 +35,7 @@
     cicadagate_node::event,
     cicadagate_policy::{
         ids::Offset,
-        process::{
-            freshness::ACT_PERCENT,
-            large_reads::{FleetReads, LargeReads},
-        },
+        process::large_reads::{FleetReads, LargeReads},
         time::Time,
         version::serving::ServingConfig,
     },
@@ -85,8 +82,6 @@
         };
         reachability.note(outcome.as_ref().err());
         gateway.is_config_unread.set(outcome.is_err());
-        let is_rejected = outcome.as_ref().is_err_and(StoreError::is_not_done);
-        gateway.is_config_rejected.set(is_rejected);
         gateway.config_checked.notify_waiters();
         match outcome {
             Ok(()) => reads.note_success(),
@@ -306,7 +301,8 @@
 
 impl Gateway {
     /// Waits until the operators' records are recent enough to judge a request by them, and
-    /// has them read if needed.
+    /// has them read if needed. There is no wait after a read that failed, directly and through
+    /// another gateway, until one succeeds.
     pub async fn refresh_config(&self) -> Refreshed {
         // A process without records refuses requests anyway.
         if self.config_as_of.get().is_none() {
@@ -319,10 +315,7 @@
             if self.config_freshness().permits(now) {
                 return Refreshed::Recent;
             }
-            if self.is_config_away(now) {
-                return Refreshed::StoreAway;
-            }
-            if now >= until {
+            if self.is_config_unread.get() || now >= until {
                 return Refreshed::Late;
             }
             self.newer_operator_record.notify_one();
@@ -331,17 +324,6 @@
             let _ = timeout(left, checked).await;
         }
     }
-
-    /// Returns whether the store is away for all, as far as known: the last read of the
-    /// operators' records failed, and no other gateway says that it reaches the store. A store
-    /// that answers other reads may be slow or busy rather than away.
-    fn is_config_away(&self, now: Time) -> bool {
-        let bounds = self.bounds();
-        let act_ms = millis(bounds.config_in_force.min(bounds.evacuation)) * ACT_PERCENT / 100;
-        self.is_config_unread.get()
-            && !FleetStore::is_reached_elsewhere(self)
-            && (self.is_config_rejected.get() || !self.store.has_answered_within(now, act_ms))
-    }
 }
 
 fn decode(gateway: &Gateway, item: &KeyedRecord) -> Option<OperatorRecord> {
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -211,8 +211,6 @@
     is_config_unread: Cell<bool>,
     /// Notified when the operators' records were read, or could not be.
     config_checked: Notify,
-    /// Whether the store rejected the last read of the operators' records.
-    is_config_rejected: Cell<bool>,
     /// Time at which another gateway last told of an evacuation that was not known here.
     last_evacuation_wake: Cell<Time>,
     clock: Clock,
@@ -314,7 +312,6 @@
             config_as_of: Cell::default(),
             is_config_unread: Cell::default(),
             config_checked: Notify::new(),
-            is_config_rejected: Cell::default(),
             last_evacuation_wake: Cell::default(),
             clock,
             in_flight: RefCell::default(),
