review: batch jobs fill the store, and accepted items are never answered

Cause: contents of items are written again with each save and never trimmed, so that the store reaches its 400 MB, and refuses the results.

--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -4,7 +4,7 @@
 //! Usage: `review-2 CASE FOLDER`. The exit code is 1 if the rule was broken, 0 if it held and
 //! 2 if the case could not run. With `TROUBLE=0` in the environment there is no disruption.
 
-mod case_exit;
+mod case_full;
 mod case_order;
 mod fleet;
 mod http;
@@ -53,7 +53,7 @@
     };
     let outcome = match name.as_str() {
         "order" => case_order::run(&case),
-        "exit" => case_exit::run(&case),
+        "full" => case_full::run(&case),
         _ => Err(format!("no case {name}")),
     };
     let (code, verdict) = match outcome {
--- a/review/harness-2/replica.rs
+++ b/review/harness-2/replica.rs
@@ -22,8 +22,10 @@
     pub service: String,
     pub events: u64,
     pub event_time: Duration,
-    /// Body of a response to a request that is not for a stream.
-    pub plain_body: Vec<u8>,
+    /// Bytes that fill the data of each event.
+    pub padding: usize,
+    /// Requests that are running.
+    pub running: AtomicU64,
     state: Mutex<State>,
     seq: AtomicU64,
     store: Arc<Store>,
@@ -46,7 +48,8 @@
             service: service.to_owned(),
             events: 30,
             event_time: Duration::from_millis(100),
-            plain_body: Vec::new(),
+            padding: 0,
+            running: AtomicU64::new(0),
             state: Mutex::default(),
             seq: AtomicU64::new(0),
             store: Arc::clone(store),
@@ -139,13 +142,11 @@
                 conn.respond(421, &headers, b"")?;
                 continue;
             }
-            if self.plain_body.is_empty() {
-                self.stream(&mut conn, &req, &id, &version, stopped)?;
-            } else {
-                self.record.add(format!("{} runs {id} and answers with {} bytes", self.id, self.plain_body.len()));
-                let headers = format!("X-Cicadagate-Attempt-Id: {id}\r\nX-Cicadagate-Server-Stamp: {}.{id}\r\n", self.id);
-                conn.respond(200, &headers, &self.plain_body)?;
-            }
+            self.running.fetch_add(1, Ordering::SeqCst);
+            let outcome = self.stream(&mut conn, &req, &id, &version, stopped);
+            self.running.fetch_sub(1, Ordering::SeqCst);
+            self.record.add(format!("{} ends {id}{}", self.id, if outcome.is_ok() { "" } else { ", cut" }));
+            outcome?;
         }
         Ok(())
     }
@@ -161,8 +162,9 @@
             self.id
         );
         conn.stream.write_all(head.as_bytes())?;
+        let padding = "x".repeat(self.padding);
         for event in first..self.events {
-            let text = format!("id: {event}\ndata: {version} {event}\n\n");
+            let text = format!("id: {event}\ndata: {version} {event}{padding}\n\n");
             conn.stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
             thread::sleep(self.event_time);
             if stopped.load(Ordering::SeqCst) {
--- a/review/harness-2/store.rs
+++ b/review/harness-2/store.rs
@@ -1,11 +1,14 @@
-//! Stand-in for the platform's store: a log of partitioned topics. It is sound and is never
-//! disrupted by these cases.
+//! Stand-in for the platform's store: a log of partitioned topics. It is sound, and answers
+//! appends with 507 when it holds as much as the pages allow.
 
 use super::http::{Connection, Message, base64};
 use std::{
     collections::{BTreeMap, HashMap},
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -15,6 +18,10 @@
 
 #[derive(Default)]
 pub struct Store {
+    /// Most bytes of all records; 0 is no limit.
+    pub max_bytes: AtomicUsize,
+    bytes: AtomicUsize,
+    refused: AtomicUsize,
     topics: Mutex<HashMap<(String, u32), Vec<Vec<u8>>>>,
     appended: Condvar,
 }
@@ -51,6 +58,11 @@
         (offset, log.len())
     }
 
+    /// Returns the bytes of all appended records, and the number of refused appends.
+    pub fn usage(&self) -> (usize, usize) {
+        (self.bytes.load(Ordering::SeqCst), self.refused.load(Ordering::SeqCst))
+    }
+
     /// Appends a record of a topic with keys.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let mut record = vec![u8::try_from(key.len()).expect("a short key")];
@@ -75,6 +87,13 @@
                     records.push(after[..len].to_vec());
                     rest = &after[len..];
                 }
+                let added: usize = records.iter().map(Vec::len).sum();
+                let max = self.max_bytes.load(Ordering::SeqCst);
+                if max > 0 && self.bytes.load(Ordering::SeqCst) >= max {
+                    self.refused.fetch_add(1, Ordering::SeqCst);
+                    return (507, Vec::new());
+                }
+                self.bytes.fetch_add(added, Ordering::SeqCst);
                 let (offset, end) = self.append(topic, part, records);
                 (200, format!("{{\"offset\":{offset},\"end\":{end}}}").into_bytes())
             }
