--- a/review/harness-2/case_full.rs
+++ b/review/harness-2/case_full.rs
@@ -40,7 +40,7 @@
 "tenants":[{"name":"huka","apiKeys":["key-1"],"ratePerS":500,"burst":500}]}"#;
 
 /// Sends a request on a new connection; returns the status and the body.
-fn send(record: &Record, to: SocketAddr, method: &str, target: &str, headers: &str, body: &str) -> Option<(u16, String)> {
+pub fn send(record: &Record, to: SocketAddr, method: &str, target: &str, headers: &str, body: &str) -> Option<(u16, String)> {
     let tcp = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
     tcp.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
     let mut conn = Connection::new(tcp);
@@ -58,7 +58,7 @@
 }
 
 /// Returns the number of results from a position on.
-fn read_results(record: &Record, to: SocketAddr, job: &str, from: usize) -> Option<(usize, usize)> {
+pub fn read_results(record: &Record, to: SocketAddr, job: &str, from: usize) -> Option<(usize, usize)> {
     let (status, body) = send(record, to, "GET", &format!("/lots/{job}?after={from}"), "", "")?;
     if status != 200 {
         return None;
@@ -144,6 +144,7 @@
         listed += from;
     }
     let total = JOBS * ITEMS;
+    record.add(fleet.store.sizes());
     let (bytes, refused) = fleet.store.usage();
     record.add(format!("{listed} of {total} items are listed; the store has {bytes} bytes and refused {refused} appends"));
     if failures == 3 {
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -6,6 +6,7 @@
 
 mod case_full;
 mod case_order;
+mod case_single;
 mod fleet;
 mod http;
 mod replica;
@@ -53,6 +54,7 @@
     };
     let outcome = match name.as_str() {
         "order" => case_order::run(&case),
+        "single" => case_single::run(&case),
         "full" => case_full::run(&case),
         _ => Err(format!("no case {name}")),
     };
--- a/review/harness-2/replica.rs
+++ b/review/harness-2/replica.rs
@@ -24,6 +24,8 @@
     pub event_time: Duration,
     /// Bytes that fill the data of each event.
     pub padding: usize,
+    pub slots: u32,
+    pub zone: String,
     /// Requests that are running.
     pub running: AtomicU64,
     state: Mutex<State>,
@@ -36,6 +38,7 @@
 struct State {
     version: String,
     born: u128,
+    is_draining: bool,
     connections: Vec<TcpStream>,
     stopped: Arc<AtomicBool>,
 }
@@ -49,6 +52,8 @@
             events: 30,
             event_time: Duration::from_millis(100),
             padding: 0,
+            slots: 8,
+            zone: "a".to_owned(),
             running: AtomicU64::new(0),
             state: Mutex::default(),
             seq: AtomicU64::new(0),
@@ -113,16 +118,31 @@
         let _ = TcpStream::connect(self.addr);
     }
 
+    /// Reports that the replica is draining; it goes on to serve.
+    pub fn drain(&self) {
+        self.state.lock().expect("state").is_draining = true;
+        self.register();
+        self.record.add(format!("replica {} reports that it is draining", self.id));
+    }
+
+    /// Ends a replica that has drained: it removes its registration.
+    pub fn leave(&self) {
+        self.crash();
+        self.store.put("keyed.servers", &self.id, "");
+        self.record.add(format!("replica {} has left", self.id));
+    }
+
     fn register(&self) {
-        let (version, born) = {
+        let (version, born, is_draining) = {
             let state = self.state.lock().expect("state");
-            (state.version.clone(), state.born)
+            (state.version.clone(), state.born, state.is_draining)
         };
+        let entry = if is_draining { "draining" } else { "ready" };
         let seq = self.seq.fetch_add(1, Ordering::SeqCst);
         let value = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"{version}\",\"slots\":8,\
-             \"state\":\"ready\",\"coldLeftMs\":0,\"seq\":{seq},\"born\":{born}}}",
-            self.service, self.addr
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{version}\",\"slots\":{},\
+             \"state\":\"{entry}\",\"coldLeftMs\":0,\"seq\":{seq},\"born\":{born}}}",
+            self.service, self.addr, self.zone, self.slots
         );
         self.store.put("keyed.servers", &self.id, &value);
     }
--- a/review/harness-2/store.rs
+++ b/review/harness-2/store.rs
@@ -63,6 +63,16 @@
         (self.bytes.load(Ordering::SeqCst), self.refused.load(Ordering::SeqCst))
     }
 
+    /// Returns the megabytes of each partition that has any.
+    pub fn sizes(&self) -> String {
+        let topics = self.topics.lock().expect("topics");
+        let sizes = topics.iter().map(|((topic, part), log)| {
+            let bytes: usize = log.iter().map(Vec::len).sum();
+            format!("{topic}/{part}: {} MB", bytes / 1_000_000)
+        });
+        sizes.collect::<Vec<_>>().join(", ")
+    }
+
     /// Appends a record of a topic with keys.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let mut record = vec![u8::try_from(key.len()).expect("a short key")];
