--- a/review/harness-2/fleet.rs
+++ b/review/harness-2/fleet.rs
@@ -18,6 +18,8 @@
 pub struct Fleet {
     pub store: Arc<Store>,
     pub processes: Vec<Process>,
+    /// `memoryMb` of the settings.
+    pub memory_mb: u64,
     dir: PathBuf,
     network: (u8, u8),
 }
@@ -39,6 +41,14 @@
         !matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Returns the resident memory, in MiB.
+    pub fn memory_mb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|line| line.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+        kib.unwrap_or(0) / 1024
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -72,7 +82,7 @@
         let dir = env::temp_dir().join(format!("review-2-{pid}"));
         fs::create_dir_all(&dir).map_err(|err| err.to_string())?;
         let store = Store::start((address(network, 100), 8408).into())?;
-        Ok(Self { store, processes: Vec::new(), dir, network })
+        Ok(Self { store, processes: Vec::new(), memory_mb: 300, dir, network })
     }
 
     /// Returns an address for a stand-in.
@@ -85,7 +95,7 @@
         for index in 1..=count {
             let ip = address(self.network, index);
             let settings = self.dir.join(format!("node-{index}.json"));
-            fs::write(&settings, settings_file(ip, index, address(self.network, 100))).map_err(|err| err.to_string())?;
+            fs::write(&settings, settings_file(ip, index, address(self.network, 100), self.memory_mb)).map_err(|err| err.to_string())?;
             let log = fs::File::create(self.dir.join(format!("node-{index}.log"))).map_err(|err| err.to_string())?;
             let child = Command::new("target/release/cicadagate")
                 .env_clear()
@@ -122,13 +132,13 @@
     super::case_order::get(addr, "/readyz").is_some_and(|status| status == 200)
 }
 
-fn settings_file(ip: Ipv4Addr, index: u8, store: Ipv4Addr) -> String {
+fn settings_file(ip: Ipv4Addr, index: u8, store: Ipv4Addr, memory_mb: u64) -> String {
     format!(
         r#"{{"nodeName":"node-{index}","role":"gateway","machineClass":"front","serves":["front","directory"],
 "ip":"{ip}","zone":"a","region":"r","zones":{{"a":"r"}},
 "listen":{{"front":"{ip}:8405","ready":"{ip}:8406","control":"{ip}:8407","directory":"{ip}:8404"}},
 "portRange":[7660,7675],"seeds":[],"bootstrap":true,"lossCounts":false,
-"limits":{{"cpuShare":0.5,"cores":1,"memoryMb":300,"maxFds":8200,"linkMbps":1000.0,"diskMb":0}},
+"limits":{{"cpuShare":0.5,"cores":1,"memoryMb":{memory_mb},"maxFds":8200,"linkMbps":1000.0,"diskMb":0}},
 "heartbeatMs":1200,
 "bounds":{{"seedLagS":3,"reuseAfterS":2,"contactMs":3000,"ackMs":4000,"catchUpS":4.9,"drainMs":2000,"graceS":{GRACE_S},
 "lossSlackMs":200,"configApplyMs":2000,"rollbackSlackMs":250,"outerMs":5000,"strictRevoke":false,"revokeMs":5000,
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -5,11 +5,13 @@
 //! 2 if the case could not run. With `TROUBLE=0` in the environment there is no disruption.
 
 mod case_full;
+mod case_memory;
 mod case_order;
 mod case_single;
 mod fleet;
 mod http;
 mod replica;
+mod slow;
 mod store;
 
 use std::{
@@ -54,6 +56,7 @@
     };
     let outcome = match name.as_str() {
         "order" => case_order::run(&case),
+        "memory" => case_memory::run(&case),
         "single" => case_single::run(&case),
         "full" => case_full::run(&case),
         _ => Err(format!("no case {name}")),
--- a/review/harness-2/replica.rs
+++ b/review/harness-2/replica.rs
@@ -24,6 +24,8 @@
     pub event_time: Duration,
     /// Bytes that fill the data of each event.
     pub padding: usize,
+    /// Time from a request to the head of its response.
+    pub first_delay: Duration,
     pub slots: u32,
     pub zone: String,
     /// Requests that are running.
@@ -52,6 +54,7 @@
             events: 30,
             event_time: Duration::from_millis(100),
             padding: 0,
+            first_delay: Duration::ZERO,
             slots: 8,
             zone: "a".to_owned(),
             running: AtomicU64::new(0),
@@ -181,6 +184,7 @@
              X-Cicadagate-Attempt-Id: {id}\r\nX-Cicadagate-Server-Stamp: {}.{id}\r\n\r\n",
             self.id
         );
+        thread::sleep(self.first_delay);
         conn.stream.write_all(head.as_bytes())?;
         let padding = "x".repeat(self.padding);
         for event in first..self.events {
