review: results of items hold text of two software versions

Cause: as for the streams of case 4: a replica that is back under its id with other software is taken for its old version until its registration is read again.

--- a/review/harness-2/case_memory.rs
+++ b/review/harness-2/case_memory.rs
@@ -20,13 +20,13 @@
 };
 
 /// `memoryMb` of the sheet of lw-quotegate.
-const MEMORY_MB: u64 = 140;
+pub const MEMORY_MB: u64 = 140;
 const ITEMS: usize = 60;
 /// Events and bytes of an item: a result of 15 kB, the mean of the sheet.
 const EVENTS: u64 = 241;
 const EVENT_BYTES: usize = 65;
 const READERS: usize = 170;
-const CALLERS: usize = 12;
+pub const CALLERS: usize = 12;
 /// Rate at which a slow caller reads: 320 kbit/s.
 const SLOW_BYTES_PER_S: usize = 40_000;
 const FAST_BYTES_PER_S: usize = 100_000_000;
@@ -34,7 +34,7 @@
 const PATIENCE: Duration = Duration::from_millis(2_500);
 const JOB: &str = "7c41e09b52d6a3f8";
 
-const CONFIG: &str = r#"{"version":3,"routes":[
+pub const CONFIG: &str = r#"{"version":3,"routes":[
 {"name":"digest","host":"a.example","prefix":"/digest/","kind":"batch","timeoutMs":15000,"sloMs":400,"priority":2,
 "service":"llm","attempts":3,"anonymous":false,"sticky":true,"resumable":true,"gapAimMs":300,"dueMs":18000,"retentionS":60},
 {"name":"ask","host":"a.example","prefix":"/ask/","kind":"streaming","timeoutMs":5000,"sloMs":300,"priority":0,
@@ -45,7 +45,7 @@
 
 /// Sends requests one after the other on a kept connection, until told to stop; returns
 /// whether one that had been passed on to a replica got no answer.
-fn call(case: &Case, to: SocketAddr, number: usize, stop: &AtomicBool, served: &AtomicUsize) -> Option<bool> {
+pub fn call(case: &Case, to: SocketAddr, number: usize, stop: &AtomicBool, served: &AtomicUsize) -> Option<bool> {
     let mut conn = Connection::new(TcpStream::connect(to).ok()?);
     conn.stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
     for turn in 0..100 {
--- a/review/harness-2/fleet.rs
+++ b/review/harness-2/fleet.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-pub const GRACE_S: u64 = 8;
+const GRACE_S: u64 = 8;
 /// The key of the deploy file.
 const FLEET_KEY: &str = "8f3b1c6de5a94707b2c8d01e6f7a3952c4d5e6f708192a3b4c5d6e7f80912a3b";
 
@@ -31,16 +31,6 @@
 }
 
 impl Process {
-    /// Sends SIGTERM.
-    pub fn terminate(&self) {
-        let command = format!("kill -TERM {}", self.child.id());
-        let _ = Command::new("sh").args(["-c", &command]).status();
-    }
-
-    pub fn has_exited(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
-    }
-
     /// Returns the resident memory, in MiB.
     pub fn memory_mb(&self) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
@@ -129,7 +119,7 @@
 }
 
 fn is_ready(addr: SocketAddr) -> bool {
-    super::case_order::get(addr, "/readyz").is_some_and(|status| status == 200)
+    super::http::get(addr, "/readyz").is_some_and(|status| status == 200)
 }
 
 fn settings_file(ip: Ipv4Addr, index: u8, store: Ipv4Addr, memory_mb: u64) -> String {
--- a/review/harness-2/http.rs
+++ b/review/harness-2/http.rs
@@ -3,7 +3,8 @@
 use std::{
     collections::BTreeMap,
     io::{self, Read, Write},
-    net::TcpStream,
+    net::{SocketAddr, TcpStream},
+    time::Duration,
 };
 
 /// A request or the head of a response; names of headers are in lower case.
@@ -152,3 +153,13 @@
     }
     out
 }
+
+/// Sends a request without a body; returns the status.
+pub fn get(addr: SocketAddr, path: &str) -> Option<u16> {
+    let stream = TcpStream::connect_timeout(&addr, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+    let mut conn = Connection::new(stream);
+    let req = format!("GET {path} HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    conn.stream.write_all(req.as_bytes()).ok()?;
+    Some(conn.read_head().ok()??.status())
+}
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -4,9 +4,10 @@
 //! Usage: `review-2 CASE FOLDER`. The exit code is 1 if the rule was broken, 0 if it held and
 //! 2 if the case could not run. With `TROUBLE=0` in the environment there is no disruption.
 
+mod case_bodies;
 mod case_full;
 mod case_memory;
-mod case_order;
+mod case_items;
 mod case_single;
 mod fleet;
 mod http;
@@ -55,8 +56,9 @@
         has_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let outcome = match name.as_str() {
-        "order" => case_order::run(&case),
+        "items" => case_items::run(&case),
         "memory" => case_memory::run(&case),
+        "bodies" => case_bodies::run(&case),
         "single" => case_single::run(&case),
         "full" => case_full::run(&case),
         _ => Err(format!("no case {name}")),
--- a/review/harness-2/store.rs
+++ b/review/harness-2/store.rs
@@ -7,7 +7,7 @@
     net::{SocketAddr, TcpListener},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU32, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -20,6 +20,8 @@
 pub struct Store {
     /// Most bytes of all records; 0 is no limit.
     pub max_bytes: AtomicUsize,
+    /// How many times as long as usual an answer takes.
+    pub slowness: AtomicU32,
     bytes: AtomicUsize,
     refused: AtomicUsize,
     topics: Mutex<HashMap<(String, u32), Vec<Vec<u8>>>>,
@@ -38,7 +40,7 @@
                     let mut conn = Connection::new(stream);
                     while let Ok(Some(req)) = conn.read_request() {
                         let (status, body) = store.answer(&req);
-                        thread::sleep(ANSWER_TIME);
+                        thread::sleep(ANSWER_TIME * store.slowness.load(Ordering::SeqCst).max(1));
                         if conn.respond(status, "", &body).is_err() {
                             return;
                         }
