Items of a split route are planned for the service that runs them

Cause: two places decided at which service an item runs. `job_use` planned all items of a job for the first service of its route; a run went to `route.target(id)`. So the slots, limits, members and deadlines of a plan, and what is logged as held, were those of a service that most of its items didn't use, also while all services had replicas.

Change: `Route::service_of` tells the service of a request or item, and plans, runs and hand-offs ask it. A job of a split route is planned for each service with an open item of it. The scan of open items skips those of other services without counting them, so that a service with few items finds them. A run sets its service once and compares it with the configuration before each start.

Why it works: every count of a plan is now of the service at which the item starts.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -9,15 +9,18 @@
 it.
 
 * `held`: tells why open items wait although a slot is free.
+* `open_jobs`: the open jobs of each service.
 * `run`: runs an item, with retries, until it has a result.
 * `results`: writes results and outputs to the store.
 */
 
 mod held;
+mod open_jobs;
 mod results;
 mod run;
 
 use {
+    self::open_jobs::{JobUse, OpenJobs, job_use, service_of},
     super::{Gateway, memory::HeldResponse, reachability::pick_member},
     actix_rt::time::{sleep, timeout},
     bytes::Bytes,
@@ -40,10 +43,7 @@
         },
         request::sse::EventSequencer,
         time::Time,
-        version::{
-            job_index::{ItemRef, ItemState, Job, JobIndex, Submission},
-            serving::{Route, ServingConfig},
-        },
+        version::job_index::{ItemRef, ItemState, Job, JobIndex},
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -384,73 +384,6 @@
     failures.retain(|item, _| index.is_item_open(*item));
 }
 
-/// What is done with the items of a job.
-enum JobUse<'a> {
-    /// They run on this service.
-    Run(&'a str),
-    /// They wait for a newer configuration.
-    Wait,
-    /// They are abandoned.
-    Abandon,
-}
-
-/// Service of a route.
-#[derive(Clone, Copy)]
-enum RouteService<'a> {
-    /// The configuration has no such route.
-    NoRoute,
-    /// The route has no target.
-    NoTarget,
-    Service(&'a str),
-}
-
-/// Open jobs of a service.
-#[derive(Default)]
-struct OpenJobs<'a> {
-    /// Jobs, in the order of their due times.
-    jobs: Vec<&'a Job>,
-    /// Items that run or wait for a slot, or have output.
-    known: Vec<(&'a Job, ItemRef)>,
-}
-
-impl OpenJobs<'_> {
-    fn open_count(&self) -> usize {
-        self.jobs.iter().map(|job| job.open_count()).sum()
-    }
-}
-
-/// Returns what is done with the items of a job. `services` caches the service of each
-/// route.
-fn job_use<'a>(
-    config: &'a ServingConfig,
-    services: &mut HashMap<&'a str, RouteService<'a>>,
-    job: &'a Job,
-    now_ms: u64,
-) -> JobUse<'a> {
-    let Submission {
-        route,
-        config_version,
-        give_up_ms,
-        ..
-    } = &job.submission;
-    let service = *services.entry(route).or_insert_with(|| {
-        let Some(route) = config.route_by_name(route) else {
-            return RouteService::NoRoute;
-        };
-        let target = route.targets.first();
-        target.map_or(RouteService::NoTarget, |target| {
-            RouteService::Service(&target.service)
-        })
-    });
-    let is_over = now_ms >= give_up_ms + MAX_CLOCK_SKEW_MS;
-    match service {
-        _ if is_over => JobUse::Abandon,
-        RouteService::NoRoute if config.version() >= *config_version => JobUse::Abandon,
-        RouteService::Service(service) => JobUse::Run(service),
-        RouteService::NoRoute | RouteService::NoTarget => JobUse::Wait,
-    }
-}
-
 fn plan_all(gateway: &Rc<Gateway>) {
     let Some(config) = gateway.current_config() else {
         return;
@@ -463,19 +396,19 @@
     let now_ms = unix_time_ms();
     let index = gateway.jobs.index.borrow();
     let known_set = known_items(gateway, &index, &here, &elsewhere);
-    let mut uses = HashMap::new();
+    let mut routes = HashMap::new();
     let mut by_service: BTreeMap<&str, OpenJobs<'_>> = BTreeMap::new();
     let mut to_abandon = Vec::new();
     let mut open = 0;
     for job in index.open_jobs() {
-        match job_use(&config, &mut uses, job, now_ms) {
+        match job_use(&config, &mut routes, job, now_ms) {
             JobUse::Abandon => {
                 let room = MAX_ABANDONED_PER_PLAN.saturating_sub(to_abandon.len());
                 to_abandon.extend(job.open_items().take(room));
             }
-            JobUse::Run(service) => {
+            JobUse::Run(route) => {
                 open += job.open_count();
-                by_service.entry(service).or_default().jobs.push(job);
+                open_jobs::add(&mut by_service, job, route);
             }
             JobUse::Wait => {}
         }
@@ -485,11 +418,14 @@
         let Some(job) = job else {
             continue;
         };
-        match job_use(&config, &mut uses, job, now_ms) {
+        match job_use(&config, &mut routes, job, now_ms) {
             JobUse::Abandon if here.contains(item) => to_abandon.push(*item),
-            JobUse::Run(service) => {
-                let jobs = by_service.entry(service).or_default();
-                jobs.known.push((job, *item));
+            JobUse::Run(route) => {
+                let service = service_of(route, job, *item);
+                let jobs = service.map(|service| by_service.entry(service).or_default());
+                if let Some(jobs) = jobs {
+                    jobs.known.push((job, *item));
+                }
             }
             JobUse::Abandon | JobUse::Wait => {}
         }
@@ -589,6 +525,7 @@
         &items,
         service_slots.total as usize,
         now_ms,
+        |job, item| jobs.has_item(service, job, item),
         |tokens| rate.estimate_ms(tokens),
         |job, item| open_item(gateway, job, item, rate, elsewhere),
     );
@@ -618,7 +555,7 @@
             waiting,
             elsewhere,
         };
-        let open_count = jobs.open_count();
+        let open_count = jobs.open_count(service);
         if limits.has_backlog(open_count) {
             totals.backlogs.insert(service.to_owned());
         }
@@ -822,11 +759,12 @@
     }
     let index = gateway.jobs.index.borrow();
     for item in gateway.item_runner.running() {
-        let route = index.job(item.job).map(|job| &job.submission.route);
-        let route = route.and_then(|route| config.route_by_name(route));
-        let is_of_service =
-            |route: &Rc<Route>| route.targets.iter().any(|target| target.service == service);
-        if route.is_some_and(is_of_service) {
+        let job = index.job(item.job);
+        let used = job.and_then(|job| {
+            let route = config.route_by_name(&job.submission.route)?;
+            service_of(route, job, item)
+        });
+        if used == Some(service.as_str()) {
             event!(ITEM_PAUSED, item: = ItemName(item), reason = "replicas can't be reached");
             gateway.item_runner.pause(item);
         }
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -73,6 +73,8 @@
     host: String,
     customer: String,
     route: Rc<Route>,
+    /// Service at which the item runs.
+    service: String,
     content: ItemContent,
     tokens: u32,
     due_ms: u64,
@@ -356,8 +358,8 @@
         .await
         .map_err(|err| err.to_string())?;
     let content = ItemContent::decode(&content)?;
-    let service = route.target(&entry.id).map(|target| target.service.clone());
-    let service = service.ok_or("route has no service")?;
+    let service = route.service_of(&entry.id).ok_or("route has no service")?;
+    let service = service.to_owned();
     drop_output_of_gone_version(gateway, item, &entry.id, &service);
     let last_kept = gateway
         .item_runner
@@ -400,6 +402,7 @@
         host,
         customer,
         route,
+        service,
         content,
         tokens: entry.tokens,
         due_ms,
@@ -444,7 +447,7 @@
     task: &Task,
     now: Time,
 ) -> Option<(EndpointId, Rc<Registration>)> {
-    let service = &task.route.target(&task.id)?.service;
+    let service = task.service.as_str();
     drop_output_of_gone_version(gateway, task.item, &task.id, service);
     let outputs = gateway.item_runner.outputs.borrow();
     let version = outputs.get(&task.item).and_then(|output| output.version);
@@ -477,9 +480,8 @@
 
 /// Returns whether the configuration still sends an item to the service of its task.
 fn is_target_current(gateway: &Gateway, task: &Task) -> bool {
-    let target = |route: &Route| route.target(&task.id).map(|target| target.service.clone());
     let current = route_of(gateway, &task.route.name);
-    current.is_some_and(|route| target(&route) == target(&task.route))
+    current.is_some_and(|route| route.service_of(&task.id) == Some(&task.service))
 }
 
 /// Waits until what is known permits to start an item; returns why it does not.
--- a/cicadagate-gateway/src/request/admission.rs
+++ b/cicadagate-gateway/src/request/admission.rs
@@ -47,10 +47,7 @@
 
 impl Destination {
     fn new(gateway: &Gateway, req: &Request, route: Rc<Route>, id: &str) -> Self {
-        let target = route.target(id);
-        let service = target
-            .map(|target| target.service.clone())
-            .unwrap_or_default();
+        let service = route.service_of(id).unwrap_or_default().to_owned();
         let value = header_text(req, &gateway.codec.headers().prompt_parts);
         Self {
             prompt_parts: gateway.prompt_parts(&service, &value),
--- a/cicadagate-policy/src/process/item_scan.rs
+++ b/cicadagate-policy/src/process/item_scan.rs
@@ -14,11 +14,14 @@
 those that can meet it, and if these are too few also those that can't. Jobs without an
 item that can meet its due time are skipped by their smallest item. The first `limit` items
 of the order are the same as if all items were ranked, unless more than
-[`MAX_EXAMINED_FACTOR`] times as many would have to be examined.
+[`MAX_EXAMINED_FACTOR`] times as many would have to be examined. Items of jobs whose route
+is split over services count for the service that runs them only, and those of another one
+are skipped without being examined: however few items a service has, they are found.
 
 # Cost
 
-Each open job is still visited once for each plan.
+Each open job is still visited once for each plan, and each item of a job whose route is
+split.
 */
 
 use {
@@ -39,9 +42,9 @@
 /// The open items of a service.
 #[derive(Clone, Copy, Debug)]
 pub struct ServiceItems<'a, S> {
-    /// Open jobs, in the order of their due times.
+    /// Open jobs with items of the service, in the order of their due times.
     pub jobs: &'a [&'a Job],
-    /// Items of these jobs that run or wait for a slot, or have output.
+    /// Items of the service that run or wait for a slot, or have output.
     pub known: &'a [(&'a Job, ItemRef)],
     /// The items of `known`, and maybe those of other services.
     pub known_set: &'a HashSet<ItemRef, S>,
@@ -58,13 +61,15 @@
 
 /// Collects the open items that a plan for `slots` slots needs.
 ///
-/// `run_ms` returns the estimated time of a run by the item's tokens, and `open` what is
-/// known of an item without a result.
+/// `uses_service` returns whether an item of a job runs at this service, `run_ms` the
+/// estimated time of a run by the item's tokens, and `open` what is known of an item without
+/// a result.
 #[must_use]
 pub fn scan<S: BuildHasher>(
     service: &ServiceItems<'_, S>,
     slots: usize,
     now_ms: u64,
+    uses_service: impl Fn(&Job, ItemRef) -> bool,
     run_ms: impl Fn(u32) -> u64,
     open: impl Fn(&Job, ItemRef) -> Option<OpenItem>,
 ) -> ItemScan {
@@ -87,7 +92,7 @@
                 if collected >= limit || scan.examined >= max_examined {
                     return collected;
                 }
-                if service.known_set.contains(&item) {
+                if service.known_set.contains(&item) || !uses_service(job, item) {
                     continue;
                 }
                 scan.examined += 1;
--- a/cicadagate-policy/src/version/serving.rs
+++ b/cicadagate-policy/src/version/serving.rs
@@ -98,10 +98,40 @@
         }
     }
 
+    /// Returns the services that requests of this route are sent to, each once: those with
+    /// a share.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        let has_shares = self.targets.iter().any(|target| target.weight > 0);
+        let is_used = move |at: usize, target: &Target| {
+            if has_shares {
+                target.weight > 0
+            } else {
+                at == 0
+            }
+        };
+        let targets = self.targets.iter().enumerate();
+        let used = targets.filter(move |(at, target)| {
+            let is_same =
+                |earlier: &Target| earlier.weight > 0 && earlier.service == target.service;
+            is_used(*at, target) && !self.targets[..*at].iter().any(is_same)
+        });
+        used.map(|(_, target)| target.service.as_str())
+    }
+
+    /// Returns the service of a request or item, `None` if the route has no target.
+    #[must_use]
+    pub fn service_of(&self, request: &str) -> Option<&str> {
+        let target = self.target(request)?;
+        Some(&target.service)
+    }
+
     /// Returns the target for a request, chosen by weight and the hash of its
     /// id.
     #[must_use]
     pub fn target(&self, request: &str) -> Option<&Target> {
+        if let [target] = self.targets.as_slice() {
+            return Some(target);
+        }
         let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
         if total == 0 {
             return self.targets.first();
--- a/cicadagate-policy/tests/item_scan.rs
+++ b/cicadagate-policy/tests/item_scan.rs
@@ -118,7 +118,7 @@
         known_set: &known_set,
     };
     let run_ms = |tokens| rate().estimate_ms(tokens);
-    let scan = scan(&items, SLOTS, NOW_MS, run_ms, open_item);
+    let scan = scan(&items, SLOTS, NOW_MS, |_, _| true, run_ms, open_item);
     (first(scan.items), scan.examined)
 }
 
@@ -176,3 +176,25 @@
     });
     assert_eq!(index.saved_items().count(), before - 2, "the job has ended");
 }
+
+// Guards against items that a plan doesn't find: those of another service of a split route,
+// due earlier, were examined in their place.
+#[test]
+fn the_few_items_of_a_service_are_found_among_many_of_another_one() {
+    let index = index(100);
+    let jobs: Vec<&Job> = index.open_jobs().collect();
+    let known_set = HashSet::new();
+    let items = ServiceItems {
+        jobs: &jobs,
+        known: &[],
+        known_set: &known_set,
+    };
+    // The last jobs to be due have one item each at the service.
+    let first_job = JOBS - 5;
+    let uses_service =
+        |job: &Job, item: ItemRef| job.submission.job.raw() >= first_job && item.index == 0;
+    let run_ms = |tokens| rate().estimate_ms(tokens);
+    let scan = scan(&items, 1, NOW_MS, uses_service, run_ms, open_item);
+    assert_eq!(scan.items.len(), 5);
+    assert!(scan.examined <= 10, "{}", scan.examined);
+}
--- a/cicadagate-policy/tests/serving.rs
+++ b/cicadagate-policy/tests/serving.rs
@@ -154,3 +154,32 @@
     assert_eq!(config.relative_priority(&less_urgent, Some(&first)), 0);
     assert_eq!(config.relative_priority(&urgent, Some(&second)), 1);
 }
+
+// Guards against a service of a split that is planned for though no request goes there, and
+// one that is planned for twice.
+#[test]
+fn the_services_of_a_split_are_those_with_a_share() {
+    let services = |shares: &[(&str, u32)]| {
+        let mut split = route("split", "a.example", "/");
+        split.targets = shares
+            .iter()
+            .map(|(service, weight)| Target {
+                service: (*service).to_owned(),
+                weight: *weight,
+            })
+            .collect();
+        let used: Vec<String> = split.services().map(str::to_owned).collect();
+        for n in 0..100 {
+            let service = split.service_of(&format!("r{n}"));
+            assert!(
+                service.is_none_or(|service| used.iter().any(|it| it == service)),
+                "{shares:?}"
+            );
+        }
+        used
+    };
+    assert_eq!(services(&[("a", 0), ("b", 1)]), ["b"]);
+    assert_eq!(services(&[("a", 0), ("b", 0)]), ["a"]);
+    assert_eq!(services(&[("a", 1), ("b", 2), ("a", 3)]), ["a", "b"]);
+    assert!(services(&[]).is_empty());
+}
