Items run at another service of their split while theirs has no replica

What callers would see: with a split of 50 : 50 and one service gone for good, half of the accepted items wait until they are given up, beside free slots of the other service.

Cause: the service of an item follows from its id and the weights alone. An online request that is refused comes back with another id; an item keeps its own.

Change: while the service that the split assigns to an item has no replica for new work, another service of the split with one runs it, chosen by the item's id. The configuration allows both. A service without a share gets none. Output that the other service wrote is dropped, as after a move of the route.

--- a/cicadagate-gateway/src/process/item_runner/mod.rs
+++ b/cicadagate-gateway/src/process/item_runner/mod.rs
@@ -20,7 +20,7 @@
 mod run;
 
 use {
-    self::open_jobs::{JobUse, OpenJobs, job_use, service_of},
+    self::open_jobs::{JobUse, OpenJobs, UsableServices, job_use},
     super::{Gateway, memory::HeldResponse, reachability::pick_member},
     actix_rt::time::{sleep, timeout},
     bytes::Bytes,
@@ -397,6 +397,7 @@
     let index = gateway.jobs.index.borrow();
     let known_set = known_items(gateway, &index, &here, &elsewhere);
     let mut routes = HashMap::new();
+    let usable = UsableServices::new(gateway);
     let mut by_service: BTreeMap<&str, OpenJobs<'_>> = BTreeMap::new();
     let mut to_abandon = Vec::new();
     let mut open = 0;
@@ -408,7 +409,7 @@
             }
             JobUse::Run(route) => {
                 open += job.open_count();
-                open_jobs::add(&mut by_service, job, route);
+                open_jobs::add(&mut by_service, &usable, job, route);
             }
             JobUse::Wait => {}
         }
@@ -421,7 +422,7 @@
         match job_use(&config, &mut routes, job, now_ms) {
             JobUse::Abandon if here.contains(item) => to_abandon.push(*item),
             JobUse::Run(route) => {
-                let service = service_of(route, job, *item);
+                let service = usable.service_of(route, job, *item);
                 let jobs = service.map(|service| by_service.entry(service).or_default());
                 if let Some(jobs) = jobs {
                     jobs.known.push((job, *item));
@@ -451,6 +452,7 @@
         waiting: &waiting,
         elsewhere: &elsewhere,
         known_set: &known_set,
+        usable: &usable,
     };
     let mut totals = Totals::default();
     for (service, jobs) in by_service {
@@ -482,6 +484,7 @@
     elsewhere: &'a HashSet<ItemRef>,
     /// Items that run or wait for a slot, or have output.
     known_set: &'a HashSet<ItemRef>,
+    usable: &'a UsableServices,
 }
 
 /// Figures of the plans of all services.
@@ -525,7 +528,7 @@
         &items,
         service_slots.total as usize,
         now_ms,
-        |job, item| jobs.has_item(service, job, item),
+        |job, item| jobs.has_item(round.usable, service, job, item),
         |tokens| rate.estimate_ms(tokens),
         |job, item| open_item(gateway, job, item, rate, elsewhere),
     );
@@ -555,7 +558,7 @@
             waiting,
             elsewhere,
         };
-        let open_count = jobs.open_count(service);
+        let open_count = jobs.open_count(round.usable, service);
         if limits.has_backlog(open_count) {
             totals.backlogs.insert(service.to_owned());
         }
@@ -757,12 +760,13 @@
     if !gateway.is_cut_off(&service) || pick_member(&gateway, &service, &[]).is_none() {
         return;
     }
+    let usable = UsableServices::new(&gateway);
     let index = gateway.jobs.index.borrow();
     for item in gateway.item_runner.running() {
         let job = index.job(item.job);
         let used = job.and_then(|job| {
             let route = config.route_by_name(&job.submission.route)?;
-            service_of(route, job, item)
+            usable.service_of(route, job, item)
         });
         if used == Some(service.as_str()) {
             event!(ITEM_PAUSED, item: = ItemName(item), reason = "replicas can't be reached");
--- a/cicadagate-gateway/src/process/item_runner/run.rs
+++ b/cicadagate-gateway/src/process/item_runner/run.rs
@@ -5,6 +5,7 @@
 use {
     super::{
         ItemContent, ItemName, ItemRun, MAX_CLOCK_SKEW_MS, PartialOutput,
+        open_jobs::UsableServices,
         results::{abandon, finish},
     },
     crate::{
@@ -358,7 +359,9 @@
         .await
         .map_err(|err| err.to_string())?;
     let content = ItemContent::decode(&content)?;
-    let service = route.service_of(&entry.id).ok_or("route has no service")?;
+    let usable = UsableServices::new(gateway);
+    let service = usable.service_of_id(&route, &entry.id);
+    let service = service.ok_or("route has no service")?;
     let service = service.to_owned();
     drop_output_of_gone_version(gateway, item, &entry.id, &service);
     let last_kept = gateway
@@ -478,10 +481,12 @@
     Some((replica.endpoint, Rc::clone(&replica.registration)))
 }
 
-/// Returns whether the configuration still sends an item to the service of its task.
+/// Returns whether an item still goes to the service of its task, by the configuration and the
+/// replicas that are known now.
 fn is_target_current(gateway: &Gateway, task: &Task) -> bool {
     let current = route_of(gateway, &task.route.name);
-    current.is_some_and(|route| route.service_of(&task.id) == Some(&task.service))
+    let usable = UsableServices::new(gateway);
+    current.is_some_and(|route| usable.service_of_id(&route, &task.id) == Some(&task.service))
 }
 
 /// Waits until what is known permits to start an item; returns why it does not.
--- a/cicadagate-policy/src/version/serving.rs
+++ b/cicadagate-policy/src/version/serving.rs
@@ -125,6 +125,24 @@
         Some(&target.service)
     }
 
+    /// Returns the service that runs an item: that of [`service_of`](Self::service_of), or,
+    /// while `has_replicas` says that this one has none, another one of the route. Items are
+    /// kept until they are done, so one that waits for a service that is gone would wait for
+    /// good.
+    pub fn service_with_replicas(
+        &self,
+        item: &str,
+        has_replicas: impl Fn(&str) -> bool,
+    ) -> Option<&str> {
+        let service = self.service_of(item)?;
+        if has_replicas(service) {
+            return Some(service);
+        }
+        let others = self.services().filter(|other| has_replicas(other));
+        let rank = |other: &&str| hash64(&[item.as_bytes(), other.as_bytes()]);
+        Some(others.max_by_key(rank).unwrap_or(service))
+    }
+
     /// Returns the target for a request, chosen by weight and the hash of its
     /// id.
     #[must_use]
--- a/cicadagate-policy/tests/serving.rs
+++ b/cicadagate-policy/tests/serving.rs
@@ -183,3 +183,33 @@
     assert_eq!(services(&[("a", 1), ("b", 2), ("a", 3)]), ["a", "b"]);
     assert!(services(&[]).is_empty());
 }
+
+// Guards against an item that waits for a service without replicas beside another one of its
+// route, and one that leaves a service that has some.
+#[test]
+fn an_item_leaves_its_service_only_while_that_has_no_replica() {
+    let mut split = route("split", "a.example", "/");
+    split.targets = [("a", 1), ("b", 1), ("c", 1), ("gone", 0)]
+        .map(|(service, weight)| Target {
+            service: service.to_owned(),
+            weight,
+        })
+        .to_vec();
+    let (mut at_b, mut at_c) = (0, 0);
+    for n in 0..300 {
+        let item = format!("item-{n}");
+        let own = split.service_of(&item);
+        assert_eq!(split.service_with_replicas(&item, |_| true), own);
+        assert_eq!(split.service_with_replicas(&item, |_| false), own);
+        let only_gone = split.service_with_replicas(&item, |service| service == "gone");
+        assert_eq!(only_gone, own, "a service without a share gets none");
+        let without_a = split.service_with_replicas(&item, |service| service != "a");
+        if own == Some("a") {
+            at_b += u32::from(without_a == Some("b"));
+            at_c += u32::from(without_a == Some("c"));
+        } else {
+            assert_eq!(without_a, own);
+        }
+    }
+    assert!(at_b > 20 && at_c > 20, "{at_b}, {at_c}");
+}
