A bucket that is not used is full for an item, at two tokens

Cause: two waits with the same period. For an item the owner of a replica wants a full bucket, at least two tokens; a bucket without a query for a second was cut to one. A denied item leaves the replica alone for the time that the second token takes, up to a second, and asks others. With twenty replicas or more it never comes back within a second, and no request is sent that could end the rate.

Change: an unused bucket is cut to two tokens at any rate, and that is full for an item. So an item is granted at once by a replica that had no request for two tokens' time, however rarely it asks, and one token is left for an online request.

Why LIMIT holds: only the owner's bucket grants, at the rate as before. While a second member grants in its place there is one more token than before, which the tolerance of 5 allows: `owners_that_change_after_an_idle_time_keep_the_rate_of_a_replica` plays that after idle times, beside the tests that were there.

--- a/cicadagate-policy/src/process/cold_replicas.rs
+++ b/cicadagate-policy/src/process/cold_replicas.rs
@@ -205,10 +205,10 @@
             return RateDecision::Unlimited;
         }
         let known = self.replicas.entry(endpoint).or_default();
-        known.bucket.fill_up_to(now, limit.rate, limit.capacity);
+        let full = known.bucket.fill_up_to(now, limit.rate, limit.capacity);
         let (tokens, max_wait_ms) = match purpose {
             Purpose::Online | Purpose::OnlineFree => (TOKEN, max_wait_ms),
-            Purpose::Batch { .. } => (limit.capacity, 0),
+            Purpose::Batch { .. } => (full, 0),
         };
         known.bucket.decide(limit.rate, tokens, max_wait_ms)
     }
--- a/cicadagate-policy/src/process/replica_rates.rs
+++ b/cicadagate-policy/src/process/replica_rates.rs
@@ -20,13 +20,14 @@
 anything to a member that does. A member that knows of a rate sends nothing to the
 replica without a grant.
 
-A bucket starts empty, holds few tokens, and is nearly empty after it has not been used for
-a while. So while two members consider themselves the owner, they grant at most twice the
-rate, and no saved burst besides, which the replicas' tolerance allows for some seconds. If
-no token is left, online requests may reserve a later one, as long as they can
+A bucket starts empty, holds few tokens, and at most two of them after it has not been used
+for a while. So while two members consider themselves the owner, they grant at most twice the
+rate, and hardly a saved burst besides, which the replicas' tolerance allows for some seconds.
+If no token is left, online requests may reserve a later one, as long as they can
 wait for it; so requests are admitted in the order of their arrival without asking
 again. Items of jobs get a token only from a full bucket and thus what online requests
-leave.
+leave. Two tokens are full after a while without use, however rarely an item asks: an answer to
+it may be the only one that can end the rate.
 
 # Cost
 
@@ -46,8 +47,8 @@
 
 /// Time whose tokens a bucket holds, in milliseconds.
 const BURST_MS: i64 = 250;
-/// Time without a query after which a bucket holds at most one token, in milliseconds:
-/// its owner may have taken over from another one, which still grants tokens.
+/// Time without a query after which a bucket holds at most [`MIN_CAPACITY`], in
+/// milliseconds: its owner may have taken over from another one, which still grants tokens.
 const UNUSED_MS: u64 = 1_000;
 /// Lowest rate that is used, in thousandths of a request per second. Without any request
 /// there is no response that ends the rate.
@@ -148,21 +149,23 @@
 }
 
 impl Bucket {
-    fn fill(&mut self, now: Time, rate: RequestRate) {
-        self.fill_up_to(now, rate, Self::capacity(rate.milli().cast_signed()));
+    fn fill(&mut self, now: Time, rate: RequestRate) -> i64 {
+        self.fill_up_to(now, rate, Self::capacity(rate.milli().cast_signed()))
     }
 
-    pub(super) fn fill_up_to(&mut self, now: Time, rate: RequestRate, capacity: i64) {
+    /// Adds the tokens since the last call; returns what a full bucket holds now.
+    pub(super) fn fill_up_to(&mut self, now: Time, rate: RequestRate, capacity: i64) -> i64 {
         let rate = rate.milli().cast_signed();
         let elapsed_ms = i64::try_from(now.since(self.filled_at)).unwrap_or(i64::MAX);
         let added = rate.saturating_mul(elapsed_ms);
         let capacity = if now.since(self.filled_at) < UNUSED_MS {
             capacity
         } else {
-            TOKEN
+            capacity.min(MIN_CAPACITY)
         };
         self.tokens = self.tokens.saturating_add(added).min(capacity);
         self.filled_at = now.max(self.filled_at);
+        capacity
     }
 
     fn capacity(rate: i64) -> i64 {
@@ -326,10 +329,10 @@
         let Some(rate) = known.rate.filter(|_| !is_injected(Fault::IgnoreNamedRate)) else {
             return RateDecision::Unlimited;
         };
-        known.bucket.fill(now, rate);
+        let full = known.bucket.fill(now, rate);
         let (tokens, max_wait_ms) = match purpose {
             Purpose::Online | Purpose::OnlineFree => (TOKEN, max_wait_ms),
-            Purpose::Batch { .. } => (Bucket::capacity(rate.milli().cast_signed()), 0),
+            Purpose::Batch { .. } => (full, 0),
         };
         known.bucket.decide(rate, tokens, max_wait_ms)
     }
--- a/cicadagate-policy/tests/replica_rates.rs
+++ b/cicadagate-policy/tests/replica_rates.rs
@@ -267,6 +267,36 @@
     }
 }
 
+// Guards against a saved burst at each of two owners, after a time without requests.
+#[test]
+fn owners_that_change_after_an_idle_time_keep_the_rate_of_a_replica() {
+    for (members, per_s) in [
+        (11, 0.0),
+        (11, 0.5),
+        (195, 1.0),
+        (78, 2.5),
+        (11, 8.0),
+        (195, 40.0),
+    ] {
+        for seed in 0..10 {
+            let mut fleet = Fleet::new(members, per_s, seed);
+            let named_at = fleet.now;
+            fleet.run(NAMED_BOUND_MS, 3);
+            for _ in 0..3 {
+                (0..1_000).for_each(|_| fleet.step(10));
+                fleet.change_owner();
+                fleet.run(6_000, 3);
+            }
+            let most = fleet.most_in_window(named_at.plus(NAMED_BOUND_MS));
+            assert!(
+                most <= allowed(per_s),
+                "{members}, {per_s}, {seed}: {most}, allowed {}",
+                allowed(per_s)
+            );
+        }
+    }
+}
+
 // Guards against a limit that denies what the replica would take.
 #[test]
 fn online_load_uses_the_rate_of_a_replica() {
@@ -415,3 +445,55 @@
     assert_eq!(rates.apply(Time(5), REPLICA, named), RateChange::None);
     assert_eq!(rates.limited_count(), 0);
 }
+
+/// Delay before an item asks the next replica, in milliseconds.
+const ITEM_RETRY_MS: u64 = 50;
+/// Longest time for which an item leaves a replica alone that denied it, in milliseconds.
+const MAX_LEFT_ALONE_MS: u64 = 1_000;
+
+/// One item asks one replica after the other that have all named a rate once; returns after how
+/// long one takes it, in milliseconds.
+fn wait_of_a_single_item(replicas: u64, per_s: f64, idle_ms: u64) -> Option<u64> {
+    let mut owner = ReplicaRates::default();
+    let named_at = Time(1_000);
+    for replica in 0..replicas {
+        let endpoint = EndpointId::from_raw(replica);
+        let named = Some(rate(per_s));
+        let _ = owner.note_response(named_at, endpoint, STARTED_MS, named_at, named);
+    }
+    let asked_at = named_at.plus(idle_ms);
+    let mut denied_until = vec![Time(0); usize::try_from(replicas).expect("few")];
+    let mut now = asked_at;
+    while now.since(asked_at) < 60_000 {
+        let next = denied_until.iter().enumerate().min_by_key(|(_, at)| **at);
+        let (index, _) = next.expect("a replica");
+        let endpoint = EndpointId::from_raw(index as u64);
+        match owner.check(now, endpoint, BATCH, 0) {
+            RateDecision::Denied(wait_ms) => {
+                denied_until[index] = now.plus(wait_ms.min(MAX_LEFT_ALONE_MS));
+            }
+            RateDecision::After(_) | RateDecision::Unlimited => return Some(now.since(asked_at)),
+        }
+        now = now.plus(ITEM_RETRY_MS);
+    }
+    None
+}
+
+// Guards against an accepted item that never runs beside idle replicas that named a rate once: it
+// came back to each of them after the time in which a bucket forgets its tokens (review/14).
+#[test]
+fn a_single_item_reaches_an_idle_replica_at_any_rate_and_number_of_replicas() {
+    for replicas in [1, 3, 18, 20, 40, 90, 500] {
+        for per_s in [0.0, 0.3, 1.0, 2.0, 8.0, 9.0, 40.0, 1_000.0] {
+            for idle_ms in [0, 500, 999, 1_000, 60_000] {
+                let waited_ms = wait_of_a_single_item(replicas, per_s, idle_ms);
+                // Two tokens of the lowest rate that is used.
+                let bound_ms = 2_000_000 / rate(per_s).milli() + MAX_LEFT_ALONE_MS;
+                assert!(
+                    waited_ms.is_some_and(|ms| ms <= bound_ms),
+                    "{replicas} replicas, {per_s}/s, {idle_ms} ms: {waited_ms:?}"
+                );
+            }
+        }
+    }
+}
