A service with less than a usable slot takes a request when it is idle

Cause: the load check takes rate x hold time of each replica as its usable slots and rounded the sum down. With 3 x 1/s x 0.3 s that is no slot, so that an idle service has a wait of one hold time, over 70 % of the objective. A rate ends only with a response that names none, and no request was sent that could bring one.

Evidence: OVERLOADED says online=0, slots=0, hold_ms=324, wait_ms=324, 570 times, until the end.

Change: less than a slot counts as one, and the usable part of a replica is never rounded to nothing.

Why it works: an idle service has no wait, whatever its rate, so that a request goes out and can end the rate. LIMIT holds since the owner's bucket keeps the rate, as before; the load check only saves queries.

Failed before: replica_rates `an_idle_service_admits_a_request_at_any_rate`.

--- a/cicadagate-policy/src/process/replica_rates.rs
+++ b/cicadagate-policy/src/process/replica_rates.rs
@@ -358,9 +358,13 @@
 }
 
 /// Returns how many thousandths of a slot of a replica can be used if requests occupy
-/// a slot for `hold_ms`; all of them if the replica names no rate.
+/// a slot for `hold_ms`; all of them if the replica names no rate. It is 0 only for a
+/// replica without slots.
 #[must_use]
 pub fn usable_slots_milli(slots: u32, rate: Option<RequestRate>, hold_ms: u64) -> u64 {
     let all = u64::from(slots) * 1_000;
-    rate.map_or(all, |rate| all.min(rate.milli() * hold_ms / 1_000))
+    rate.map_or(all, |rate| {
+        let used = (rate.milli() * hold_ms).div_ceil(1_000);
+        all.min(used.max(1))
+    })
 }
--- a/cicadagate-policy/src/process/replicas.rs
+++ b/cicadagate-policy/src/process/replicas.rs
@@ -787,7 +787,8 @@
         }
     }
 
-    /// Returns the total slots of a service's replicas that are not avoided.
+    /// Returns the total slots of a service's replicas that are not avoided. Less than a
+    /// slot counts as one: an idle service takes a request, however few it sustains.
     ///
     /// `usable_milli` returns how many thousandths of a slot of a replica can be
     /// used.
@@ -802,7 +803,7 @@
             .replicas_of(service)
             .filter(|replica| !replica.is_avoided(now));
         let total_milli: u64 = usable.map(usable_milli).sum();
-        u32::try_from(total_milli / 1_000).unwrap_or(u32::MAX)
+        u32::try_from(total_milli.div_ceil(1_000)).unwrap_or(u32::MAX)
     }
 
     /// Returns the replicas of a service whose slots count: those that are not avoided. If
--- a/cicadagate-policy/tests/replica_rates.rs
+++ b/cicadagate-policy/tests/replica_rates.rs
@@ -5,9 +5,13 @@
     fault_injection::{Fault, inject},
     ids::{EndpointId, mix64},
     process::{
-        replica_rates::{NamedRate, RateChange, RateDecision, ReplicaRates, RequestRate},
+        replica_rates::{
+            NamedRate, RateChange, RateDecision, ReplicaRates, RequestRate, usable_slots_milli,
+        },
+        replicas::{Registration, ReplicaSet},
         slot_ledger::Purpose,
     },
+    request::overload::{MAX_RELATIVE_PRIORITY, ServiceLoad, admit},
     time::Time,
 };
 
@@ -497,3 +501,45 @@
         }
     }
 }
+
+/// The load of a service without requests whose replicas name a rate.
+fn idle_load(replicas: u8, per_s: f64, slot_hold_ms: u64) -> ServiceLoad {
+    let mut set = ReplicaSet::default();
+    for index in 0..replicas {
+        let _ = set.register(Registration {
+            id: format!("i{index}"),
+            service: "llm".to_owned(),
+            addr: ([127, 0, 0, index + 1], 8080).into(),
+            data_centre: "a".to_owned(),
+            software_version: "v1".to_owned(),
+            slots: 8,
+            is_draining: false,
+            started_ms: STARTED_MS,
+        });
+    }
+    let slots = set.usable_slots(Time(1_000), "llm", |replica| {
+        usable_slots_milli(replica.registration.slots, Some(rate(per_s)), slot_hold_ms)
+    });
+    ServiceLoad {
+        online: 0,
+        slots,
+        slot_hold_ms,
+    }
+}
+
+// Guards against a service that refuses every request for good after its replicas have named a
+// rate: less than a slot in all counted as none (review/13).
+#[test]
+fn an_idle_service_admits_a_request_at_any_rate() {
+    for replicas in [1, 3, 9] {
+        for per_s in [0.0, 0.3, 1.0, 3.0] {
+            for hold_ms in [0, 3, 50, 300, 2_500, 20_000] {
+                let load = idle_load(replicas, per_s, hold_ms);
+                for rank in 0..=MAX_RELATIVE_PRIORITY {
+                    let admitted = admit(load, 300, rank, 0, 1);
+                    assert!(admitted.is_ok(), "{replicas}, {per_s}, {hold_ms}: {load:?}");
+                }
+            }
+        }
+    }
+}
