The load check uses only rates that were named lately

Cause: a rate that ends is noticed only by a response. While other instances have more requests at the replicas than the few slots that the rate leaves, the load check of this one admits none that could bring it.

Change: a rate counts for the load for 2 s after it was named.

Why it works: an admitted request asks the owner of the replica for a token. The owner's reply tells the rate again, or the request goes out and its response does. LIMIT holds since the owner's bucket keeps the rate, as before.

--- a/cicadagate-gateway/src/process/cold.rs
+++ b/cicadagate-gateway/src/process/cold.rs
@@ -57,14 +57,14 @@
         self.cold_limit_of(endpoint, cold_start)
     }
 
-    /// Returns the requests per second that a replica accepts: the lower one of the rate that
-    /// it names and that of a cold replica. `cold_start` is that of its service.
+    /// Returns the requests per second that a replica accepts: the lower one of the rate
+    /// `named` and that of a cold replica. `cold_start` is that of its service.
     pub(crate) fn usable_rate(
         &self,
         replica: &Replica,
+        named: Option<RequestRate>,
         cold_start: Option<ColdStart>,
     ) -> Option<RequestRate> {
-        let named = self.replica_rates.borrow().rate(replica.endpoint);
         let cold = self.cold_limit_of(replica.endpoint, cold_start);
         named.into_iter().chain(cold.map(ColdLimit::rate)).min()
     }
--- a/cicadagate-gateway/src/process/mod.rs
+++ b/cicadagate-gateway/src/process/mod.rs
@@ -439,9 +439,13 @@
         let hold_times = self.hold_times.borrow();
         let slot_hold_ms = hold_times.get(service).map_or(0, |held| held.ms());
         let cold_start = self.cold_start(service);
-        let slots = replicas.usable_slots(self.now(), service, |replica| {
+        let now = self.now();
+        let slots = replicas.usable_slots(now, service, |replica| {
             let slots = replica.registration.slots;
-            usable_slots_milli(slots, self.usable_rate(replica, cold_start), slot_hold_ms)
+            let named = self.replica_rates.borrow();
+            let named = named.recent_rate(now, replica.endpoint);
+            let rate = self.usable_rate(replica, named, cold_start);
+            usable_slots_milli(slots, rate, slot_hold_ms)
         });
         ServiceLoad {
             online: loads.sum(),
--- a/cicadagate-gateway/src/process/rates.rs
+++ b/cicadagate-gateway/src/process/rates.rs
@@ -40,7 +40,8 @@
         let replicas = self.replicas.borrow();
         let rate = replicas.get(endpoint).and_then(|replica| {
             let cold_start = self.cold_start(&replica.registration.service);
-            self.usable_rate(replica, cold_start)
+            let named = self.replica_rates.borrow().rate(endpoint);
+            self.usable_rate(replica, named, cold_start)
         });
         rate.map_or_else(String::new, |rate| rate.to_string())
     }
--- a/cicadagate-policy/src/process/replica_rates.rs
+++ b/cicadagate-policy/src/process/replica_rates.rs
@@ -20,6 +20,11 @@
 anything to a member that does. A member that knows of a rate sends nothing to the
 replica without a grant.
 
+The owner's bucket alone keeps the rate. A member also refuses requests that would wait too
+long by the rates that it knows, which saves messages to owners, but only by rates that it
+has been told of lately: a request that is refused by an older one can't bring
+the response that ends it.
+
 A bucket starts empty, holds few tokens, and at most two of them after it has not been used
 for a while. So while two members consider themselves the owner, they grant at most twice the
 rate, and hardly a saved burst besides, which the replicas' tolerance allows for some seconds.
@@ -50,6 +55,8 @@
 /// Time without a query after which a bucket holds at most [`MIN_CAPACITY`], in
 /// milliseconds: its owner may have taken over from another one, which still grants tokens.
 const UNUSED_MS: u64 = 1_000;
+/// Age up to which a rate counts for the load of a service, in milliseconds.
+const RECENT_MS: u64 = 2_000;
 /// Lowest rate that is used, in thousandths of a request per second. Without any request
 /// there is no response that ends the rate.
 const MIN_MILLI: u64 = 250;
@@ -314,6 +321,14 @@
         self.replicas.get(&endpoint)?.rate
     }
 
+    /// Returns the rate that a replica names, if that was observed lately.
+    #[must_use]
+    pub fn recent_rate(&self, now: Time, endpoint: EndpointId) -> Option<RequestRate> {
+        let known = self.replicas.get(&endpoint)?;
+        let is_recent = now.since(known.observed_at) < RECENT_MS;
+        known.rate.filter(|_| is_recent)
+    }
+
     /// Decides, as the owner of a replica, whether a request may be sent there
     /// that can wait `max_wait_ms`.
     pub fn check(
--- a/cicadagate-policy/tests/replica_rates.rs
+++ b/cicadagate-policy/tests/replica_rates.rs
@@ -543,3 +543,18 @@
         }
     }
 }
+
+// Guards against requests that a member refuses for good by a rate which ended unnoticed: others
+// keep the service busy, and only a request of its own would tell it.
+#[test]
+fn a_rate_that_was_not_named_lately_is_kept_but_refuses_no_request() {
+    let mut rates = ReplicaRates::default();
+    let now = Time(1_000);
+    let _ = rates.note_response(now, REPLICA, STARTED_MS, now, Some(rate(1.0)));
+    assert_eq!(rates.recent_rate(now.plus(1_000), REPLICA), Some(rate(1.0)));
+    let later = now.plus(3_000);
+    assert_eq!(rates.recent_rate(later, REPLICA), None);
+    assert_eq!(rates.rate(REPLICA), Some(rate(1.0)));
+    let _ = rates.note_response(later, REPLICA, STARTED_MS, later, Some(rate(1.0)));
+    assert_eq!(rates.recent_rate(later, REPLICA), Some(rate(1.0)));
+}
